Whole path, thin and in separate processes

A caller's completion, chat or plain call goes through a node to a stand-in and back; the configuration is accepted through the platform's table and polled by the nodes. Core decisions are sans-IO behind ports, the blackboard holds frozen sections, and controllers write one section each.

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,16 @@
+"""Hooks of behave: every scenario stops the processes that it started."""
+
+from features.support.shared import stop_shared_fleets
+
+
+def after_all(context):
+    stop_shared_fleets()
+
+
+def before_scenario(context, scenario):
+    context.fleet = None
+
+
+def after_scenario(context, scenario):
+    if context.fleet is not None:
+        context.fleet.stop()
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the step files."""
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/__init__.py
@@ -0,0 +1,1 @@
+"""Sans-IO decisions: no sockets, no event loop, no wall clock, no global randomness."""
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/blackboard.py
@@ -0,0 +1,56 @@
+"""The blackboard: sections of frozen data that controllers post and read."""
+
+from collections.abc import Iterator
+from typing import Any, Generic, TypeVar
+
+SectionT = TypeVar("SectionT")
+
+
+class SectionWriter(Generic[SectionT]):
+    """The one right to post a section."""
+
+    def __init__(self, board: "Blackboard", kind: type[SectionT], owner: str):
+        self._board = board
+        self.kind = kind
+        self.owner = owner
+
+    def post(self, section: SectionT) -> None:
+        """Replace the section."""
+        assert type(section) is self.kind, f"{self.owner} posted {section!r}"
+        self._board.sections[self.kind] = section
+
+
+class Blackboard:
+    """Holds the current value of each section, by its class."""
+
+    def __init__(self) -> None:
+        self.sections: dict[type[Any], Any] = {}
+        self.writers: dict[type[Any], str] = {}
+
+    def writer(self, initial: SectionT, owner: str) -> SectionWriter[SectionT]:
+        """Claim a section for its one writer and post its first value.
+
+        Args:
+            initial: First value; its class names the section.
+            owner: Name of the controller that writes it.
+
+        Returns:
+            The writer. A second claim is a broken invariant.
+        """
+        kind = type(initial)
+        other = self.writers.get(kind)
+        assert other is None, f"{kind.__name__} is written by {other}, not {owner}"
+        self.writers[kind] = owner
+        self.sections[kind] = initial
+        return SectionWriter(self, kind, owner)
+
+    def read(self, kind: type[SectionT]) -> SectionT:
+        """Return the current value of a section."""
+        section = self.sections[kind]
+        assert isinstance(section, kind)
+        return section
+
+    def items(self) -> Iterator[tuple[str, Any]]:
+        """Return every section with its name, for the state dump."""
+        for kind, section in self.sections.items():
+            yield kind.__name__, section
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/config_decode.py
@@ -0,0 +1,127 @@
+"""Decoding of raw TOML tables onto data classes, reporting every error at once."""
+
+from collections.abc import Mapping
+from dataclasses import MISSING, Field, dataclass, fields, is_dataclass
+from difflib import get_close_matches
+from types import UnionType
+from typing import Any, Literal, Union, get_args, get_origin, get_type_hints
+
+from msgspec import ValidationError, convert
+
+KeyPath = tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class ConfigError:
+    """One error in a configuration.
+
+    Attributes:
+        file: File that set the offending key.
+        key: Dotted path of the key.
+        reason: What is wrong, naming the offending value.
+    """
+
+    file: str
+    key: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return the error as one line."""
+        return f"{self.file}: {self.key}: {self.reason}"
+
+
+@dataclass(frozen=True)
+class PathError:
+    """An error at a key path, before its file is known."""
+
+    path: KeyPath
+    reason: str
+
+
+class TableDecoder:
+    """Decodes nested tables and collects the errors found on the way."""
+
+    def __init__(self) -> None:
+        self.errors: list[PathError] = []
+
+    def reject(self, path: KeyPath, reason: str) -> None:
+        """Record an error."""
+        self.errors.append(PathError(path, reason))
+
+    def decode(self, kind: Any, raw: Any, path: KeyPath) -> Any:
+        """Return `raw` as an instance of `kind`, or `None` after an error."""
+        if is_dataclass(kind):
+            return self._decode_table(kind, raw, path)
+        origin = get_origin(kind)
+        if origin in (Union, UnionType):
+            return self._decode_variant(get_args(kind), raw, path)
+        if origin is dict:
+            return self._decode_mapping(get_args(kind), raw, path)
+        return self._decode_value(kind, raw, path)
+
+    def _decode_table(self, kind: Any, raw: Any, path: KeyPath) -> Any:
+        if not isinstance(raw, Mapping):
+            self.reject(path, f"must be a table, not {raw!r}")
+            return None
+        hints = get_type_hints(kind, include_extras=True)
+        for key in raw:
+            if key not in hints:
+                self.reject((*path, key), _unknown_key(key, list(hints)))
+        values: dict[str, Any] = {}
+        before = len(self.errors)
+        for entry in fields(kind):
+            if entry.name in raw:
+                values[entry.name] = self.decode(
+                    hints[entry.name], raw[entry.name], (*path, entry.name)
+                )
+            elif _is_required(entry):
+                self.reject((*path, entry.name), "is missing")
+        return kind(**values) if len(self.errors) == before else None
+
+    def _decode_variant(self, kinds: tuple[Any, ...], raw: Any, path: KeyPath) -> Any:
+        if not isinstance(raw, Mapping):
+            self.reject(path, f"must be a table, not {raw!r}")
+            return None
+        by_name = {_variant_name(kind): kind for kind in kinds}
+        name = raw.get("kind")
+        if name not in by_name:
+            choices = ", ".join(by_name)
+            self.reject((*path, "kind"), f"must be one of {choices}, not {name!r}")
+            return None
+        return self._decode_table(by_name[name], raw, path)
+
+    def _decode_mapping(self, args: tuple[Any, ...], raw: Any, path: KeyPath) -> Any:
+        if not isinstance(raw, Mapping):
+            self.reject(path, f"must be a table, not {raw!r}")
+            return None
+        key_kind, value_kind = args
+        for key in raw:
+            self._decode_value(key_kind, key, (*path, key))
+        return {
+            key: self.decode(value_kind, value, (*path, key))
+            for key, value in raw.items()
+        }
+
+    def _decode_value(self, kind: Any, raw: Any, path: KeyPath) -> Any:
+        try:
+            return convert(raw, kind)
+        except ValidationError as error:
+            self.reject(path, f"{raw!r}: {error}")
+            return None
+
+
+def _is_required(entry: Field[Any]) -> bool:
+    return entry.default is MISSING and entry.default_factory is MISSING
+
+
+def _variant_name(kind: Any) -> str:
+    hint = get_type_hints(kind)["kind"]
+    assert get_origin(hint) is Literal, f"{kind!r} has no literal kind"
+    return str(get_args(hint)[0])
+
+
+def _unknown_key(key: str, known: list[str]) -> str:
+    close = get_close_matches(key, known, n=1)
+    if close:
+        return f"unknown key {key!r}; did you mean {close[0]!r}?"
+    return f"unknown key {key!r}"
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/identity.py
@@ -0,0 +1,28 @@
+"""Identity of nodes, attempts and their owners across restarts."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, order=True)
+class NodeId:
+    """One run of a node.
+
+    Attributes:
+        vm: Name of the VM.
+        incarnation: New and greater at each start, in milliseconds since the epoch.
+    """
+
+    vm: str
+    incarnation: int
+
+    def __str__(self) -> str:
+        """Return the identity in the form used on the wire."""
+        return f"{self.vm}/{self.incarnation}"
+
+
+def parse_node_id(text: str) -> NodeId:
+    """Return the identity written by `str`; raises `ValueError` naming bad text."""
+    vm, _, incarnation = text.rpartition("/")
+    if not vm or not incarnation.isdigit():
+        raise ValueError(f"{text!r} is not a node identity")
+    return NodeId(vm, int(incarnation))
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/in_flight.py
@@ -0,0 +1,90 @@
+"""Exact counts of this node's own work on each upstream."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class UpstreamWork:
+    """Work in flight on one upstream.
+
+    Attributes:
+        requests: Attempts in flight.
+        tokens: Their tokens, prompt and output.
+        long_requests: Attempts in flight of the long class.
+        prefill_tokens: Prompt tokens of attempts without a first token yet.
+    """
+
+    requests: int = 0
+    tokens: int = 0
+    long_requests: int = 0
+    prefill_tokens: int = 0
+
+
+@dataclass(frozen=True)
+class InFlightWork:
+    """Work of this node by upstream name, as shown and gossiped."""
+
+    by_upstream: dict[str, UpstreamWork]
+
+
+@dataclass(frozen=True)
+class WorkItem:
+    """One attempt in flight."""
+
+    upstream: str
+    prompt_tokens: int
+    total_tokens: int
+    is_long: bool
+
+
+NO_WORK = UpstreamWork()
+
+
+class InFlightLedger:
+    """Counts attempts by upstream; each start is matched by exactly one finish."""
+
+    def __init__(self) -> None:
+        self.by_upstream: dict[str, UpstreamWork] = {}
+        self.open_items: dict[str, WorkItem] = {}
+        self.prefilling: set[str] = set()
+
+    def start(self, attempt: str, item: WorkItem) -> None:
+        """Count an attempt from its dispatch."""
+        assert attempt not in self.open_items, f"attempt {attempt} started twice"
+        self.open_items[attempt] = item
+        self.prefilling.add(attempt)
+        self._add(item, 1, item.prompt_tokens)
+
+    def first_token(self, attempt: str) -> None:
+        """Count the attempt's prompt as processed."""
+        if attempt in self.prefilling:
+            self.prefilling.remove(attempt)
+            item = self.open_items[attempt]
+            self._add(item, 0, -item.prompt_tokens)
+
+    def finish(self, attempt: str) -> None:
+        """Stop counting an attempt."""
+        self.first_token(attempt)
+        item = self.open_items.pop(attempt)
+        self._add(item, -1, 0)
+
+    def work(self, upstream: str) -> UpstreamWork:
+        """Return the work in flight on one upstream."""
+        return self.by_upstream.get(upstream, NO_WORK)
+
+    def snapshot(self) -> InFlightWork:
+        """Return all counts, for the blackboard."""
+        return InFlightWork(dict(self.by_upstream))
+
+    def _add(self, item: WorkItem, sign: int, prefill_tokens: int) -> None:
+        old = self.work(item.upstream)
+        new = UpstreamWork(
+            requests=old.requests + sign,
+            tokens=old.tokens + sign * item.total_tokens,
+            long_requests=old.long_requests + sign * item.is_long,
+            prefill_tokens=old.prefill_tokens + prefill_tokens,
+        )
+        if new == NO_WORK:
+            self.by_upstream.pop(item.upstream, None)
+        else:
+            self.by_upstream[item.upstream] = new
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/ports.py
@@ -0,0 +1,149 @@
+"""Ports: what the decisions need from outside, met by adapters, fakes or a bench."""
+
+from typing import Protocol
+
+from returns.result import Result
+
+from lagoonhinge_core.engine_messages import (
+    CacheEvents,
+    EngineCall,
+    EngineChunk,
+    Holdings,
+    LoadReport,
+    Order,
+    OrderReport,
+    ReservationRequest,
+    SpanRequest,
+)
+from lagoonhinge_core.plain_messages import PlainAnswer, PlainCall
+from lagoonhinge_core.store_messages import (
+    ReadError,
+    Row,
+    TicketRefused,
+    Unavailable,
+    VmEntry,
+    WriteError,
+)
+from lagoonhinge_core.upstream_errors import UpstreamError
+
+
+class Clock(Protocol):
+    """Source of time."""
+
+    def monotonic_s(self) -> float:
+        """Return a time that never goes back, in seconds."""
+
+    def wall_s(self) -> float:
+        """Return the time since the epoch, in seconds."""
+
+
+class EngineStream(Protocol):
+    """An answer that is arriving from an engine."""
+
+    async def next_chunks(
+        self, timeout_s: float
+    ) -> Result[tuple[EngineChunk, ...], UpstreamError]:
+        """Return the chunks that have arrived, at least one."""
+
+    async def close(self) -> None:
+        """Drop the connection."""
+
+
+class EngineClient(Protocol):
+    """Calls to model engines."""
+
+    async def open_stream(
+        self, url: str, call: EngineCall, timeout_s: float
+    ) -> Result[EngineStream, UpstreamError]:
+        """Send an attempt and return its answer once the engine has accepted it."""
+
+    async def resume_stream(
+        self, url: str, attempt: str, from_seq: int, timeout_s: float
+    ) -> Result[EngineStream, UpstreamError]:
+        """Read a running attempt again from a position, over a new connection."""
+
+    async def release(
+        self, url: str, kind: str, name: str, timeout_s: float
+    ) -> Result[None, UpstreamError]:
+        """Free a stream, reservation or export; success means it is not held."""
+
+    async def reserve(
+        self, url: str, request: ReservationRequest, timeout_s: float
+    ) -> Result[None, UpstreamError]:
+        """Set memory aside, at once or not at all."""
+
+    async def prefill_span(
+        self, url: str, request: SpanRequest, timeout_s: float
+    ) -> Result[None, UpstreamError]:
+        """Process a span and export its KV cache; returns when it is ready."""
+
+    async def holdings(
+        self, url: str, timeout_s: float
+    ) -> Result[Holdings, UpstreamError]:
+        """Return everything that the engine holds."""
+
+    async def load(
+        self, url: str, timeout_s: float
+    ) -> Result[LoadReport, UpstreamError]:
+        """Return the engine's load report."""
+
+    async def cache_events(
+        self, url: str, after_seq: int, timeout_s: float
+    ) -> Result[CacheEvents, UpstreamError]:
+        """Return the cache events after a sequence number."""
+
+    async def order(
+        self, url: str, order: Order, timeout_s: float
+    ) -> Result[OrderReport, UpstreamError]:
+        """State the desired state; returns what the engine has reached."""
+
+    async def drop_connections(self, url: str) -> None:
+        """Forget pooled connections to one upstream, which may be silently dead."""
+
+
+class PlainClient(Protocol):
+    """Calls to plain services."""
+
+    async def send(
+        self, url: str, call: PlainCall, timeout_s: float
+    ) -> Result[PlainAnswer, UpstreamError]:
+        """Send the call exactly once and return its answer."""
+
+
+class TableStore(Protocol):
+    """The platform's transactional table."""
+
+    async def read(self, key: str) -> Result[Row, Unavailable]:
+        """Return a row; version 0 stands for an absent one."""
+
+    async def write(
+        self, key: str, value: str, if_version: int
+    ) -> Result[Row, WriteError]:
+        """Write a row if it is at `if_version`; 0 means that it must be absent."""
+
+    async def scan(self, prefix: str) -> Result[tuple[Row, ...], Unavailable]:
+        """Return the rows whose key starts with `prefix`."""
+
+
+class ObjectStore(Protocol):
+    """The platform's object store."""
+
+    async def put(self, name: str, content: bytes) -> Result[None, Unavailable]:
+        """Store an object; the same name and content may be stored again."""
+
+    async def get(self, name: str) -> Result[bytes, ReadError]:
+        """Return an object."""
+
+
+class VmList(Protocol):
+    """The platform's lagging list of VMs."""
+
+    async def list(self) -> Result[tuple[VmEntry, ...], Unavailable]:
+        """Return the VMs known to the platform."""
+
+
+class WeightStore(Protocol):
+    """The platform's rate-limited store of model weights."""
+
+    async def take_ticket(self) -> Result[None, TicketRefused | Unavailable]:
+        """Take the right to start one load."""
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
@@ -0,0 +1,127 @@
+"""Sections of the blackboard, each written by one controller."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from lagoonhinge_core.config import Config
+from lagoonhinge_core.engine_messages import LoadReport
+from lagoonhinge_core.identity import NodeId
+from lagoonhinge_core.peer_messages import PeerDigest, Quarantine, Strike
+
+
+class Readiness(StrEnum):
+    """Whether the balancer should send callers to this node."""
+
+    STARTING = "starting"
+    READY = "ready"
+    STOPPING = "stopping"
+
+
+@dataclass(frozen=True)
+class NodeSection:
+    """The node itself; written by the node's root service.
+
+    Attributes:
+        node: Identity of this run.
+        site: Site whose overlay applies.
+        zone: Availability zone of the VM.
+        readiness: Whether callers should be sent here.
+        started_wall_s: Start, in seconds since the epoch.
+    """
+
+    node: NodeId
+    site: str
+    zone: str
+    readiness: Readiness
+    started_wall_s: float
+
+
+@dataclass(frozen=True)
+class ConfigSection:
+    """The configuration in force; written by the configuration controller.
+
+    Attributes:
+        version: Accepted version; 0 while none is known.
+        digest: SHA-256 of its blob.
+        config: The decoded configuration.
+        in_force_wall_s: When this node adopted it, in seconds since the epoch.
+        last_error: Why the newest known version is not in force, if it is not.
+    """
+
+    version: int = 0
+    digest: str = ""
+    config: Config = field(default_factory=Config)
+    in_force_wall_s: float = 0.0
+    last_error: str = ""
+
+
+@dataclass(frozen=True)
+class Member:
+    """Another node, as known here.
+
+    Attributes:
+        node: Identity of its newest known run.
+        address: Host and port of its control listener.
+        zone: Availability zone.
+        alive: Whether it was heard from within the heartbeat timeout.
+        heard_monotonic_s: When it was last heard from.
+    """
+
+    node: NodeId
+    address: str
+    zone: str
+    alive: bool
+    heard_monotonic_s: float
+
+
+@dataclass(frozen=True)
+class MembersSection:
+    """The other nodes of the site; written by the membership controller."""
+
+    members: dict[str, Member] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class UpstreamReport:
+    """What is known of one upstream beside its configuration.
+
+    Attributes:
+        load: Its last load report, if any.
+        received_monotonic_s: When the report arrived.
+        leaving: Whether any source said that it is leaving.
+        reachable: Whether it answered the last time it was asked.
+    """
+
+    load: LoadReport | None = None
+    received_monotonic_s: float = 0.0
+    leaving: bool = False
+    reachable: bool = True
+
+
+@dataclass(frozen=True)
+class UpstreamsSection:
+    """Reports by upstream name; written by the upstream controller."""
+
+    reports: dict[str, UpstreamReport] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class PeersSection:
+    """Newest digest of each live peer by VM name; written by membership."""
+
+    digests: dict[str, PeerDigest] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class DemandSection:
+    """Load offered to this node by client account; written by admission."""
+
+    tokens_per_s: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class PoisonSection:
+    """Strikes and quarantines known here; written by the poison controller."""
+
+    strikes: tuple[Strike, ...] = ()
+    quarantines: tuple[Quarantine, ...] = ()
--- /dev/null
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command line."""
--- /dev/null
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP plumbing shared by the node and the command line."""
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node process: listeners, adapters and controllers around the core decisions."""
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_api.py
@@ -0,0 +1,172 @@
+"""The callers' interface: completions, chat completions and plain services."""
+
+from aiohttp import web
+from returns.result import Failure, Success
+
+from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.outcome import ErrorCode, Outcome
+from lagoonhinge_core.outcome import Failure as RequestFailure
+from lagoonhinge_core.request import ModelRequest
+from lagoonhinge_core.sections import ConfigSection
+from lagoonhinge_node.caller_answers import (
+    JSON_TYPE,
+    REQUEST_ID,
+    AnswerFormat,
+    EventSink,
+    WholeSink,
+    error_answer,
+    error_body,
+)
+from lagoonhinge_node.caller_messages import ChatBody, CompletionBody
+from lagoonhinge_node.caller_requests import RequestReader
+from lagoonhinge_node.logs import PartLogger
+from lagoonhinge_node.metrics import Metrics
+from lagoonhinge_node.model_path import ModelPath
+from lagoonhinge_node.plain_path import PlainPath
+
+NO_ID = "-"
+NOT_READY_RETRY_AFTER_S = 2.0
+HOP_HEADERS = frozenset(
+    ("connection", "content-length", "date", "server", "transfer-encoding")
+)
+
+
+class CallerApi:
+    """Handlers of the callers' listener."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        reader: RequestReader,
+        models: ModelPath,
+        plain: PlainPath,
+        metrics: Metrics,
+    ):
+        self.board = board
+        self.reader = reader
+        self.models = models
+        self.plain = plain
+        self.metrics = metrics
+        self.log = PartLogger("caller")
+
+    def app(self, max_body_bytes: int) -> web.Application:
+        """Return the application.
+
+        Args:
+            max_body_bytes: Longest body that is read at all, in bytes.
+        """
+        app = web.Application(client_max_size=max_body_bytes)
+        app.add_routes(
+            [
+                web.post("/v1/completions", self.complete),
+                web.post("/v1/chat/completions", self.complete_chat),
+                web.route("*", "/services/{service}/{path:.*}", self.call_service),
+            ]
+        )
+        return app
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Answer `POST /v1/completions`."""
+        return await self._complete(request, CompletionBody)
+
+    async def complete_chat(self, request: web.Request) -> web.StreamResponse:
+        """Answer `POST /v1/chat/completions`."""
+        return await self._complete(request, ChatBody)
+
+    async def call_service(self, request: web.Request) -> web.StreamResponse:
+        """Answer a call to a plain service."""
+        if not self._ready():
+            return error_answer(_not_ready(), NO_ID)
+        match await self.reader.read_plain(request):
+            case Failure(failure):
+                return self._fail(failure, NO_ID)
+            case Success(call):
+                request_id = call.request_id
+                result = await self.plain.run(call)
+        match result:
+            case Failure(failure):
+                return self._fail(failure, request_id)
+            case Success(answer):
+                headers = [
+                    (header.name, header.value)
+                    for header in answer.headers
+                    if header.name.lower() not in HOP_HEADERS
+                ]
+                response = web.Response(
+                    body=answer.body, status=answer.status, headers=headers
+                )
+                response.headers[REQUEST_ID] = request_id
+                return response
+        raise AssertionError("not a result")
+
+    async def _complete(
+        self, request: web.Request, kind: type[CompletionBody] | type[ChatBody]
+    ) -> web.StreamResponse:
+        if not self._ready():
+            return error_answer(_not_ready(), NO_ID)
+        match await self.reader.read_completion(request, kind):
+            case Failure(failure):
+                return self._fail(failure, NO_ID)
+            case Success((checked, is_streamed)):
+                answer_format = AnswerFormat(
+                    checked.request_id, checked.model, kind is ChatBody
+                )
+                if is_streamed:
+                    return await self._stream(request, checked, answer_format)
+                return await self._answer_whole(checked, answer_format)
+        raise AssertionError("not a result")
+
+    async def _answer_whole(
+        self, checked: ModelRequest, answer_format: AnswerFormat
+    ) -> web.StreamResponse:
+        sink = WholeSink()
+        match await self.models.run(checked, sink):
+            case Failure(failure):
+                return self._fail(failure, checked.request_id)
+            case Success(finished):
+                return web.Response(
+                    body=answer_format.whole("".join(sink.parts), finished),
+                    content_type=JSON_TYPE,
+                    headers={REQUEST_ID: checked.request_id},
+                )
+        raise AssertionError("not a result")
+
+    async def _stream(
+        self, request: web.Request, checked: ModelRequest, answer_format: AnswerFormat
+    ) -> web.StreamResponse:
+        sink = EventSink(request, answer_format)
+        match await self.models.run(checked, sink):
+            case Failure(failure) if sink.response is None:
+                return self._fail(failure, checked.request_id)
+            case Failure(failure):
+                # The head is gone, so the failure is the last event; no end mark.
+                self._note(failure, checked.request_id)
+                response = await sink.open()
+                body = error_body(failure, checked.request_id)
+                await response.write(b"data: " + body + b"\n\n")
+                return response
+            case Success(finished):
+                response = await sink.open()
+                await response.write(answer_format.end(finished))
+                return response
+        raise AssertionError("not a result")
+
+    def _ready(self) -> bool:
+        return self.board.read(ConfigSection).version > 0
+
+    def _fail(self, failure: RequestFailure, request_id: str) -> web.Response:
+        self._note(failure, request_id)
+        return error_answer(failure, request_id)
+
+    def _note(self, failure: RequestFailure, request_id: str) -> None:
+        self.metrics.failures.labels(failure.code, failure.outcome).inc()
+        self.log.info(f"Failed with {failure.code}: {failure.message}.", request_id)
+
+
+def _not_ready() -> RequestFailure:
+    return RequestFailure(
+        ErrorCode.NOT_READY,
+        Outcome.NOT_RUN,
+        "no configuration is known yet",
+        NOT_READY_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
@@ -0,0 +1,20 @@
+"""Metrics of the node; no label grows with the number of client accounts."""
+
+from prometheus_client import CollectorRegistry, Counter, generate_latest
+
+
+class Metrics:
+    """The node's metrics in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.failures = Counter(
+            "lagoonhinge_failures",
+            "Requests that got no answer, by error code and outcome.",
+            ("code", "outcome"),
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Return the metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/settings.py
@@ -0,0 +1,253 @@
+"""Settings of the node, from flags and environment variables, checked all at once."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Any
+
+from cappa import Arg, Env, command
+from returns.result import Failure, Result, Success
+
+ENV_PREFIX = "LAGOONHINGE_"
+
+
+@dataclass(frozen=True)
+class Address:
+    """Host and port of a listener."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return `host:port`."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True)
+class SettingError:
+    """One bad setting.
+
+    Attributes:
+        flag: The flag, with its environment variable.
+        value: The offending value; empty for secrets.
+        reason: What is wrong with it.
+    """
+
+    flag: str
+    value: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return the error as one line."""
+        return f"{self.flag}: {self.value!r} {self.reason}"
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """Checked settings of one node."""
+
+    listen: Address
+    control_listen: Address
+    site: str
+    zone: str
+    vm: str
+    platform_url: str
+    peers: tuple[Address, ...]
+    operator_token: str = field(repr=False)
+    peer_secret: str = field(repr=False)
+    balancer_lag_s: float
+    config_poll_s: float
+    gossip_interval_s: float
+    log_json: bool
+    log_level: str
+    tls_cert: Path | None
+    tls_key: Path | None
+
+
+def _arg(flag: str, default: str, help_text: str) -> Any:
+    variable = ENV_PREFIX + flag.upper().replace("-", "_")
+    return Arg(
+        long=f"--{flag}",
+        default=Env(variable, default=default),
+        help=f"{help_text} [{variable}]",
+    )
+
+
+class _Checker:
+    """Converts raw settings and collects the errors."""
+
+    def __init__(self) -> None:
+        self.errors: list[SettingError] = []
+
+    def take(self, flag: str, raw: str, convert: Callable[[str], Any]) -> Any:
+        try:
+            return convert(raw)
+        except ValueError as error:
+            variable = ENV_PREFIX + flag.upper().replace("-", "_")
+            shown = "" if flag in SECRET_FLAGS else raw
+            self.errors.append(
+                SettingError(f"--{flag} ({variable})", shown, str(error))
+            )
+            return None
+
+
+SECRET_FLAGS = ("operator-token", "peer-secret")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+MIN_SECRET_CHARACTERS = 16
+
+
+def parse_address(raw: str) -> Address:
+    """Return `host:port` as an address; raises `ValueError` saying what is wrong."""
+    host, _, port = raw.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("is not HOST:PORT")
+    return Address(host, int(port))
+
+
+def _parse_addresses(raw: str) -> tuple[Address, ...]:
+    return tuple(parse_address(part.strip()) for part in raw.split(",") if part.strip())
+
+
+def _parse_name(raw: str) -> str:
+    if not raw or not all(c.isascii() and (c.isalnum() or c in "-_.") for c in raw):
+        raise ValueError("is not a name of letters, digits, '-', '_' and '.'")
+    return raw
+
+
+def _parse_url(raw: str) -> str:
+    if not raw.startswith(("http://", "https://")):
+        raise ValueError("is not a URL starting with http:// or https://")
+    return raw.rstrip("/")
+
+
+def _parse_secret(raw: str) -> str:
+    if len(raw) < MIN_SECRET_CHARACTERS:
+        raise ValueError(f"must have at least {MIN_SECRET_CHARACTERS} characters")
+    return raw
+
+
+def _parse_seconds(raw: str) -> float:
+    try:
+        value = float(raw)
+    except ValueError:
+        raise ValueError("is not a number of seconds") from None
+    if not 0 <= value < float("inf"):
+        raise ValueError("must not be negative")
+    return value
+
+
+def _parse_interval(raw: str) -> float:
+    value = _parse_seconds(raw)
+    if value == 0:
+        raise ValueError("must be greater than 0")
+    return value
+
+
+def _parse_switch(raw: str) -> bool:
+    if raw.lower() in ("1", "true", "yes"):
+        return True
+    if raw.lower() in ("0", "false", "no"):
+        return False
+    raise ValueError("is not true or false")
+
+
+def _parse_level(raw: str) -> str:
+    if raw not in LOG_LEVELS:
+        raise ValueError(f"is not one of {', '.join(LOG_LEVELS)}")
+    return raw
+
+
+def _parse_file(raw: str) -> Path | None:
+    if not raw:
+        return None
+    path = Path(raw)
+    if not path.is_file():
+        raise ValueError("is not a file")
+    return path
+
+
+@command(name="lagoonhinge")
+@dataclass
+class RawSettings:
+    """Serve callers on one entry VM and route their requests to upstreams."""
+
+    listen: Annotated[str, _arg("listen", "127.0.0.1:8100", "Address for callers.")]
+    control_listen: Annotated[
+        str,
+        _arg("control-listen", "127.0.0.1:8101", "Address for operators and peers."),
+    ]
+    site: Annotated[str, _arg("site", "", "Site whose overlay applies.")]
+    zone: Annotated[str, _arg("zone", "", "Availability zone of this VM.")]
+    vm: Annotated[str, _arg("vm", "", "Name of this VM.")]
+    platform_url: Annotated[
+        str, _arg("platform-url", "", "Root of the platform's services.")
+    ]
+    peer: Annotated[
+        str, _arg("peer", "", "Control addresses of other nodes, comma-separated.")
+    ]
+    operator_token: Annotated[
+        str, _arg("operator-token", "", "Secret of operators; prefer the variable.")
+    ]
+    peer_secret: Annotated[
+        str, _arg("peer-secret", "", "Secret shared by the nodes; prefer the variable.")
+    ]
+    balancer_lag_s: Annotated[
+        str,
+        _arg(
+            "balancer-lag-s", "2", "Time until the balancer notices a stop, in seconds."
+        ),
+    ]
+    config_poll_s: Annotated[
+        str,
+        _arg(
+            "config-poll-s",
+            "2",
+            "Time between looks at the configuration row, in seconds.",
+        ),
+    ]
+    gossip_interval_s: Annotated[
+        str,
+        _arg("gossip-interval-s", "1", "Time between digests to peers, in seconds."),
+    ]
+    log_json: Annotated[
+        str, _arg("log-json", "false", "One JSON object a line instead of text.")
+    ]
+    log_level: Annotated[
+        str, _arg("log-level", "info", "One of debug, info, warning, error.")
+    ]
+    tls_cert: Annotated[
+        str, _arg("tls-cert", "", "Certificate file for both listeners.")
+    ]
+    tls_key: Annotated[str, _arg("tls-key", "", "Private key file for both listeners.")]
+
+    def check(self) -> Result[NodeSettings, tuple[SettingError, ...]]:
+        """Return the checked settings, or every error at once."""
+        checker = _Checker()
+        take = checker.take
+        settings = NodeSettings(
+            listen=take("listen", self.listen, parse_address),
+            control_listen=take("control-listen", self.control_listen, parse_address),
+            site=take("site", self.site, _parse_name),
+            zone=take("zone", self.zone, _parse_name),
+            vm=take("vm", self.vm, _parse_name),
+            platform_url=take("platform-url", self.platform_url, _parse_url),
+            peers=take("peer", self.peer, _parse_addresses),
+            operator_token=take("operator-token", self.operator_token, _parse_secret),
+            peer_secret=take("peer-secret", self.peer_secret, _parse_secret),
+            balancer_lag_s=take("balancer-lag-s", self.balancer_lag_s, _parse_seconds),
+            config_poll_s=take("config-poll-s", self.config_poll_s, _parse_interval),
+            gossip_interval_s=take(
+                "gossip-interval-s", self.gossip_interval_s, _parse_interval
+            ),
+            log_json=take("log-json", self.log_json, _parse_switch),
+            log_level=take("log-level", self.log_level, _parse_level),
+            tls_cert=take("tls-cert", self.tls_cert, _parse_file),
+            tls_key=take("tls-key", self.tls_key, _parse_file),
+        )
+        if bool(self.tls_cert) != bool(self.tls_key):
+            checker.errors.append(
+                SettingError("--tls-cert", self.tls_cert, "needs --tls-key, and back")
+            )
+        if checker.errors:
+            return Failure(tuple(checker.errors))
+        return Success(settings)
--- /dev/null
+++ b/stand_ins/engine.py
@@ -0,0 +1,184 @@
+"""Stand-in of a model engine, over HTTP with JSON and SSE."""
+
+from asyncio import create_task, sleep
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, replace
+from os import _exit
+from time import monotonic
+from typing import Annotated
+from uuid import uuid4
+
+from aiohttp import web
+from cappa import Arg, command, parse
+
+from lagoonhinge_core.engine_messages import EngineCall, EngineChunk, Order
+from lagoonhinge_http.wire import BadMessage, decode, encode
+from stand_ins.engine_state import (
+    EngineFaults,
+    EngineRates,
+    EngineState,
+    Refusal,
+    StreamRun,
+)
+from stand_ins.serving import cut_connection, start
+
+STATE = web.AppKey("state", EngineState)
+CRASH_STATUS = 70
+REFUSED_RETRY_AFTER_S = 0.5
+
+
+def _json(value: object, status: int = 200) -> web.Response:
+    return web.Response(
+        body=encode(value), status=status, content_type="application/json"
+    )
+
+
+def _refuse(refusal: Refusal) -> web.Response:
+    body = {"reason": refusal.reason, "retry_after_s": REFUSED_RETRY_AFTER_S}
+    return _json(body, refusal.status)
+
+
+async def _complete(request: web.Request) -> web.StreamResponse:
+    state = request.app[STATE]
+    try:
+        call = decode(await request.read(), EngineCall)
+    except BadMessage as error:
+        return _refuse(Refusal(400, str(error)))
+    accepted = state.accept(call)
+    if isinstance(accepted, Refusal):
+        return _refuse(accepted)
+    marker = state.faults.crash_marker
+    if marker and marker in call.prompt:
+        _exit(CRASH_STATUS)
+    return await _send_stream(request, accepted, 0)
+
+
+async def _resume(request: web.Request) -> web.StreamResponse:
+    run = request.app[STATE].streams.get(request.match_info["attempt"])
+    if run is None:
+        return _refuse(Refusal(404, "no such stream"))
+    return await _send_stream(request, run, int(request.query.get("from", "0")))
+
+
+async def _send_stream(
+    request: web.Request, run: StreamRun, position: int
+) -> web.StreamResponse:
+    response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+    await response.prepare(request)
+    faults = request.app[STATE].faults
+    while not run.cancelled:
+        progress = run.progress
+        batch = run.chunks[position:]
+        position += len(batch)
+        for chunk in _corrupted(batch, faults):
+            await response.write(b"data: " + encode(chunk) + b"\n\n")
+        if faults.corrupt == "cut" and position >= 2:
+            cut_connection(request)
+            return response
+        if run.finished and position >= len(run.chunks):
+            return response
+        await progress.wait()
+    return response
+
+
+def _corrupted(batch: list[EngineChunk], faults: EngineFaults) -> list[EngineChunk]:
+    match faults.corrupt:
+        case "double":
+            return [chunk for chunk in batch for _ in range(2)]
+        case "reorder":
+            return batch[::-1]
+        case "foreign":
+            return [replace(c, attempt="other-1-1") for c in batch] + batch
+        case _:
+            return batch
+
+
+async def _release(request: web.Request) -> web.Response:
+    known = request.app[STATE].cancel(request.match_info["name"])
+    return _json("released" if known else "not held", 200 if known else 404)
+
+
+async def _holdings(request: web.Request) -> web.Response:
+    return _json(request.app[STATE].held())
+
+
+async def _load(request: web.Request) -> web.Response:
+    reports = request.app[STATE].reports
+    if not reports:
+        return _refuse(Refusal(503, "no report yet"))
+    at, report = reports[0]
+    return _json(replace(report, age_s=monotonic() - at))
+
+
+async def _order(request: web.Request) -> web.Response:
+    answer = request.app[STATE].obey(decode(await request.read(), Order))
+    return _refuse(answer) if isinstance(answer, Refusal) else _json(answer)
+
+
+async def _set_faults(request: web.Request) -> web.Response:
+    request.app[STATE].faults = decode(await request.read(), EngineFaults)
+    return _json("set")
+
+
+async def _ledger(request: web.Request) -> web.Response:
+    return _json({"used_tokens": request.app[STATE].used_tokens})
+
+
+async def _healthz(_: web.Request) -> web.Response:
+    return _json("ok")
+
+
+async def _run_steps(app: web.Application) -> AsyncIterator[None]:
+    async def run() -> None:
+        state = app[STATE]
+        last = monotonic()
+        while True:
+            await sleep(state.rates.step_s)
+            now = monotonic()
+            state.step(now - last)
+            last = now
+
+    task = create_task(run())
+    yield
+    task.cancel()
+
+
+def engine_app(rates: EngineRates, checks_fencing: bool) -> web.Application:
+    """Return the application; tests drive it under `/control/`."""
+    app = web.Application(client_max_size=64 << 20)
+    app[STATE] = EngineState(rates, uuid4().hex, checks_fencing)
+    app.cleanup_ctx.append(_run_steps)
+    app.add_routes(
+        [
+            web.post("/v1/completions", _complete),
+            web.get("/v1/streams/{attempt}", _resume),
+            web.delete("/v1/holdings/{kind}/{name}", _release),
+            web.get("/v1/holdings", _holdings),
+            web.get("/v1/load", _load),
+            web.post("/v1/orders", _order),
+            web.get("/healthz", _healthz),
+            web.put("/control/faults", _set_faults),
+            web.get("/control/ledger", _ledger),
+        ]
+    )
+    return app
+
+
+@command(name="stand-in-engine")
+@dataclass
+class EngineFlags:
+    """Serve one engine on loopback."""
+
+    port: Annotated[int, Arg(long=True)]
+    kv_tokens: Annotated[int, Arg(long=True)] = 400_000
+    prefill_tokens_per_s: Annotated[float, Arg(long=True)] = 200_000.0
+    decode_tokens_per_s: Annotated[float, Arg(long=True)] = 100.0
+    ignores_fencing: Annotated[bool, Arg(long=True)] = False
+
+
+if __name__ == "__main__":
+    flags = parse(EngineFlags)
+    rates = EngineRates(
+        flags.kv_tokens, flags.prefill_tokens_per_s, flags.decode_tokens_per_s
+    )
+    start(engine_app(rates, not flags.ignores_fencing), flags.port)
--- /dev/null
+++ b/stand_ins/serving.py
@@ -0,0 +1,29 @@
+"""Common parts of the stand-ins: starting a server and cutting a connection."""
+
+from asyncio import Event, get_running_loop, run
+from signal import SIGTERM
+
+from aiohttp import web
+
+
+def start(app: web.Application, port: int) -> None:
+    """Serve `app` on loopback until SIGTERM."""
+    run(_serve(app, port))
+
+
+async def _serve(app: web.Application, port: int) -> None:
+    stopped = Event()
+    get_running_loop().add_signal_handler(SIGTERM, stopped.set)
+    runner = web.AppRunner(
+        app, handler_cancellation=True, shutdown_timeout=0.1, access_log=None
+    )
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    await stopped.wait()
+    await runner.cleanup()
+
+
+def cut_connection(request: web.Request) -> None:
+    """Close the connection without an answer."""
+    assert request.transport is not None
+    request.transport.abort()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developer commands: the demo and the feature runner."""
