Membership, cells and gossip between nodes

Cause: nodes knew nothing of each other. Ruled out: digests to every node of the site (their bytes grow with its square), and one keeper of the list (a node set aside). Change: members come from the platform's list, the settings and digests; cells of at most 8 nodes of a zone exchange whole digests about once a second over HTTP with JSON, one random node of another cell a round gets a short one, and a token bucket bounds what a node begins.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/config_row.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/config_row.py
@@ -22,6 +22,19 @@
     author: str
 
 
+@dataclass(frozen=True)
+class KnownConfig:
+    """A configuration that a node can hand to its peers.
+
+    Attributes:
+        accepted: Version and digest.
+        blob: Content of the object.
+    """
+
+    accepted: AcceptedConfig
+    blob: bytes
+
+
 def blob_name(digest: str) -> str:
     """Return the object's name for a blob."""
     return f"config/{digest}"
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/peer_messages.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/peer_messages.py
@@ -30,6 +30,29 @@
     until_wall_s: float
 
 
+@dataclass(frozen=True)
+class PeerContact:
+    """Where a node is reached, for peers that do not know it yet.
+
+    Attributes:
+        vm: Name of its VM.
+        address: Host and port of its control listener.
+        zone: Availability zone.
+    """
+
+    vm: str
+    address: str
+    zone: str
+
+
+@dataclass(frozen=True)
+class PeerUnreachable:
+    """A peer that gave no usable answer."""
+
+    address: str
+    reason: str
+
+
 @dataclass(frozen=True)
 class PeerDigest:
     """What a node tells its peers about itself, about once a second.
@@ -45,7 +68,8 @@
         demand_tokens_per_s: Offered load by client account.
         strikes: Recent strikes known to the sender.
         quarantines: Quarantines known to the sender.
-        leaving: Upstreams that the sender knows to be leaving.
+        leaving: Upstreams that the sender itself found to be leaving, each as written
+            by `leaving_mark`.
     """
 
     node: str
@@ -59,3 +83,8 @@
     strikes: tuple[Strike, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
     leaving: tuple[str, ...] = ()
+
+
+def leaving_mark(upstream: str, generation: int) -> str:
+    """Return the form in which a leaving upstream is named to peers."""
+    return f"{upstream}@{generation}"
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/ports.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/ports.py
@@ -4,6 +4,7 @@
 
 from returns.result import Result
 
+from lagoonhinge_core.config_row import KnownConfig
 from lagoonhinge_core.engine_messages import (
     CacheEvents,
     EngineCall,
@@ -15,6 +16,7 @@
     ReservationRequest,
     SpanRequest,
 )
+from lagoonhinge_core.peer_messages import PeerContact, PeerDigest, PeerUnreachable
 from lagoonhinge_core.plain_messages import PlainAnswer, PlainCall
 from lagoonhinge_core.store_messages import (
     ReadError,
@@ -147,3 +149,22 @@
 
     async def take_ticket(self) -> Result[None, TicketRefused | Unavailable]:
         """Take the right to start one load."""
+
+
+class PeerClient(Protocol):
+    """Calls to other nodes."""
+
+    async def exchange(
+        self, address: str, digest: PeerDigest, timeout_s: float
+    ) -> Result[PeerDigest, PeerUnreachable]:
+        """Send a digest and return the peer's own."""
+
+    async def fetch_config(
+        self, address: str, timeout_s: float
+    ) -> Result[KnownConfig, PeerUnreachable]:
+        """Return the configuration in force at a peer."""
+
+    async def fetch_contacts(
+        self, address: str, timeout_s: float
+    ) -> Result[tuple[PeerContact, ...], PeerUnreachable]:
+        """Return the members that a peer knows."""
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
@@ -64,7 +64,8 @@
         address: Host and port of its control listener.
         zone: Availability zone.
         alive: Whether it was heard from within the heartbeat timeout.
-        heard_monotonic_s: When it was last heard from.
+        heard_monotonic_s: When it was last heard from; 0 if it never was.
+        delisted: Whether the platform's list named it once and no longer does.
     """
 
     node: NodeId
@@ -72,13 +73,39 @@
     zone: str
     alive: bool
     heard_monotonic_s: float
+    delisted: bool = False
 
 
 @dataclass(frozen=True)
 class MembersSection:
-    """The other nodes of the site; written by the membership controller."""
+    """The other nodes of the site; written by the membership controller.
+
+    Attributes:
+        members: The others by VM name.
+        cell: VM names of this node's own cell, itself among them.
+        cell_number: Number of that cell in its zone.
+        cell_count: Cells of the zone.
+    """
 
     members: dict[str, Member] = field(default_factory=dict)
+    cell: tuple[str, ...] = ()
+    cell_number: int = 0
+    cell_count: int = 1
+
+
+@dataclass(frozen=True)
+class VmsSection:
+    """Upstream VMs in the platform's list; written by the membership controller.
+
+    Attributes:
+        live: Addresses of those that are live.
+        leaving: Address and VM name of those that are leaving.
+        read_monotonic_s: When the list was read; 0 if it never was.
+    """
+
+    live: tuple[str, ...] = ()
+    leaving: tuple[tuple[str, str], ...] = ()
+    read_monotonic_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/config_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/config_controller.py
@@ -1,7 +1,6 @@
 """Controller of the configuration: polls the row and adopts greater versions."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 
 from mode import Service
@@ -9,7 +8,12 @@
 
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.config_load import decode_source, load_site
-from lagoonhinge_core.config_row import CONFIG_KEY, AcceptedConfig, blob_name
+from lagoonhinge_core.config_row import (
+    CONFIG_KEY,
+    AcceptedConfig,
+    KnownConfig,
+    blob_name,
+)
 from lagoonhinge_core.ports import Clock, ObjectStore, TableStore
 from lagoonhinge_core.sections import ConfigSection
 from lagoonhinge_core.store_messages import Row
@@ -19,14 +23,6 @@
 POLL_JITTER_SHARE = 0.2
 
 
-@dataclass(frozen=True)
-class KnownConfig:
-    """A configuration that this node can hand to its peers."""
-
-    accepted: AcceptedConfig
-    blob: bytes
-
-
 class ConfigController(Service):
     """Keeps the newest accepted configuration of the site in force."""
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
@@ -15,6 +15,13 @@
             registry=self.registry,
         )
 
+        self.control_bytes = Counter(
+            "lagoonhinge_control_bytes",
+            "Bytes of calls between nodes, sent and received, by path.",
+            ("path",),
+            registry=self.registry,
+        )
+
     def render(self) -> bytes:
         """Return the metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -3,7 +3,7 @@
 from asyncio import sleep
 from dataclasses import replace
 from random import Random
-from ssl import PROTOCOL_TLS_SERVER, SSLContext
+from ssl import PROTOCOL_TLS_CLIENT, PROTOCOL_TLS_SERVER, SSLContext
 from typing import Any
 
 from aiohttp import web
@@ -13,6 +13,7 @@
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.identity import NodeId
 from lagoonhinge_core.in_flight import InFlightLedger
+from lagoonhinge_core.membership import Membership
 from lagoonhinge_core.sections import ConfigSection, NodeSection, Readiness
 from lagoonhinge_core.tokens import TokenEstimator
 from lagoonhinge_http.platform import HttpPlatform
@@ -25,9 +26,13 @@
 from lagoonhinge_node.engine_client import HttpEngineClient
 from lagoonhinge_node.listener import Listener
 from lagoonhinge_node.logs import PartLogger
+from lagoonhinge_node.membership_controller import MembershipController
 from lagoonhinge_node.metrics import Metrics
 from lagoonhinge_node.model_path import ModelPath
 from lagoonhinge_node.operator_api import OperatorApi
+from lagoonhinge_node.peer_api import PeerApi
+from lagoonhinge_node.peer_client import HttpPeerClient
+from lagoonhinge_node.peer_wire import DIGEST_PATH
 from lagoonhinge_node.plain_client import HttpPlainClient
 from lagoonhinge_node.plain_path import PlainPath
 from lagoonhinge_node.releases import Releaser
@@ -81,6 +86,24 @@
         )
         self.config.on_adopted.append(self._follow_config)
         self.upstreams = UpstreamController(self.board, self.engines, clock)
+        self.peers = HttpPeerClient(
+            settings.peer_secret, _peer_tls_context(settings), self._count_begun
+        )
+        self.membership = MembershipController(
+            self.board,
+            Membership(
+                node,
+                settings.zone,
+                str(settings.control_listen),
+                settings.gossip_interval_s,
+                tuple(str(peer) for peer in settings.peers),
+            ),
+            self.peers,
+            platform,
+            clock,
+            self.random,
+            self.ledger,
+        )
         self.admission = Admission(self.board)
         models = ModelPath(
             self.board,
@@ -97,14 +120,22 @@
         operators = OperatorApi(
             self.board, self.metrics, settings.operator_token, self._live_state
         )
-        control = web.Application()
+        peers = PeerApi(
+            settings.peer_secret,
+            self.membership.take_digest,
+            lambda: self.config.known,
+            self.membership.contacts,
+            self._count_bytes,
+        )
+        control = web.Application(client_max_size=MAX_BODY_BYTES)
         control.add_routes(operators.routes())
+        control.add_routes(peers.routes())
         tls = _tls_context(settings)
         self.caller_listener = Listener(
             callers.app(MAX_BODY_BYTES), settings.listen, tls
         )
         self.control_listener = Listener(control, settings.control_listen, tls)
-        return [self.releaser, self.config, self.upstreams]
+        return [self.releaser, self.config, self.membership, self.upstreams]
 
     async def on_started(self) -> None:
         """Open the listeners once every controller runs."""
@@ -125,6 +156,7 @@
         """Close what the parts shared."""
         await self.control_listener.stop()
         await self.engines.close()
+        await self.peers.close()
         await self.session.close()
 
     def _follow_config(self, section: ConfigSection) -> None:
@@ -133,6 +165,14 @@
             {name: model.bytes_per_token for name, model in models.items()}
         )
 
+    def _count_bytes(self, path: str, count: int) -> None:
+        self.metrics.control_bytes.labels(path).inc(count)
+
+    def _count_begun(self, path: str, count: int) -> None:
+        self._count_bytes(path, count)
+        if path == DIGEST_PATH:
+            self.membership.budget.spend(count)
+
     def _post_readiness(self, readiness: Readiness) -> None:
         section = self.board.read(NodeSection)
         self.node_writer.post(replace(section, readiness=readiness))
@@ -151,3 +191,13 @@
     context = SSLContext(PROTOCOL_TLS_SERVER)
     context.load_cert_chain(settings.tls_cert, settings.tls_key)
     return context
+
+
+def _peer_tls_context(settings: NodeSettings) -> SSLContext | None:
+    if settings.tls_cert is None:
+        return None
+    # Peers are named by IP number; the shared secret and the certificate file vouch.
+    context = SSLContext(PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    context.load_verify_locations(settings.tls_cert)
+    return context
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/peer_client.py
@@ -0,0 +1,106 @@
+"""Calls to other nodes over HTTP with JSON, on a connection pool of their own."""
+
+from collections.abc import Callable
+from ssl import SSLContext
+from typing import TypeVar
+
+from aiohttp import ClientError, ClientResponse, hdrs
+from returns.result import Failure, Result, Success
+
+from lagoonhinge_core.config_row import KnownConfig
+from lagoonhinge_core.peer_messages import PeerContact, PeerDigest, PeerUnreachable
+from lagoonhinge_http.session import ConnectionLost, call_timeout, open_session
+from lagoonhinge_http.wire import BadMessage
+from lagoonhinge_node.peer_wire import (
+    CONFIG_PATH,
+    DIGEST_PATH,
+    MEMBERS_PATH,
+    header_bytes,
+    pack,
+    unpack,
+)
+
+MAX_CONNECTIONS = 64
+UNUSED_HEADERS = (hdrs.USER_AGENT, hdrs.ACCEPT, hdrs.ACCEPT_ENCODING)
+
+MessageT = TypeVar("MessageT")
+
+
+class HttpPeerClient:
+    """Calls to the `/peer/` paths of other nodes.
+
+    Args:
+        secret: Secret shared by the nodes.
+        tls: TLS context; `None` for plain HTTP.
+        count_bytes: Told the path and the bytes of each call, both ways.
+    """
+
+    def __init__(
+        self,
+        secret: str,
+        tls: SSLContext | None,
+        count_bytes: Callable[[str, int], None],
+    ):
+        self.headers = {"Authorization": f"Bearer {secret}"}
+        self.tls = tls
+        self.count_bytes = count_bytes
+        self.session = open_session(MAX_CONNECTIONS)
+
+    async def exchange(
+        self, address: str, digest: PeerDigest, timeout_s: float
+    ) -> Result[PeerDigest, PeerUnreachable]:
+        """Send a digest and return the peer's own."""
+        return await self._call(address, DIGEST_PATH, digest, PeerDigest, timeout_s)
+
+    async def fetch_config(
+        self, address: str, timeout_s: float
+    ) -> Result[KnownConfig, PeerUnreachable]:
+        """Return the configuration in force at a peer."""
+        return await self._call(address, CONFIG_PATH, None, KnownConfig, timeout_s)
+
+    async def fetch_contacts(
+        self, address: str, timeout_s: float
+    ) -> Result[tuple[PeerContact, ...], PeerUnreachable]:
+        """Return the members that a peer knows."""
+        kind = tuple[PeerContact, ...]
+        return await self._call(address, MEMBERS_PATH, None, kind, timeout_s)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.session.close()
+
+    async def _call(
+        self,
+        address: str,
+        path: str,
+        message: object,
+        kind: type[MessageT],
+        timeout_s: float,
+    ) -> Result[MessageT, PeerUnreachable]:
+        scheme = "http" if self.tls is None else "https"
+        body, headers = (None, {}) if message is None else pack(message)
+        try:
+            async with self.session.request(
+                "GET" if message is None else "POST",
+                f"{scheme}://{address}{path}",
+                data=body,
+                headers={**self.headers, **headers},
+                skip_auto_headers=UNUSED_HEADERS,
+                timeout=call_timeout(timeout_s),
+                ssl=self.tls or True,
+            ) as answer:
+                received = await answer.read()
+                self._count(path, answer, len(body or b"") + len(received))
+                if answer.status != 200:
+                    return Failure(PeerUnreachable(address, f"status {answer.status}"))
+                encoding = answer.headers.get(hdrs.CONTENT_ENCODING, "")
+                return Success(unpack(received, encoding, kind))
+        except TimeoutError:
+            return Failure(PeerUnreachable(address, f"no answer in {timeout_s} s"))
+        except (ConnectionLost, ClientError, BadMessage) as error:
+            return Failure(PeerUnreachable(address, str(error)))
+
+    def _count(self, path: str, answer: ClientResponse, body_bytes: int) -> None:
+        heads = header_bytes(answer.request_info.headers.items())
+        heads += header_bytes(answer.raw_headers)
+        self.count_bytes(path, heads + body_bytes)
