Configuration: learnt from peers, settled after lost replies, parsed aside

Cause: a node that started while the platform was down had no configuration; a lost reply to the acceptance was read back once and could stay open; a change that was accepted and then replaced was reported as lost; parsing held the event loop. Ruled out: taking the first version that a peer offers (a node replaced while the object store was down took an old one: found by the matrix).

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/config_decode.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/config_decode.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import MISSING, Field, dataclass, fields, is_dataclass
 from difflib import get_close_matches
+from functools import cache
 from types import UnionType
 from typing import Any, Literal, Union, get_args, get_origin, get_type_hints
 
@@ -63,7 +64,7 @@
         if not isinstance(raw, Mapping):
             self.reject(path, f"must be a table, not {raw!r}")
             return None
-        hints = get_type_hints(kind, include_extras=True)
+        hints = _hints(kind)
         for key in raw:
             if key not in hints:
                 self.reject((*path, key), _unknown_key(key, list(hints)))
@@ -110,12 +111,17 @@
             return None
 
 
+@cache
+def _hints(kind: Any) -> dict[str, Any]:
+    return get_type_hints(kind, include_extras=True)
+
+
 def _is_required(entry: Field[Any]) -> bool:
     return entry.default is MISSING and entry.default_factory is MISSING
 
 
 def _variant_name(kind: Any) -> str:
-    hint = get_type_hints(kind)["kind"]
+    hint = _hints(kind)["kind"]
     assert get_origin(hint) is Literal, f"{kind!r} has no literal kind"
     return str(get_args(hint)[0])
 
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/config_commands.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/config_commands.py
@@ -112,6 +112,7 @@
                     exit(ExitCode.CONFLICT)
                 case Failure(Undecided(ours, reason)):
                     print(f"undecided: change {ours.change}: {reason}", file=stderr)
+                    print("run it again to settle whether it took effect", file=stderr)
                     exit(ExitCode.UNDECIDED)
                 case Failure(NotAccepted(reason)):
                     print(f"not accepted: {reason}", file=stderr)
@@ -134,7 +135,12 @@
                     case Success(node):
                         section = node.sections["ConfigSection"]
                         version = section["version"]
-                        missing[node.address] = f"version {version}"
+                        why = (
+                            f": {section['last_error']}"
+                            if section["last_error"]
+                            else ""
+                        )
+                        missing[node.address] = f"version {version}{why}"
                         if version >= accepted.version:
                             missing.pop(node.address)
                             site = node.sections["NodeSection"]["site"]
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/config_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/config_controller.py
@@ -1,12 +1,21 @@
-"""Controller of the configuration: polls the row and adopts greater versions."""
+"""Controller of the configuration: learns versions and adopts greater ones.
 
+Versions come from the platform's row and from peers of any zone. A blob is read from
+the object store or, while that is down, from a peer; its digest vouches for it.
+"""
+
+from asyncio import Lock, to_thread
 from collections.abc import Callable
+from dataclasses import replace
+from hashlib import sha256
+from math import inf
 from random import Random
 
 from mode import Service
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.config import Config
 from lagoonhinge_core.config_load import decode_source, load_site
 from lagoonhinge_core.config_row import (
     CONFIG_KEY,
@@ -14,23 +23,39 @@
     KnownConfig,
     blob_name,
 )
-from lagoonhinge_core.ports import Clock, ObjectStore, TableStore
+from lagoonhinge_core.peer_messages import PeerDigest
+from lagoonhinge_core.ports import Clock, ObjectStore, PeerClient, TableStore
 from lagoonhinge_core.sections import ConfigSection
 from lagoonhinge_core.store_messages import Row
-from lagoonhinge_http.wire import decode
+from lagoonhinge_http.wire import BadMessage, decode
 from lagoonhinge_node.logs import PartLogger
 
 POLL_JITTER_SHARE = 0.2
+PEER_FETCH_TIMEOUT_S = 3.0
+PEERS_ASKED = 3
+COLLECT_S = 2.0
 
 
 class ConfigController(Service):
-    """Keeps the newest accepted configuration of the site in force."""
+    """Keeps the newest accepted configuration of the site in force.
+
+    Args:
+        board: The blackboard.
+        table: Holds the row that names the accepted configuration.
+        objects: Holds the blobs.
+        peers: Calls to other nodes.
+        clock: Source of time.
+        random: Source of chance.
+        site: Site whose overlay applies.
+        poll_s: Mean time between two looks at the row, in seconds.
+    """
 
     def __init__(
         self,
         board: Blackboard,
         table: TableStore,
         objects: ObjectStore,
+        peers: PeerClient,
         clock: Clock,
         random: Random,
         site: str,
@@ -41,11 +66,18 @@
         self.board = board
         self.table = table
         self.objects = objects
+        self.peers = peers
         self.clock = clock
         self.random = random
         self.site = site
         self.poll_s = poll_s
         self.known: KnownConfig | None = None
+        self.refused: AcceptedConfig | None = None
+        self.heard: dict[str, int] = {}
+        self.first_heard_s: float | None = None
+        self.row_version: float = inf
+        self.is_learning = False
+        self.adopting = Lock()
         self.on_adopted: list[Callable[[ConfigSection], None]] = []
         self.log_part = PartLogger("config")
 
@@ -63,19 +95,42 @@
     async def poll(self) -> None:
         """Read the row and adopt its version if it is greater."""
         match await self.table.read(CONFIG_KEY):
-            case Success(Row(_, version, value)) if version > self._version():
-                await self._fetch(decode(value, AcceptedConfig))
+            case Success(row):
+                self.row_version = row.version
+                await self._follow_row(row)
             case Failure(error):
-                self.log_part.warning(f"The table was not read: {error.reason}.")
+                self._note(f"the table was not read: {error.reason}", is_new=False)
+        await self.learn()
 
-    async def _fetch(self, accepted: AcceptedConfig) -> None:
-        match await self.objects.get(blob_name(accepted.digest)):
-            case Success(blob):
-                self.adopt(accepted, blob)
-            case Failure(error):
-                self.log_part.warning(f"Blob {accepted.digest} was not read: {error}.")
+    def follow_digest(self, digest: PeerDigest) -> None:
+        """Note the version in force at a peer, and fetch it if it is greater."""
+        if digest.config_version <= self._version():
+            self.heard.pop(digest.address, None)
+            return
+        self.heard[digest.address] = digest.config_version
+        if self.first_heard_s is None:
+            self.first_heard_s = self.clock.monotonic_s()
+        if not self.is_learning:
+            self.add_future(self.learn())
 
-    def adopt(self, accepted: AcceptedConfig, blob: bytes) -> Result[None, str]:
+    async def learn(self) -> None:
+        """Fetch the greatest version that peers have, if it is greater."""
+        if self.is_learning or self._must_collect():
+            return
+        self.is_learning = True
+        try:
+            for address in self._newest_peers():
+                match await self.peers.fetch_config(address, PEER_FETCH_TIMEOUT_S):
+                    case Success(KnownConfig(accepted, blob)):
+                        if isinstance(await self.adopt(accepted, blob), Success):
+                            return
+                    case Failure(error):
+                        self.heard.pop(address, None)
+                        self._note(f"peer {address}: {error.reason}")
+        finally:
+            self.is_learning = False
+
+    async def adopt(self, accepted: AcceptedConfig, blob: bytes) -> Result[None, str]:
         """Bring a version into force if it is greater and whole.
 
         Args:
@@ -85,27 +140,92 @@
         Returns:
             Success, or why the version is not in force.
         """
-        if accepted.version <= self._version():
-            return Failure(f"version {accepted.version} is not greater")
-        source = decode_source(blob)
-        if source.digest() != accepted.digest:
-            return Failure(f"the blob does not have digest {accepted.digest}")
-        match load_site(source, self.site):
-            case Success(config):
-                self.known = KnownConfig(accepted, blob)
-                section = ConfigSection(
-                    accepted.version, accepted.digest, config, self.clock.wall_s()
-                )
-                self.writer.post(section)
-                for follow in self.on_adopted:
-                    follow(section)
-                self.log_part.info(f"Version {accepted.version} is in force.")
-                return Success(None)
-            case Failure(errors):
-                reason = "; ".join(str(error) for error in errors)
-                self.log_part.error(f"Version {accepted.version} is bad: {reason}.")
+        async with self.adopting:
+            if accepted.version <= self._version():
+                return Failure(f"version {accepted.version} is not greater")
+            if accepted == self.refused:
+                return Failure(f"version {accepted.version} was refused before")
+            # Parsing takes long for many accounts; callers are served meanwhile.
+            if not await to_thread(_is_blob_of, accepted.digest, blob):
+                reason = f"the blob does not have digest {accepted.digest}"
+                self._note(reason)
                 return Failure(reason)
+            match await to_thread(_load, blob, self.site):
+                case Success(config):
+                    self._put_in_force(KnownConfig(accepted, blob), config)
+                    return Success(None)
+                case Failure(reason):
+                    self.refused = accepted
+                    self._note(f"version {accepted.version} is refused: {reason}")
+                    return Failure(reason)
         raise AssertionError("not a result")
 
+    async def _follow_row(self, row: Row) -> None:
+        if row.version <= self._version():
+            return
+        try:
+            accepted = decode(row.value, AcceptedConfig)
+        except BadMessage as error:
+            self._note(f"the row at version {row.version} is not readable: {error}")
+            return
+        if accepted.version != row.version:
+            self._note(f"the row at version {row.version} says {accepted.version}")
+            return
+        if accepted == self.refused:
+            return
+        match await self.objects.get(blob_name(accepted.digest)):
+            case Success(blob):
+                await self.adopt(accepted, blob)
+            case Failure(error):
+                self._note(f"the blob of version {row.version} was not read: {error}")
+
+    def _put_in_force(self, known: KnownConfig, config: Config) -> None:
+        accepted = known.accepted
+        assert accepted.version > self._version(), f"{accepted} is not greater"
+        self.known = known
+        section = ConfigSection(
+            accepted.version, accepted.digest, config, self.clock.wall_s()
+        )
+        self.writer.post(section)
+        for follow in self.on_adopted:
+            follow(section)
+        self.log_part.info(f"Version {accepted.version} is in force.")
+
+    def _must_collect(self) -> bool:
+        # A node that just started and has no blob from the platform may hear an old
+        # version first; it waits a little for the row's, or for the greatest, so that
+        # no version falls over a restart.
+        if self._version() > 0 or self.first_heard_s is None:
+            return False
+        if max(self.heard.values(), default=0) >= self.row_version:
+            return False
+        return self.clock.monotonic_s() < self.first_heard_s + COLLECT_S
+
+    def _newest_peers(self) -> list[str]:
+        greater = [(v, a) for a, v in self.heard.items() if v > self._version()]
+        if not greater:
+            return []
+        newest = max(greater)[0]
+        addresses = sorted(address for v, address in greater if v == newest)
+        self.random.shuffle(addresses)
+        return addresses[:PEERS_ASKED]
+
+    def _note(self, reason: str, is_new: bool = True) -> None:
+        section = self.board.read(ConfigSection)
+        if section.last_error != reason:
+            self.log_part.warning(f"{reason}.")
+        if is_new or section.version == 0:
+            self.writer.post(replace(section, last_error=reason))
+
     def _version(self) -> int:
         return self.board.read(ConfigSection).version
+
+
+def _is_blob_of(digest: str, blob: bytes) -> bool:
+    return sha256(blob).hexdigest() == digest
+
+
+def _load(blob: bytes, site: str) -> Result[Config, str]:
+    return load_site(decode_source(blob), site).alt(
+        lambda errors: "; ".join(str(error) for error in errors)
+    )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of the node; no label grows with the number of client accounts."""
 
-from prometheus_client import CollectorRegistry, Counter, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
 
 class Metrics:
@@ -22,6 +22,17 @@
             registry=self.registry,
         )
 
+        self.config_version = Gauge(
+            "lagoonhinge_config_version",
+            "Version of the configuration in force; 0 while none is known.",
+            registry=self.registry,
+        )
+        self.config_refused = Gauge(
+            "lagoonhinge_config_refused",
+            "Whether a newer configuration is known but not in force.",
+            registry=self.registry,
+        )
+
     def render(self) -> bytes:
         """Return the metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -71,24 +71,31 @@
         self.ledger = InFlightLedger()
         self.estimator = TokenEstimator({})
         self.metrics = Metrics()
+        self.metrics.config_version.set_function(
+            lambda: self.board.read(ConfigSection).version
+        )
+        self.metrics.config_refused.set_function(
+            lambda: bool(self.board.read(ConfigSection).last_error)
+        )
         self.session = open_session()
         self.engines = HttpEngineClient()
         platform = HttpPlatform(self.session, settings.platform_url)
         self.releaser = Releaser(self.engines)
+        self.upstreams = UpstreamController(self.board, self.engines, clock)
+        self.peers = HttpPeerClient(
+            settings.peer_secret, _peer_tls_context(settings), self._count_begun
+        )
         self.config = ConfigController(
             self.board,
             platform,
             platform,
+            self.peers,
             clock,
             self.random,
             settings.site,
             settings.config_poll_s,
         )
         self.config.on_adopted.append(self._follow_config)
-        self.upstreams = UpstreamController(self.board, self.engines, clock)
-        self.peers = HttpPeerClient(
-            settings.peer_secret, _peer_tls_context(settings), self._count_begun
-        )
         self.membership = MembershipController(
             self.board,
             Membership(
@@ -104,6 +111,7 @@
             self.random,
             self.ledger,
         )
+        self.membership.on_heard.append(self.config.follow_digest)
         self.admission = Admission(self.board)
         models = ModelPath(
             self.board,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/operator_api.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/operator_api.py
@@ -69,8 +69,10 @@
         readiness = self.board.read(NodeSection).readiness
         if readiness != Readiness.READY:
             return Ready(False, f"the node is {readiness}")
-        if self.board.read(ConfigSection).version == 0:
-            return Ready(False, "no configuration is known yet")
+        config = self.board.read(ConfigSection)
+        if config.version == 0:
+            why = f": {config.last_error}" if config.last_error else ""
+            return Ready(False, f"no configuration is known yet{why}")
         return Ready(True, "")
 
     async def show_metrics(self, _: web.Request) -> web.StreamResponse:
