Leaving upstreams from every source, and stops that end no request

Cause: only an engine's own report marked it as leaving; a stop cut requests after fixed times, kept callers' connections, and a taken port gave a traceback. Ruled out: marks by name alone (a reused address kept the mark of the upstream before), and aiohttp's force_close alone (the header is decided before its signal: all four stop scenarios failed with it). Change: marks by generation from the platform's list, reports and peers' digests; engines are polled each on its own, and shared out in large cells; answers end their connections while the balancer looks away; a stop waits for the longest bound of any configuration seen, then for pending releases; peers are told first; sockets are bound before the start.

--- /dev/null
+++ b/features/stopping.feature
@@ -0,0 +1,48 @@
+Feature: A planned stop interrupts no request
+
+  Scenario Outline: A stop during a <kind> request finishes it
+    Given a running fleet of 2 nodes to be stopped, with a slow engine and service
+    When a node is told to stop <times> during a <kind> request
+    Then it is not ready at once, and its answers end their connections
+    And the <kind> request is answered wholly and the node exits with 0
+
+    Examples:
+      | kind            | times |
+      | short           | once  |
+      | long            | twice |
+      | streamed        | once  |
+      | not idempotent  | once  |
+
+  Scenario: All nodes of a zone are rolled one after another under load
+    Given a running fleet of 3 nodes to be stopped, with a slow engine and service
+    When each node is stopped and replaced in turn while callers go on
+    Then no request failed and every node exited with 0
+
+  Scenario Outline: A stop waits for a running request up to its limit
+    Given a listener with a request that runs for 0.5 s
+    When it is stopped with a limit of <limit> s
+    Then the request is <end>
+
+    Examples:
+      | limit | end         |
+      | 30    | finished    |
+      | 0.05  | interrupted |
+
+  Scenario Outline: The limit of a stop is the longest time bound
+    When the longest bound of a configuration is <bound> s
+    Then a stop waits at least <bound> s, and no library gives up before
+
+    Examples:
+      | bound |
+      | 10    |
+      | 7200  |
+
+  Scenario Outline: An address that cannot be listened on is named
+    When a node is started with a <listener> address that is <defect>
+    Then it exits with status 3 and one line that names the address
+
+    Examples:
+      | listener | defect   |
+      | listen   | taken    |
+      | control  | taken    |
+      | listen   | not ours |
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/cells.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/cells.py
@@ -44,9 +44,9 @@
     return max(range(cell_count), key=lambda cell: _score(upstream, cell))
 
 
-def owning_vm(name: str, vms: Iterable[str]) -> str:
-    """Return the VM that has the duty `name` among the given ones."""
-    return max(
-        sorted(vms),
-        key=lambda vm: blake2b(f"{name}|{vm}".encode()).digest(),
+def owning_vms(name: str, vms: Iterable[str], count: int) -> tuple[str, ...]:
+    """Return the `count` VMs among the given ones that have the duty `name`."""
+    ranked = sorted(
+        vms, key=lambda vm: blake2b(f"{name}|{vm}".encode()).digest(), reverse=True
     )
+    return tuple(ranked[:count])
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/membership.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/membership.py
@@ -254,7 +254,6 @@
     return replace(
         digest,
         work={},
-        leaving=(),
         demand_tokens_per_s=dict(largest[:MAX_OUTSIDE_ACCOUNTS]),
     )
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/main.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/main.py
@@ -6,11 +6,25 @@
 from mode import Worker
 from returns.result import Failure, Success
 
+from lagoonhinge_node.listener import MAX_STOP_S, bind
 from lagoonhinge_node.logs import set_up_logs
-from lagoonhinge_node.node import LONGEST_REQUEST_S, Node
-from lagoonhinge_node.settings import RawSettings
+from lagoonhinge_node.node import Node, NodeSockets
+from lagoonhinge_node.settings import NodeSettings, RawSettings
 
 EXIT_BAD_SETTINGS = 2
+EXIT_NO_LISTENER = 3
+
+
+def bind_all(settings: NodeSettings) -> NodeSockets:
+    """Return the listening sockets; prints every bad address and exits if any is."""
+    callers = bind(settings.listen)
+    control = bind(settings.control_listen)
+    errors = [f.failure() for f in (callers, control) if isinstance(f, Failure)]
+    if errors:
+        for error in errors:
+            print(error, file=stderr)
+        exit(EXIT_NO_LISTENER)
+    return NodeSockets(callers.unwrap(), control.unwrap())
 
 
 def main() -> None:
@@ -23,14 +37,14 @@
         case Success(settings):
             set_up_logs(settings.log_level, settings.log_json)
             worker = Worker(
-                Node(settings),
+                Node(settings, bind_all(settings)),
                 override_logging=False,
                 loglevel=None,
                 redirect_stdouts=False,
                 quiet=True,
                 daemon=True,
             )
-            worker.shutdown_timeout = LONGEST_REQUEST_S
+            worker.shutdown_timeout = MAX_STOP_S
             worker.execute_from_commandline()
 
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/membership_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/membership_controller.py
@@ -71,6 +71,7 @@
         self.open_exchanges: set[str] = set()
         self.own_leaving: Callable[[], tuple[str, ...]] = tuple
         self.on_heard: list[Callable[[PeerDigest], None]] = []
+        self.on_listed: list[Callable[[], None]] = []
         self.members_writer = board.writer(MembersSection(), "membership")
         self.peers_writer = board.writer(PeersSection(), "membership")
         self.vms_writer = board.writer(VmsSection(), "membership")
@@ -96,6 +97,8 @@
                 self.membership.list_vms(entries, self.clock.monotonic_s())
                 self.list_is_down = False
                 self.post()
+                for follow in self.on_listed:
+                    follow()
             case Failure(error):
                 if not self.list_is_down:
                     self.log_part.warning(f"The VM list was not read: {error.reason}.")
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -1,8 +1,10 @@
 """The node: builds its parts, starts them, and stops them gracefully."""
 
-from asyncio import sleep
-from dataclasses import replace
+from asyncio import gather, sleep
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 from random import Random
+from socket import socket
 from ssl import PROTOCOL_TLS_CLIENT, PROTOCOL_TLS_SERVER, SSLContext
 from typing import Any
 
@@ -15,6 +17,7 @@
 from lagoonhinge_core.in_flight import InFlightLedger
 from lagoonhinge_core.membership import Membership
 from lagoonhinge_core.sections import ConfigSection, NodeSection, Readiness
+from lagoonhinge_core.stopping import longest_request_s
 from lagoonhinge_core.tokens import TokenEstimator
 from lagoonhinge_http.platform import HttpPlatform
 from lagoonhinge_http.session import open_session
@@ -24,7 +27,7 @@
 from lagoonhinge_node.clock import SystemClock
 from lagoonhinge_node.config_controller import ConfigController
 from lagoonhinge_node.engine_client import HttpEngineClient
-from lagoonhinge_node.listener import Listener
+from lagoonhinge_node.listener import MAX_STOP_S, Listener
 from lagoonhinge_node.logs import PartLogger
 from lagoonhinge_node.membership_controller import MembershipController
 from lagoonhinge_node.metrics import Metrics
@@ -39,19 +42,32 @@
 from lagoonhinge_node.settings import NodeSettings
 from lagoonhinge_node.upstream_controller import UpstreamController
 
-LONGEST_REQUEST_S = 3600.0
 MAX_BODY_BYTES = 64 << 20
+CONTROL_STOP_S = 2.0
+FLUSH_LIMIT_S = 10.0
+FLUSH_CHECK_S = 0.05
+
+
+@dataclass(frozen=True)
+class NodeSockets:
+    """Listening sockets, bound before the node starts."""
+
+    callers: socket
+    control: socket
 
 
 class Node(Service):
     """Root service of the process."""
 
     # mode gives up on a stop after 60 s by default; long prompts run longer.
-    shutdown_timeout = LONGEST_REQUEST_S
+    shutdown_timeout = MAX_STOP_S
 
-    def __init__(self, settings: NodeSettings):
+    def __init__(self, settings: NodeSettings, sockets: NodeSockets):
         super().__init__()
         self.settings = settings
+        self.sockets = sockets
+        self.longest_request_s = 0.0
+        self.pending_work: list[Callable[[], int]] = []
         self.log_part = PartLogger("node")
 
     def on_init_dependencies(self) -> list[ServiceT]:
@@ -81,7 +97,6 @@
         self.engines = HttpEngineClient()
         platform = HttpPlatform(self.session, settings.platform_url)
         self.releaser = Releaser(self.engines)
-        self.upstreams = UpstreamController(self.board, self.engines, clock)
         self.peers = HttpPeerClient(
             settings.peer_secret, _peer_tls_context(settings), self._count_begun
         )
@@ -111,7 +126,11 @@
             self.random,
             self.ledger,
         )
+        self.upstreams = UpstreamController(self.board, self.engines, clock)
         self.membership.on_heard.append(self.config.follow_digest)
+        self.membership.on_heard.append(self.upstreams.follow_digest)
+        self.membership.on_listed.append(self.upstreams.refresh)
+        self.membership.own_leaving = self.upstreams.marks.own
         self.admission = Admission(self.board)
         models = ModelPath(
             self.board,
@@ -140,15 +159,16 @@
         control.add_routes(peers.routes())
         tls = _tls_context(settings)
         self.caller_listener = Listener(
-            callers.app(MAX_BODY_BYTES), settings.listen, tls
+            callers.app(MAX_BODY_BYTES), self.sockets.callers, tls
         )
-        self.control_listener = Listener(control, settings.control_listen, tls)
+        self.control_listener = Listener(control, self.sockets.control, tls)
+        self.pending_work.append(lambda: len(self.releaser.pending))
         return [self.releaser, self.config, self.membership, self.upstreams]
 
     async def on_started(self) -> None:
         """Open the listeners once every controller runs."""
-        await self.control_listener.start(1.0)
-        await self.caller_listener.start(LONGEST_REQUEST_S)
+        await self.control_listener.start()
+        await self.caller_listener.start()
         self._post_readiness(Readiness.READY)
         self.log_part.info(f"Serving callers on {self.settings.listen}.")
 
@@ -156,18 +176,35 @@
         """Let the balancer look away, then finish every running request."""
         self._post_readiness(Readiness.STOPPING)
         self.log_part.info("Stopping; running requests are finished first.")
-        await sleep(self.settings.balancer_lag_s)
-        await self.caller_listener.stop()
-        self.log_part.info("No request is running.")
+        self.caller_listener.drain()
+        await gather(self.membership.tell_all(), sleep(self.settings.balancer_lag_s))
+        if await self.caller_listener.stop(self.longest_request_s):
+            self.log_part.info("No request is running.")
+        else:
+            limit_s = self.longest_request_s
+            self.log_part.error(f"Requests ran longer than their bound, {limit_s} s.")
+        await self._flush()
 
     async def on_shutdown(self) -> None:
         """Close what the parts shared."""
-        await self.control_listener.stop()
+        await self.control_listener.stop(CONTROL_STOP_S)
         await self.engines.close()
         await self.peers.close()
         await self.session.close()
 
+    async def _flush(self) -> None:
+        # Releases and other writes that outlive their request are still repeated.
+        until_s = self.loop.time() + FLUSH_LIMIT_S
+        while any(count() for count in self.pending_work):
+            if self.loop.time() > until_s:
+                self.log_part.warning("Some releases were left to expire.")
+                return
+            await sleep(FLUSH_CHECK_S)
+
     def _follow_config(self, section: ConfigSection) -> None:
+        # Requests taken under an older configuration may run longer.
+        longest_s = longest_request_s(section.config)
+        self.longest_request_s = max(self.longest_request_s, longest_s)
         models = section.config.models
         self.estimator.reconfigure(
             {name: model.bytes_per_token for name, model in models.items()}
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/upstream_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/upstream_controller.py
@@ -1,67 +1,126 @@
-"""Controller of upstream reports: polls the load of each engine of the zone."""
+"""Controller of upstream reports: polls engines and notes which upstreams leave."""
 
-from asyncio import gather
+from collections.abc import Iterator
 from dataclasses import replace
 
 from mode import Service
 from returns.result import Failure, Success
 
 from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.cells import owning_cell, owning_vms
 from lagoonhinge_core.config import ModelService, UpstreamConfig
+from lagoonhinge_core.leaving import LeavingMarks
+from lagoonhinge_core.peer_messages import PeerDigest
 from lagoonhinge_core.ports import Clock, EngineClient
 from lagoonhinge_core.sections import (
     ConfigSection,
+    MembersSection,
     NodeSection,
+    PeersSection,
     UpstreamReport,
     UpstreamsSection,
+    VmsSection,
 )
 from lagoonhinge_node.logs import PartLogger
 
 REPORT_INTERVAL_S = 1.0
 REPORT_TIMEOUT_S = 1.0
+UNSHARED_CELL_NODES = 3
+POLLERS = 2
 
 
 class UpstreamController(Service):
-    """Keeps the reports of the upstreams current."""
+    """Keeps the reports of the upstreams of this zone current."""
 
     def __init__(self, board: Blackboard, engines: EngineClient, clock: Clock):
         super().__init__()
         self.board = board
         self.engines = engines
         self.clock = clock
+        self.marks = LeavingMarks()
+        self.open_polls: set[str] = set()
         self.writer = board.writer(UpstreamsSection(), "upstreams")
         self.log_part = PartLogger("upstreams")
 
     @Service.task
     async def _report_forever(self) -> None:
         while not self.should_stop:
-            await self.poll()
+            self.begin_round()
             await self.sleep(REPORT_INTERVAL_S)
 
-    async def poll(self) -> None:
-        """Ask every engine of this zone for its load and post what is known."""
+    def begin_round(self) -> None:
+        """Ask the engines that are this node's duty, each on its own."""
+        self.refresh()
+        for name, upstream in self.duties():
+            if name not in self.open_polls:
+                self.open_polls.add(name)
+                self.add_future(self._poll(name, upstream))
+
+    def duties(self) -> Iterator[tuple[str, UpstreamConfig]]:
+        """Return the engines that this node asks; a large cell shares them out."""
         config = self.board.read(ConfigSection).config
-        zone = self.board.read(NodeSection).zone
-        engines = {
-            name: upstream
-            for name, upstream in config.upstreams.items()
-            if upstream.zone == zone
-            and isinstance(config.services[upstream.service], ModelService)
+        members = self.board.find(MembersSection())
+        own = self.board.read(NodeSection).node.vm
+        live = [vm for vm in members.cell if vm == own or members.members[vm].alive]
+        for name, upstream in self._of_zone().items():
+            if not isinstance(config.services[upstream.service], ModelService):
+                continue
+            if owning_cell(name, members.cell_count) != members.cell_number:
+                continue
+            is_shared = len(live) > UNSHARED_CELL_NODES
+            if not is_shared or own in owning_vms(name, live, POLLERS):
+                yield name, upstream
+
+    def refresh(self) -> None:
+        """Post which upstreams are leaving, by everything known now."""
+        upstreams = self._of_zone()
+        self.marks.configure(upstreams)
+        self.marks.take_list(upstreams, self.board.find(VmsSection()))
+        digests = self.board.find(PeersSection()).digests
+        leaving = self.marks.leaving(digests.values())
+        old = self.board.read(UpstreamsSection).reports
+        reports = {
+            name: replace(old.get(name, UpstreamReport()), leaving=name in leaving)
+            for name in upstreams
         }
-        reports = await gather(
-            *(self._ask(name, upstream) for name, upstream in engines.items())
-        )
-        self.writer.post(UpstreamsSection(dict(zip(engines, reports, strict=True))))
+        for name in leaving:
+            if name not in old or not old[name].leaving:
+                self.log_part.info(f"Upstream {name} is leaving.")
+        if reports != old:
+            self.writer.post(UpstreamsSection(reports))
+
+    def follow_digest(self, digest: PeerDigest) -> None:
+        """Take the leaving upstreams that a peer tells of, at once."""
+        if digest.leaving:
+            self.refresh()
 
-    async def _ask(self, name: str, upstream: UpstreamConfig) -> UpstreamReport:
-        old = self.board.read(UpstreamsSection).reports.get(name, UpstreamReport())
-        match await self.engines.load(upstream.url, REPORT_TIMEOUT_S):
+    async def ask(self, name: str, upstream: UpstreamConfig) -> None:
+        """Ask one engine for its load and post the answer."""
+        answer = await self.engines.load(upstream.url, REPORT_TIMEOUT_S)
+        old = self.board.read(UpstreamsSection).reports
+        report = old.get(name)
+        if report is None:
+            return  # no longer configured
+        match answer:
             case Success(load):
-                return UpstreamReport(
-                    load, self.clock.monotonic_s(), load.leaving, reachable=True
-                )
+                self.marks.take_report(name, upstream.generation, load)
+                now_s = self.clock.monotonic_s()
+                report = UpstreamReport(load, now_s, report.leaving, reachable=True)
             case Failure(error):
-                if old.reachable:
+                if report.reachable:
                     self.log_part.warning(f"Upstream {name} did not report: {error}.")
-                return replace(old, reachable=False)
-        raise AssertionError("not a result")
+                report = replace(report, reachable=False)
+        self.writer.post(UpstreamsSection({**old, name: report}))
+        if isinstance(answer, Success) and answer.unwrap().leaving != report.leaving:
+            self.refresh()
+
+    async def _poll(self, name: str, upstream: UpstreamConfig) -> None:
+        try:
+            await self.ask(name, upstream)
+        finally:
+            self.open_polls.discard(name)
+
+    def _of_zone(self) -> dict[str, UpstreamConfig]:
+        config = self.board.read(ConfigSection).config
+        zone = self.board.read(NodeSection).zone
+        return {n: u for n, u in config.upstreams.items() if u.zone == zone}
