Operator's command line, and checks of settings and configuration files

Drained upstreams are kept beside the files, so that applying files never undoes a drain; a change derived from a row that moved since loses to the other one.

Seen first: 'state' took 3.46 s with one frozen node on a busy machine, with 2 s for each node's answer; now 1 s.

--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -101,6 +101,10 @@
         self.popen.send_signal(SIGTERM)
         return self.popen.wait(STOP_TIMEOUT_S)
 
+    def get_json(self, path: str) -> dict:
+        """Return what a stand-in answers for a path below its root."""
+        return http("GET", f"{self.url}/{path}").json()
+
     def put_faults(self, **faults) -> None:
         """Set the faults of a stand-in."""
         answer = http("PUT", f"{self.url}/control/faults", json.encode(faults))
@@ -119,6 +123,7 @@
     starting: list[str] = field(default_factory=list)
 
     def __post_init__(self):
+        self.config_folder = None
         self.folder = TemporaryDirectory(prefix="lagoonhinge-")
         self.path = Path(self.folder.name)
         self.platform = None
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/config_load.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/config_load.py
@@ -1,7 +1,7 @@
 """Merging of the base file with a site's overlay, and checks of the whole."""
 
-from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
 from hashlib import sha256
 from tomllib import TOMLDecodeError, loads
 from typing import Any
@@ -9,7 +9,8 @@
 from msgspec import json
 from returns.result import Failure, Result, Success
 
-from lagoonhinge_core.config import Config, ModelService
+from lagoonhinge_core.config import Config, UpstreamMode
+from lagoonhinge_core.config_cross import cross_errors
 from lagoonhinge_core.config_decode import ConfigError, KeyPath, TableDecoder
 
 BASE_FILE = "base.toml"
@@ -17,15 +18,17 @@
 
 @dataclass(frozen=True)
 class ConfigSource:
-    """The configuration as written: the text of the base file and of each overlay.
+    """The configuration as written, and the upstreams that operators drained.
 
     Attributes:
         base: Text of the base file.
         sites: Text of the overlay by site name.
+        drained: Upstreams drained by command; kept when files are applied again.
     """
 
     base: str
     sites: dict[str, str]
+    drained: tuple[str, ...] = ()
 
     def encode(self) -> bytes:
         """Return the source as the blob kept in the object store."""
@@ -76,8 +79,7 @@
     decoder = TableDecoder()
     config = decoder.decode(Config, merged, ())
     if config is not None:
-        for path, reason in _dangling_names(config):
-            decoder.reject(path, reason)
+        decoder.errors.extend(cross_errors(config))
     if decoder.errors:
         return Failure(
             tuple(
@@ -85,7 +87,7 @@
                 for e in decoder.errors
             )
         )
-    return Success(config)
+    return Success(_with_drained(config, source.drained))
 
 
 def check_source(source: ConfigSource) -> tuple[ConfigError, ...]:
@@ -124,23 +126,10 @@
     return BASE_FILE
 
 
-def _dangling_names(config: Config) -> Iterator[tuple[KeyPath, str]]:
-    for name, service in config.services.items():
-        if isinstance(service, ModelService) and service.model not in config.models:
-            yield ("services", name, "model"), f"no model {service.model!r}"
-    for name, upstream in config.upstreams.items():
-        if upstream.service not in config.services:
-            yield ("upstreams", name, "service"), f"no service {upstream.service!r}"
-        if upstream.zone not in config.zones:
-            yield ("upstreams", name, "zone"), f"no zone {upstream.zone!r}"
-        service_of = config.services.get(upstream.service)
-        if isinstance(service_of, ModelService) and upstream.kv_tokens == 0:
-            yield ("upstreams", name, "kv_tokens"), "must be set for a model engine"
-    for name in config.desired:
-        if not isinstance(config.services.get(name), ModelService):
-            yield ("desired", name), f"no model service {name!r}"
-    seen: dict[str, str] = {}
-    for name, account in config.accounts.items():
-        other = seen.setdefault(account.key_sha256, name)
-        if other != name:
-            yield ("accounts", name, "key_sha256"), f"is also the key of {other!r}"
+def _with_drained(config: Config, drained: tuple[str, ...]) -> Config:
+    # A drained name without an upstream is one that was removed since.
+    upstreams = dict(config.upstreams)
+    for name in drained:
+        if name in upstreams:
+            upstreams[name] = replace(upstreams[name], mode=UpstreamMode.DRAINING)
+    return replace(config, upstreams=upstreams)
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/accept.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/accept.py
@@ -45,7 +45,11 @@
 
 
 async def accept_config(
-    table: TableStore, objects: ObjectStore, source: ConfigSource, author: str
+    table: TableStore,
+    objects: ObjectStore,
+    source: ConfigSource,
+    author: str,
+    current: Row,
 ) -> Result[AcceptedConfig, AcceptError]:
     """Make a checked source the accepted configuration.
 
@@ -54,6 +58,8 @@
         objects: Holds the blob.
         source: The checked source.
         author: Name shown to the loser of a race.
+        current: The row that the source was derived from; a change accepted since
+            then wins.
 
     Returns:
         What was accepted, or why not. A lost reply is settled by the change's
@@ -62,11 +68,6 @@
     stored = await objects.put(blob_name(source.digest()), source.encode())
     if isinstance(stored, Failure):
         return Failure(NotAccepted(f"the blob was not stored: {stored.failure()}"))
-    match await table.read(CONFIG_KEY):
-        case Failure(error):
-            return Failure(NotAccepted(f"the row was not read: {error}"))
-        case Success(row):
-            current = row
     ours = AcceptedConfig(current.version + 1, source.digest(), uuid4().hex, author)
     match await table.write(CONFIG_KEY, encode(ours).decode(), current.version):
         case Success(_):
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/config_commands.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/config_commands.py
@@ -1,189 +1,130 @@
-"""The `lagoonctl config` commands."""
+"""The `lagoonctl config` commands that change nothing: check, show and diff."""
 
-from asyncio import run, sleep
+from asyncio import run
 from dataclasses import dataclass
-from getpass import getuser
-from pathlib import Path
-from sys import exit, stderr
-from time import monotonic
-from typing import Annotated, Any
-
-from cappa import Arg, Env, Subcommands, command
-from returns.result import Failure, Success
-
-from lagoonhinge_core.config_load import ConfigSource, check_source, decode_source
-from lagoonhinge_core.config_row import CONFIG_KEY, AcceptedConfig, blob_name
-from lagoonhinge_ctl.accept import LostRace, NotAccepted, Undecided, accept_config
+from difflib import unified_diff
+
+from cappa import Subcommands, command
+
+from lagoonhinge_core.config_load import (
+    BASE_FILE,
+    ConfigSource,
+    overlay_file,
+)
+from lagoonhinge_ctl.accepted import Accepted, read_accepted
+from lagoonhinge_ctl.apply_command import Apply
 from lagoonhinge_ctl.exit_codes import ExitCode
-from lagoonhinge_ctl.node_client import fetch_states
-from lagoonhinge_ctl.source_files import read_source
+from lagoonhinge_ctl.options import (
+    FolderArg,
+    JsonArg,
+    PlatformArg,
+    check_platform,
+    stop,
+)
+from lagoonhinge_ctl.reports import print_json
+from lagoonhinge_ctl.source_files import load_checked
 from lagoonhinge_http.platform import HttpPlatform
 from lagoonhinge_http.session import open_session
-from lagoonhinge_http.wire import decode
-
-FolderArg = Annotated[Path, Arg(help="Folder with base.toml and sites/*.toml.")]
-PlatformArg = Annotated[
-    str,
-    Arg(
-        long="--platform-url",
-        default=Env("LAGOONHINGE_PLATFORM_URL", default=""),
-        help="Root of the platform's services [LAGOONHINGE_PLATFORM_URL]",
-    ),
-]
-NodesArg = Annotated[
-    str,
-    Arg(
-        long="--nodes",
-        default=Env("LAGOONHINGE_NODES", default=""),
-        help="Control addresses, comma-separated [LAGOONHINGE_NODES]",
-    ),
-]
-TokenArg = Annotated[
-    str,
-    Arg(
-        long="--operator-token",
-        default=Env("LAGOONHINGE_OPERATOR_TOKEN", default=""),
-        help="Secret of operators [LAGOONHINGE_OPERATOR_TOKEN]",
-    ),
-]
-WATCH_INTERVAL_S = 0.2
-
-
-def split_nodes(raw: str) -> tuple[str, ...]:
-    """Return the addresses of a comma-separated list."""
-    return tuple(part.strip() for part in raw.split(",") if part.strip())
-
-
-def load_checked(folder: Path) -> ConfigSource:
-    """Return the checked source of a folder; prints every error and exits if bad."""
-    match read_source(folder):
-        case Failure(errors):
-            _print_errors(errors)
-            exit(ExitCode.BAD_CONFIG)
-        case Success(found):
-            source: ConfigSource = found
-    errors = check_source(source)
-    if errors:
-        _print_errors(errors)
-        exit(ExitCode.BAD_CONFIG)
-    return source
-
-
-def _print_errors(errors: tuple[Any, ...]) -> None:
-    for error in errors:
-        print(error, file=stderr)
-
-
-@command(name="check")
+
+
+@dataclass(frozen=True)
+class CheckReport:
+    """A configuration that is in order."""
+
+    digest: str
+    sites: tuple[str, ...]
+
+
+async def _fetch(platform_url: str) -> Accepted:
+    async with open_session() as session:
+        return await read_accepted(HttpPlatform(session, platform_url))
+
+
+def _files(source: ConfigSource) -> dict[str, str]:
+    files = {BASE_FILE: source.base}
+    for site, text in sorted(source.sites.items()):
+        files[overlay_file(site)] = text
+    return files
+
+
+@command(
+    name="check",
+    epilog="Example: lagoonctl config check examples",
+)
 @dataclass
 class Check:
-    """Check a configuration without applying it."""
+    """Check a configuration without applying it; prints every error."""
 
     folder: FolderArg
+    json: JsonArg = False
 
     def __call__(self) -> None:
         """Run the command."""
         source = load_checked(self.folder)
-        print(f"ok: base and {len(source.sites)} sites, digest {source.digest()}")
-
-
-@command(name="apply")
+        report = CheckReport(source.digest(), tuple(sorted(source.sites)))
+        if self.json:
+            print_json(report)
+        else:
+            sites = ", ".join(report.sites) or "none"
+            print(f"ok: sites {sites}; digest {report.digest}")
+
+
+@command(
+    name="show",
+    epilog="Example: lagoonctl config show --platform-url http://HOST:PORT",
+)
 @dataclass
-class Apply:
-    """Accept a configuration and wait until every node has it in force."""
+class Show:
+    """Print the accepted configuration."""
 
-    folder: FolderArg
     platform_url: PlatformArg
-    nodes: NodesArg
-    operator_token: TokenArg
-    wait_s: Annotated[float, Arg(long=True, help="Longest wait, in seconds.")] = 10.0
+    json: JsonArg = False
 
     def __call__(self) -> None:
         """Run the command."""
-        source = load_checked(self.folder)
-        run(self._apply(source))
-
-    async def _apply(self, source: ConfigSource) -> None:
-        async with open_session() as session:
-            platform = HttpPlatform(session, self.platform_url)
-            match await accept_config(platform, platform, source, getuser()):
-                case Failure(LostRace(ours, theirs)):
-                    print(f"conflict: ours {ours}, theirs {theirs}", file=stderr)
-                    exit(ExitCode.CONFLICT)
-                case Failure(Undecided(ours, reason)):
-                    print(f"undecided: change {ours.change}: {reason}", file=stderr)
-                    exit(ExitCode.UNDECIDED)
-                case Failure(NotAccepted(reason)):
-                    print(f"not accepted: {reason}", file=stderr)
-                    exit(ExitCode.PLATFORM)
-                case Success(accepted):
-                    print(f"accepted: version {accepted.version}")
-            missing = await self._wait(session, accepted)
-        if missing:
-            for address, reason in missing.items():
-                print(f"not in force: {address}: {reason}", file=stderr)
-            exit(ExitCode.NOT_EVERYWHERE)
-
-    async def _wait(self, session: Any, accepted: AcceptedConfig) -> dict[str, str]:
-        missing = dict.fromkeys(split_nodes(self.nodes), "not asked yet")
-        until = monotonic() + self.wait_s
-        while missing and monotonic() < until:
-            states = await fetch_states(session, tuple(missing), self.operator_token)
-            for state in states:
-                match state:
-                    case Success(node):
-                        section = node.sections["ConfigSection"]
-                        version = section["version"]
-                        missing[node.address] = f"version {version}"
-                        if version >= accepted.version:
-                            missing.pop(node.address)
-                            site = node.sections["NodeSection"]["site"]
-                            print(f"in force: {site} {node.address}")
-                    case Failure(error):
-                        missing[error.address] = error.reason
-            if missing:
-                await sleep(WATCH_INTERVAL_S)
-        return missing
-
-
-@command(name="show")
+        accepted = run(_fetch(check_platform(self.platform_url)))
+        if accepted.change is None:
+            stop(ExitCode.PLATFORM, "no configuration was accepted yet")
+        if self.json:
+            print_json(accepted)
+            return
+        print(f"# version {accepted.change.version}, by {accepted.change.author}")
+        print(f"# drained: {', '.join(accepted.source.drained) or 'none'}")
+        for name, text in _files(accepted.source).items():
+            print(f"# --- {name}\n{text}")
+
+
+@command(
+    name="diff",
+    epilog="Example: lagoonctl config diff examples --platform-url http://HOST:PORT",
+)
 @dataclass
-class Show:
-    """Print the accepted configuration."""
+class Diff:
+    """Print what applying a folder would change in the accepted files."""
 
+    folder: FolderArg
     platform_url: PlatformArg
 
     def __call__(self) -> None:
         """Run the command."""
-        run(self._show())
-
-    async def _show(self) -> None:
-        async with open_session() as session:
-            platform = HttpPlatform(session, self.platform_url)
-            match await platform.read(CONFIG_KEY):
-                case Failure(error):
-                    print(f"the row was not read: {error.reason}", file=stderr)
-                    exit(ExitCode.PLATFORM)
-                case Success(row) if row.version == 0:
-                    print("no configuration was accepted yet", file=stderr)
-                    exit(ExitCode.PLATFORM)
-                case Success(row):
-                    accepted = decode(row.value, AcceptedConfig)
-            match await platform.get(blob_name(accepted.digest)):
-                case Failure(error):
-                    print(f"the blob was not read: {error}", file=stderr)
-                    exit(ExitCode.PLATFORM)
-                case Success(blob):
-                    source = decode_source(blob)
-        print(f"# version {accepted.version}, by {accepted.author}")
-        print(source.base)
-        for site, text in source.sites.items():
-            print(f"# sites/{site}.toml\n{text}")
+        new = _files(load_checked(self.folder))
+        accepted = run(_fetch(check_platform(self.platform_url)))
+        old = _files(accepted.source)
+        for name in sorted(old.keys() | new.keys()):
+            lines = unified_diff(
+                old.get(name, "").splitlines(),
+                new.get(name, "").splitlines(),
+                f"accepted/{name}",
+                f"new/{name}",
+                lineterm="",
+            )
+            for line in lines:
+                print(line)
 
 
 @command(name="config")
 @dataclass
 class ConfigCommand:
-    """Check, apply and show the configuration."""
+    """Check, apply, show and compare the configuration."""
 
-    subcommand: Subcommands[Check | Apply | Show]
+    subcommand: Subcommands[Check | Apply | Show | Diff]
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/exit_codes.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/exit_codes.py
@@ -1,4 +1,4 @@
-"""Exit codes of `lagoonctl`."""
+"""Exit codes of `lagoonctl`; 0 is success."""
 
 from enum import IntEnum
 
@@ -6,9 +6,10 @@
 class ExitCode(IntEnum):
     """What a non-zero exit means."""
 
-    BAD_CONFIG = 2
-    CONFLICT = 3
-    UNDECIDED = 4
-    PLATFORM = 5
-    NOT_EVERYWHERE = 6
-    NODE_SILENT = 7
+    USAGE = 2
+    BAD_CONFIG = 3
+    CONFLICT = 4
+    UNDECIDED = 5
+    PLATFORM = 6
+    NOT_EVERYWHERE = 7
+    NODE_SILENT = 8
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/node_client.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/node_client.py
@@ -5,12 +5,14 @@
 from typing import Any
 
 from aiohttp import ClientError, ClientSession
+from msgspec import ValidationError, convert
 from returns.result import Failure, Result, Success
 
+from lagoonhinge_core.sections import MembersSection, NodeSection
 from lagoonhinge_http.session import ConnectionLost, call_timeout
 from lagoonhinge_http.wire import BadMessage, decode
 
-NODE_TIMEOUT_S = 2.0
+NODE_TIMEOUT_S = 1.0
 
 
 @dataclass(frozen=True)
@@ -23,11 +25,42 @@
 
 @dataclass(frozen=True)
 class NodeState:
-    """A node's state dump: its sections by name."""
+    """A node's state dump.
+
+    Attributes:
+        address: Its control address.
+        sections: The whole dump, by section name.
+    """
 
     address: str
     sections: dict[str, Any]
 
+    @property
+    def node(self) -> NodeSection:
+        """Return the node's own section."""
+        return convert(self.sections["NodeSection"], NodeSection)
+
+    @property
+    def config(self) -> "ConfigInForce":
+        """Return which configuration is in force."""
+        return convert(self.sections["ConfigSection"], ConfigInForce)
+
+    @property
+    def members(self) -> MembersSection:
+        """Return the other nodes as this one knows them."""
+        section = self.sections.get("MembersSection", {"members": {}})
+        return convert(section, MembersSection)
+
+
+@dataclass(frozen=True)
+class ConfigInForce:
+    """The part of `ConfigSection` that tells which configuration is in force."""
+
+    version: int
+    digest: str
+    in_force_wall_s: float
+    last_error: str
+
 
 async def fetch_state(
     session: ClientSession, address: str, token: str
@@ -41,13 +74,16 @@
             timeout=call_timeout(NODE_TIMEOUT_S),
         ) as answer:
             body = await answer.read()
-            if answer.status != 200:
-                reason = f"status {answer.status}: {body.decode(errors='replace')}"
-                return Failure(NodeUnreachable(address, reason.strip()))
-            return Success(NodeState(address, decode(body, dict[str, Any])))
     except TimeoutError:
         return Failure(NodeUnreachable(address, f"no answer within {NODE_TIMEOUT_S} s"))
-    except (ConnectionLost, ClientError, BadMessage) as error:
+    except (ConnectionLost, ClientError) as error:
+        return Failure(NodeUnreachable(address, str(error)))
+    if answer.status != 200:
+        reason = f"status {answer.status}: {body.decode(errors='replace').strip()}"
+        return Failure(NodeUnreachable(address, reason))
+    try:
+        return Success(NodeState(address, decode(body, dict[str, Any])))
+    except (BadMessage, ValidationError) as error:
         return Failure(NodeUnreachable(address, str(error)))
 
 
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/node_commands.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/node_commands.py
@@ -1,42 +1,98 @@
-"""The `lagoonctl state` command."""
+"""The `lagoonctl state` and `lagoonctl nodes` commands."""
 
 from asyncio import run
 from dataclasses import dataclass
-from sys import exit, stderr
 
 from cappa import command
-from msgspec import json
 from returns.result import Failure, Success
 
-from lagoonhinge_ctl.config_commands import NodesArg, TokenArg, split_nodes
 from lagoonhinge_ctl.exit_codes import ExitCode
-from lagoonhinge_ctl.node_client import fetch_states
+from lagoonhinge_ctl.node_client import NodeState, NodeUnreachable, fetch_states
+from lagoonhinge_ctl.options import (
+    FleetAccess,
+    JsonArg,
+    NodesArg,
+    TokenArg,
+    check_access,
+    stop,
+)
+from lagoonhinge_ctl.reports import print_json, print_table
 from lagoonhinge_http.session import open_session
 
 
-@command(name="state")
+@dataclass(frozen=True)
+class FleetReport:
+    """The nodes that answered and those that did not."""
+
+    nodes: tuple[NodeState, ...]
+    silent: tuple[NodeUnreachable, ...]
+
+
+async def _ask(access: FleetAccess) -> FleetReport:
+    async with open_session() as session:
+        states = await fetch_states(session, access.addresses, access.token)
+    return FleetReport(
+        tuple(state.unwrap() for state in states if isinstance(state, Success)),
+        tuple(state.failure() for state in states if isinstance(state, Failure)),
+    )
+
+
+def _stop_if_silent(report: FleetReport) -> None:
+    if report.silent:
+        lines = (f"{s.address}: did not answer: {s.reason}" for s in report.silent)
+        stop(ExitCode.NODE_SILENT, "\n".join(lines))
+
+
+def _node_row(state: NodeState) -> tuple[str, ...]:
+    members = state.members.members.values()
+    alive = sum(member.alive for member in members)
+    return (
+        state.address,
+        str(state.node.node),
+        state.node.site,
+        state.node.zone,
+        str(state.node.readiness),
+        str(state.config.version),
+        f"{alive}/{len(members)}",
+    )
+
+
+@command(name="state", epilog="Example: lagoonctl state --nodes HOST:PORT,HOST:PORT")
 @dataclass
 class State:
-    """Print the state dump of every node."""
+    """Print the state dump of every node; names the nodes that did not answer."""
+
+    nodes: NodesArg
+    operator_token: TokenArg
+    json: JsonArg = False
+
+    def __call__(self) -> None:
+        """Run the command."""
+        report = run(_ask(check_access(self.nodes, self.operator_token)))
+        if self.json:
+            print_json(report)
+        else:
+            for state in report.nodes:
+                print(f"=== {state.address}")
+                print_json(state.sections)
+        _stop_if_silent(report)
+
+
+@command(name="nodes", epilog="Example: lagoonctl nodes --nodes HOST:PORT,HOST:PORT")
+@dataclass
+class Nodes:
+    """Print one line for each node; names the nodes that did not answer."""
 
     nodes: NodesArg
     operator_token: TokenArg
+    json: JsonArg = False
 
     def __call__(self) -> None:
         """Run the command."""
-        run(self._show())
-
-    async def _show(self) -> None:
-        async with open_session() as session:
-            addresses = split_nodes(self.nodes)
-            states = await fetch_states(session, addresses, self.operator_token)
-        silent = False
-        for state in states:
-            match state:
-                case Success(node):
-                    print(json.format(json.encode(node)).decode())
-                case Failure(error):
-                    print(f"{error.address}: {error.reason}", file=stderr)
-                    silent = True
-        if silent:
-            exit(ExitCode.NODE_SILENT)
+        report = run(_ask(check_access(self.nodes, self.operator_token)))
+        if self.json:
+            print_json(report)
+        else:
+            heads = ("address", "node", "site", "zone", "ready", "config", "peers")
+            print_table(heads, [_node_row(state) for state in report.nodes])
+        _stop_if_silent(report)
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/source_files.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/source_files.py
@@ -5,7 +5,9 @@
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.config_decode import ConfigError
-from lagoonhinge_core.config_load import BASE_FILE, ConfigSource
+from lagoonhinge_core.config_load import BASE_FILE, ConfigSource, check_source
+from lagoonhinge_ctl.exit_codes import ExitCode
+from lagoonhinge_ctl.options import stop
 
 SITES_FOLDER = "sites"
 
@@ -26,3 +28,20 @@
     return Success(
         ConfigSource(texts[base], {path.stem: texts[path] for path in overlays})
     )
+
+
+def load_checked(folder: Path) -> ConfigSource:
+    """Return the checked source of a folder, or exit with every error found."""
+    match read_source(folder):
+        case Failure(errors):
+            stop(ExitCode.BAD_CONFIG, _lines(errors))
+        case Success(found):
+            source: ConfigSource = found
+    errors = check_source(source)
+    if errors:
+        stop(ExitCode.BAD_CONFIG, _lines(errors))
+    return source
+
+
+def _lines(errors: tuple[ConfigError, ...]) -> str:
+    return "\n".join(str(error) for error in errors)
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -121,7 +121,8 @@
 
 
 async def _ledger(request: web.Request) -> web.Response:
-    return _json({"used_tokens": request.app[STATE].used_tokens})
+    state = request.app[STATE]
+    return _json({"used_tokens": state.used_tokens, "accepted": state.accepted})
 
 
 async def _healthz(_: web.Request) -> web.Response:
--- a/stand_ins/engine_state.py
+++ b/stand_ins/engine_state.py
@@ -127,6 +127,7 @@
     faults: EngineFaults = EngineFaults()
     streams: dict[str, StreamRun] = field(default_factory=dict)
     used_tokens: int = 0
+    accepted: int = 0
     reports: list[tuple[float, LoadReport]] = field(default_factory=list)
     fencing: int = 0
     loaded: OrderReport = NOTHING_LOADED
@@ -144,6 +145,7 @@
         if len(self.waiting()) >= self.rates.max_waiting:
             return Refusal(503, "too many waiting")
         self.streams[call.attempt] = run
+        self.accepted += 1
         self.admit_waiting()
         return run
 
