--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/length_class.py
@@ -0,0 +1,27 @@
+"""Length classes by which times are reported; placement has its own boundary."""
+
+from enum import StrEnum
+
+SHORT_UP_TO_TOKENS = 4_000
+MIDDLE_UP_TO_TOKENS = 32_000
+LONG_UP_TO_TOKENS = 100_000
+
+
+class LengthClass(StrEnum):
+    """Class of a prompt's length."""
+
+    SHORT = "short"
+    MIDDLE = "middle"
+    LONG = "long"
+    VERY_LONG = "very_long"
+
+
+def length_class(prompt_tokens: int) -> LengthClass:
+    """Return the class of a prompt of `prompt_tokens` tokens."""
+    if prompt_tokens <= SHORT_UP_TO_TOKENS:
+        return LengthClass.SHORT
+    if prompt_tokens <= MIDDLE_UP_TO_TOKENS:
+        return LengthClass.MIDDLE
+    if prompt_tokens <= LONG_UP_TO_TOKENS:
+        return LengthClass.LONG
+    return LengthClass.VERY_LONG
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
@@ -1,6 +1,23 @@
-"""Metrics of the node; no label grows with the number of client accounts."""
+"""Metrics of the node; no label grows with accounts, upstreams or requests."""
 
-from prometheus_client import CollectorRegistry, Counter, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    generate_latest,
+)
+
+from lagoonhinge_core.length_class import length_class
+from lagoonhinge_core.outcome import Failure
+from lagoonhinge_core.request import ModelRequest
+
+FIRST_TOKEN_BUCKETS_S = (
+    0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1.0, 1.4, 2.0, 3.5, 5.0, 10.0, 30.0, 100.0, 300.0,
+)  # fmt: skip
+SLOWDOWN_BUCKETS = (1.0, 1.15, 1.3, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 100.0)
+QUEUE_BUCKETS_S = (0.001, 0.005, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0)
 
 
 class Metrics:
@@ -8,13 +25,81 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
-        self.failures = Counter(
+        ProcessCollector(registry=self.registry)
+        self.first_token = Histogram(
+            "lagoonhinge_time_to_first_token_seconds",
+            "From the request's arrival to its first token, by length class.",
+            ("length",),
+            buckets=FIRST_TOKEN_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.slowdown = Histogram(
+            "lagoonhinge_slowdown",
+            "Time to first token over the nominal time to process the prompt.",
+            ("length",),
+            buckets=SLOWDOWN_BUCKETS,
+            registry=self.registry,
+        )
+        self.queue = Histogram(
+            "lagoonhinge_queue_seconds",
+            "Time from arrival to admission.",
+            buckets=QUEUE_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.failures = self._counter(
             "lagoonhinge_failures",
-            "Requests that got no answer, by error code and outcome.",
+            "Requests that got no whole answer, by error code and outcome.",
             ("code", "outcome"),
+        )
+        self.answers = self._counter(
+            "lagoonhinge_answers", "Whole answers, by kind of service.", ("kind",)
+        )
+        self.tokens = self._counter(
+            "lagoonhinge_tokens", "Tokens of whole answers, by kind.", ("kind",)
+        )
+        self.attempts = self._counter(
+            "lagoonhinge_attempts", "Attempts started, by first or retry.", ("kind",)
+        )
+        self.claims = self._counter(
+            "lagoonhinge_claims", "Claims of non-idempotent requests.", ("result",)
+        )
+        self.control_bytes = self._counter(
+            "lagoonhinge_control_bytes",
+            "Bytes exchanged with peers and the platform.",
+            ("direction",),
+        )
+        self.config_version = Gauge(
+            "lagoonhinge_config_version",
+            "Version of the configuration in force.",
+            registry=self.registry,
+        )
+        self.members_alive = Gauge(
+            "lagoonhinge_members_alive",
+            "Other nodes heard from within the heartbeat timeout.",
             registry=self.registry,
         )
 
+    def observe_first_token(
+        self, request: ModelRequest, waited_s: float, nominal_s: float
+    ) -> None:
+        """Count a first token.
+
+        Args:
+            request: The request.
+            waited_s: Time since its arrival, in seconds.
+            nominal_s: Time that an idle upstream needs for its prompt, in seconds.
+        """
+        length = length_class(request.estimate.prompt_tokens)
+        self.first_token.labels(length).observe(waited_s)
+        self.slowdown.labels(length).observe(waited_s / nominal_s)
+
+    def observe_failure(self, failure: Failure) -> None:
+        """Count a failure."""
+        self.failures.labels(failure.code, failure.outcome).inc()
+
     def render(self) -> bytes:
         """Return the metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
+        return Counter(name, text, labels, registry=self.registry)
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -65,7 +65,9 @@
     for step in element["steps"]:
         result = step.get("result", {})
         if result.get("status") not in (None, "passed", "skipped"):
-            message = result.get("error_message", result.get("status"))
+            # The report has no text for an exception that is not an assertion.
+            hint = f"an exception; see: behave {element['location']}"
+            message = result.get("error_message", hint)
             text = "\n".join(message) if isinstance(message, list) else str(message)
             return f"{step['name']}\n{text}"
     return ""
