--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check -c constraints.txt \
 		-e packages/lagoonhinge-core -e packages/lagoonhinge-http -e packages/lagoonhinge-node \
 		-e packages/lagoonhinge-ctl \
-		behave hypothesis hdrhistogram matplotlib ruff mypy
+		behave hypothesis hdrhistogram matplotlib ruff mypy trustme
 	touch $(STAMP)
 
 demo: $(STAMP)
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -23,6 +23,7 @@
       | --log-json          | maybe        | maybe        | is not true or false       |
       | --log-level         | loud         | loud         | is not one of              |
       | --tls-cert          | no-such-file | no-such-file | is not a file              |
+      | --tls-ca            | no-such-file | no-such-file | is not a file              |
 
   Scenario: Every error is reported at once, and the process exits with status 2
     When a node process is started with three bad settings
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -29,6 +29,7 @@
     log_level="info",
     tls_cert="",
     tls_key="",
+    tls_ca="",
 )
 
 
--- /dev/null
+++ b/features/support/fuzz.py
@@ -0,0 +1,35 @@
+"""Running of hypothesis state machines: the same each time, or longer by seed."""
+
+from os import environ
+
+from hypothesis import HealthCheck, seed, settings
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+EXAMPLES_VARIABLE = "LAGOONHINGE_FUZZ_EXAMPLES"
+SEED_VARIABLE = "LAGOONHINGE_FUZZ_SEED"
+
+
+def run_machine(
+    machine: type[RuleBasedStateMachine], examples: int, steps: int = 50
+) -> None:
+    """Run a state machine; `tools.fuzz` sets more examples and a seed.
+
+    Args:
+        machine: The state machine's class.
+        examples: Examples of an ordinary run, which is derandomised.
+        steps: Rules in each example.
+    """
+    given_seed = environ.get(SEED_VARIABLE)
+    count = int(environ.get(EXAMPLES_VARIABLE, examples))
+    chosen = settings(
+        max_examples=count,
+        stateful_step_count=steps,
+        derandomize=given_seed is None,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    if given_seed is not None:
+        machine = seed(int(given_seed))(machine)
+    run_state_machine_as_test(machine, settings=chosen)
+    print(f"{machine.__name__}: {count} examples of {steps} steps")
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/apply_command.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/apply_command.py
@@ -7,6 +7,7 @@
 from lagoonhinge_core.config_load import ConfigSource
 from lagoonhinge_ctl.change import ChangeTarget, change_config
 from lagoonhinge_ctl.options import (
+    CaArg,
     FolderArg,
     JsonArg,
     NodesArg,
@@ -39,13 +40,14 @@
     platform_url: PlatformArg
     nodes: NodesArg
     operator_token: TokenArg
+    tls_ca: CaArg
     wait_s: WaitArg = DEFAULT_WAIT_S
     json: JsonArg = False
 
     def __call__(self) -> None:
         """Run the command."""
         platform_url = check_platform(self.platform_url)
-        access = check_access(self.nodes, self.operator_token)
+        access = check_access(self.nodes, self.operator_token, self.tls_ca)
         source = load_checked(self.folder)
 
         def keep_drained(accepted: ConfigSource) -> ConfigSource:
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/change.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/change.py
@@ -76,8 +76,9 @@
                 stop(ExitCode.PLATFORM, f"not accepted: {reason}")
             case Success(found):
                 accepted: AcceptedConfig = found
+    async with open_session(tls_ca=target.access.tls_ca) as nodes:
         spread = await watch_spread(
-            session, target.access, accepted.version, target.wait_s
+            nodes, target.access, accepted.version, target.wait_s
         )
     return ChangeReport(accepted, spread)
 
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/drain_commands.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/drain_commands.py
@@ -12,6 +12,7 @@
 from lagoonhinge_ctl.change import ChangeTarget, change_config
 from lagoonhinge_ctl.exit_codes import ExitCode
 from lagoonhinge_ctl.options import (
+    CaArg,
     JsonArg,
     NodesArg,
     PlatformArg,
@@ -51,13 +52,14 @@
     platform_url: PlatformArg
     nodes: NodesArg
     operator_token: TokenArg
+    tls_ca: CaArg
     wait_s: WaitArg = DEFAULT_WAIT_S
     json: JsonArg = False
 
     def run(self, edit: Callable[[ConfigSource, str], ConfigSource]) -> None:
         """Accept the edited source and wait for the nodes."""
         platform_url = check_platform(self.platform_url)
-        access = check_access(self.nodes, self.operator_token)
+        access = check_access(self.nodes, self.operator_token, self.tls_ca)
         target = ChangeTarget(platform_url, access, self.wait_s)
         change_config(lambda source: edit(source, self.upstream), target, self.json)
 
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/node_client.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/node_client.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.sections import MembersSection, NodeSection
+from lagoonhinge_ctl.options import FleetAccess
 from lagoonhinge_http.session import ConnectionLost, call_timeout
 from lagoonhinge_http.wire import BadMessage, decode
 
@@ -63,13 +64,13 @@
 
 
 async def fetch_state(
-    session: ClientSession, address: str, token: str
+    session: ClientSession, access: FleetAccess, address: str
 ) -> Result[NodeState, NodeUnreachable]:
     """Return the state dump of one node."""
-    headers = {"Authorization": f"Bearer {token}"}
+    headers = {"Authorization": f"Bearer {access.token}"}
     try:
         async with session.get(
-            f"http://{address}/state",
+            access.state_url(address),
             headers=headers,
             timeout=call_timeout(NODE_TIMEOUT_S),
         ) as answer:
@@ -88,7 +89,7 @@
 
 
 async def fetch_states(
-    session: ClientSession, addresses: tuple[str, ...], token: str
+    session: ClientSession, access: FleetAccess, addresses: tuple[str, ...]
 ) -> tuple[Result[NodeState, NodeUnreachable], ...]:
-    """Return the state dump of every node, or why it did not answer."""
-    return tuple(await gather(*(fetch_state(session, a, token) for a in addresses)))
+    """Return the state dump of each address, or why it did not answer."""
+    return tuple(await gather(*(fetch_state(session, access, a) for a in addresses)))
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/node_commands.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/node_commands.py
@@ -9,6 +9,7 @@
 from lagoonhinge_ctl.exit_codes import ExitCode
 from lagoonhinge_ctl.node_client import NodeState, NodeUnreachable, fetch_states
 from lagoonhinge_ctl.options import (
+    CaArg,
     FleetAccess,
     JsonArg,
     NodesArg,
@@ -29,8 +30,8 @@
 
 
 async def _ask(access: FleetAccess) -> FleetReport:
-    async with open_session() as session:
-        states = await fetch_states(session, access.addresses, access.token)
+    async with open_session(tls_ca=access.tls_ca) as session:
+        states = await fetch_states(session, access, access.addresses)
     return FleetReport(
         tuple(state.unwrap() for state in states if isinstance(state, Success)),
         tuple(state.failure() for state in states if isinstance(state, Failure)),
@@ -64,11 +65,12 @@
 
     nodes: NodesArg
     operator_token: TokenArg
+    tls_ca: CaArg
     json: JsonArg = False
 
     def __call__(self) -> None:
         """Run the command."""
-        report = run(_ask(check_access(self.nodes, self.operator_token)))
+        report = run(_ask(check_access(self.nodes, self.operator_token, self.tls_ca)))
         if self.json:
             print_json(report)
         else:
@@ -85,11 +87,12 @@
 
     nodes: NodesArg
     operator_token: TokenArg
+    tls_ca: CaArg
     json: JsonArg = False
 
     def __call__(self) -> None:
         """Run the command."""
-        report = run(_ask(check_access(self.nodes, self.operator_token)))
+        report = run(_ask(check_access(self.nodes, self.operator_token, self.tls_ca)))
         if self.json:
             print_json(report)
         else:
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/watch.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/watch.py
@@ -46,7 +46,7 @@
     missing = dict.fromkeys(access.addresses, "was not asked")
     until = monotonic() + wait_s
     while missing and monotonic() < until:
-        for state in await fetch_states(session, tuple(missing), access.token):
+        for state in await fetch_states(session, access, tuple(missing)):
             match state:
                 case Success(node) if node.config.version >= version:
                     missing.pop(node.address)
--- a/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
@@ -1,6 +1,8 @@
 """The shared HTTP client, which never sends a request twice by itself."""
 
 from collections.abc import Awaitable, Callable
+from pathlib import Path
+from ssl import create_default_context
 
 from aiohttp import (
     ClientConnectorError,
@@ -37,15 +39,20 @@
         raise ConnectionLost(str(error)) from error
 
 
-def open_session(connections: int = 0) -> ClientSession:
+def open_session(connections: int = 0, tls_ca: Path | None = None) -> ClientSession:
     """Return a client session.
 
     Args:
         connections: Most connections at once; 0 for no limit, since admission
             bounds the calls.
+        tls_ca: Certificates of the authorities that are trusted, instead of the
+            system's.
     """
+    trust = True if tls_ca is None else create_default_context(cafile=tls_ca)
     return ClientSession(
-        connector=TCPConnector(limit=connections, keepalive_timeout=KEEPALIVE_S),
+        connector=TCPConnector(
+            limit=connections, keepalive_timeout=KEEPALIVE_S, ssl=trust
+        ),
         middlewares=(_stop_resending,),
         read_bufsize=MAX_LINE_BYTES,
         auto_decompress=False,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/settings.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/settings.py
@@ -62,6 +62,7 @@
     log_level: str
     tls_cert: Path | None
     tls_key: Path | None
+    tls_ca: Path | None
 
 
 def _arg(flag: str, default: str, help_text: str) -> Any:
@@ -219,6 +220,9 @@
         str, _arg("tls-cert", "", "Certificate file for both listeners.")
     ]
     tls_key: Annotated[str, _arg("tls-key", "", "Private key file for both listeners.")]
+    tls_ca: Annotated[
+        str, _arg("tls-ca", "", "Authorities that peers' certificates are checked by.")
+    ]
 
     def check(self) -> Result[NodeSettings, tuple[SettingError, ...]]:
         """Return the checked settings, or every error at once."""
@@ -243,6 +247,7 @@
             log_level=take("log-level", self.log_level, _parse_level),
             tls_cert=take("tls-cert", self.tls_cert, _parse_file),
             tls_key=take("tls-key", self.tls_key, _parse_file),
+            tls_ca=take("tls-ca", self.tls_ca, _parse_file),
         )
         if bool(self.tls_cert) != bool(self.tls_key):
             checker.errors.append(
