--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -22,6 +22,7 @@
     overlay_text,
 )
 from lagoonhinge_core.config_load import ConfigSource
+from lagoonhinge_core.config_row import CONFIG_KEY
 from lagoonhinge_core.membership import ENTRY_ROLE
 from lagoonhinge_core.store_messages import VmEntry, VmState
 from lagoonhinge_ctl.accept import accept_config
@@ -129,7 +130,8 @@
 async def _accept(fleet: Fleet, source: ConfigSource) -> int:
     async with open_session() as session:
         platform = HttpPlatform(session, fleet.platform.url)
-        match await accept_config(platform, platform, source, "bench"):
+        row = (await platform.read(CONFIG_KEY)).unwrap()
+        match await accept_config(platform, platform, source, "bench", row):
             case Success(accepted):
                 return accepted.version
             case failure:
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -12,7 +12,7 @@
       | operator blob put        | platform down  | not accepted |
       | operator blob put        | objects down   | not accepted |
       | operator blob put        | reply lost     | accepted     |
-      | operator blob put        | rival operator | accepted     |
+      | operator blob put        | rival operator | lost race    |
       | operator blob put reply  | platform down  | not accepted |
       | operator row read        | platform down  | not accepted |
       | operator row read        | reply lost     | not accepted |
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -39,6 +39,10 @@
       | 8     | 0    | 2       |
       | 8     | 3    | 2       |
 
+  Scenario: A mark that a node finds itself is told to its peers at once, and once
+    When an engine of a node reports twice that it is leaving
+    Then the node tells its peers once, and its digest carries the mark
+
   Scenario Outline: Every source is acted on within 3 s by its own intervals
     Then an upstream that leaves by <source> is known everywhere within 3 s
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/membership_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/membership_controller.py
@@ -177,8 +177,12 @@
         self.peers_writer.post(self.membership.peers(now_s))
         self.vms_writer.post(self.membership.vms)
 
+    def tell_soon(self) -> None:
+        """Begin to tell every peer of the cell; returns at once."""
+        self.add_future(self.tell_all())
+
     async def tell_all(self) -> None:
-        """Tell every peer of the cell at once, before this node stops."""
+        """Tell every peer of the cell at once, whatever the budget says."""
         now_s = self.clock.monotonic_s()
         cell = (self.membership.records.get(vm) for vm in self.membership.cell_vms)
         live = (r for r in cell if r and r.heard_s > now_s - TELL_SILENCE_S)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 from random import Random
 from socket import socket
-from ssl import PROTOCOL_TLS_CLIENT, PROTOCOL_TLS_SERVER, SSLContext
+from ssl import PROTOCOL_TLS_SERVER, SSLContext, create_default_context
 from typing import Any
 
 from aiohttp import web
@@ -16,7 +16,12 @@
 from lagoonhinge_core.identity import NodeId
 from lagoonhinge_core.in_flight import InFlightLedger
 from lagoonhinge_core.membership import Membership
-from lagoonhinge_core.sections import ConfigSection, NodeSection, Readiness
+from lagoonhinge_core.sections import (
+    ConfigSection,
+    MembersSection,
+    NodeSection,
+    Readiness,
+)
 from lagoonhinge_core.stopping import longest_request_s
 from lagoonhinge_core.tokens import TokenEstimator
 from lagoonhinge_http.platform import HttpPlatform
@@ -87,12 +92,7 @@
         self.ledger = InFlightLedger()
         self.estimator = TokenEstimator({})
         self.metrics = Metrics()
-        self.metrics.config_version.set_function(
-            lambda: self.board.read(ConfigSection).version
-        )
-        self.metrics.config_refused.set_function(
-            lambda: bool(self.board.read(ConfigSection).last_error)
-        )
+        self._watch_board()
         self.session = open_session()
         self.engines = HttpEngineClient()
         platform = HttpPlatform(self.session, settings.platform_url)
@@ -130,6 +130,7 @@
         self.membership.on_heard.append(self.config.follow_digest)
         self.membership.on_heard.append(self.upstreams.follow_digest)
         self.membership.on_listed.append(self.upstreams.refresh)
+        self.upstreams.on_own_marks.append(self.membership.tell_soon)
         self.membership.own_leaving = self.upstreams.marks.own
         self.admission = Admission(self.board)
         models = ModelPath(
@@ -210,6 +211,16 @@
             {name: model.bytes_per_token for name, model in models.items()}
         )
 
+    def _watch_board(self) -> None:
+        read, metrics = self.board.read, self.metrics
+        metrics.config_version.set_function(lambda: read(ConfigSection).version)
+        metrics.config_refused.set_function(
+            lambda: bool(read(ConfigSection).last_error)
+        )
+        metrics.members_alive.set_function(
+            lambda: sum(m.alive for m in read(MembersSection).members.values())
+        )
+
     def _count_bytes(self, path: str, count: int) -> None:
         self.metrics.control_bytes.labels(path).inc(count)
 
@@ -241,8 +252,4 @@
 def _peer_tls_context(settings: NodeSettings) -> SSLContext | None:
     if settings.tls_cert is None:
         return None
-    # Peers are named by IP number; the shared secret and the certificate file vouch.
-    context = SSLContext(PROTOCOL_TLS_CLIENT)
-    context.check_hostname = False
-    context.load_verify_locations(settings.tls_cert)
-    return context
+    return create_default_context(cafile=settings.tls_ca)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/upstream_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/upstream_controller.py
@@ -1,6 +1,6 @@
 """Controller of upstream reports: polls engines and notes which upstreams leave."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 
 from mode import Service
@@ -38,6 +38,8 @@
         self.engines = engines
         self.clock = clock
         self.marks = LeavingMarks()
+        self.told: tuple[str, ...] = ()
+        self.on_own_marks: list[Callable[[], None]] = []
         self.open_polls: set[str] = set()
         self.writer = board.writer(UpstreamsSection(), "upstreams")
         self.log_part = PartLogger("upstreams")
@@ -88,6 +90,11 @@
                 self.log_part.info(f"Upstream {name} is leaving.")
         if reports != old:
             self.writer.post(UpstreamsSection(reports))
+        own = self.marks.own()
+        if set(own) - set(self.told):
+            for follow in self.on_own_marks:
+                follow()
+        self.told = own
 
     def follow_digest(self, digest: PeerDigest) -> None:
         """Take the leaving upstreams that a peer tells of, at once."""
