At most once: a claim row before the only dispatch of a non-idempotent call

Cause: a call with an Idempotency-Key was sent without any record, so a resend after a lost answer ran it again, and the caller's disconnect ended it midway.

Ruled out: taking over a claim past its deadline (the owner may only be paused); comparing wall clocks for anything but the words in_progress and unknown; reading before each claim (a second trip for the common case); treating an absent row after a lost reply as proof (the write may still be applied).

Change: a row per client account, service and digest of the key is inserted by a conditional write; the owner's token settles lost replies, and its writes all carry the same content, so repeating one is safe. A claim given up on while a write may be under way is settled as not run at the same version, which makes the late write lose. The call and its storing run in tasks of their own, so a caller may leave. Large answers go to the object store. Non-idempotent calls use a new connection each, so that a dead idle one doesn't make them unknown; calls to plain services keep to max_answer_bytes, retries and the retry budget.

Before: the resend of a keyed order ran twice. The processes found what the fakes had not: answers' header names could not be encoded, so that no answer was stored.

--- /dev/null
+++ b/features/claims.feature
@@ -0,0 +1,159 @@
+Feature: At most once, under every fault at every step
+
+  Scenario Outline: <fault> at <step>
+    Given two nodes before a table and a plain service with faults
+    When a keyed call meets <fault> at step <step>
+    Then its callers see <first>; then <soon>; then <later>
+    And the service executed it <runs> times
+
+    Examples:
+      | fault                  | step            | first                     | soon                    | later                   | runs |
+      | table down             | before claim    | store_unavailable not-run | answer                  | replay                  | 1 |
+      | table down             | claim write     | store_unavailable not-run | answer                  | replay                  | 1 |
+      | table down             | before dispatch | answer                    | replay                  | replay                  | 1 |
+      | table down             | dispatch        | answer                    | replay                  | replay                  | 1 |
+      | table down             | after dispatch  | answer                    | replay                  | replay                  | 1 |
+      | table down             | outcome write   | answer                    | replay                  | replay                  | 1 |
+      | table down             | replay          | store_unavailable not-run | replay                  | replay                  | 1 |
+      | table slow             | before claim    | store_unavailable not-run | answer                  | replay                  | 1 |
+      | table slow             | claim write     | store_unavailable not-run | answer                  | replay                  | 1 |
+      | table slow             | before dispatch | answer                    | in_progress unknown     | replay                  | 1 |
+      | table slow             | dispatch        | answer                    | in_progress unknown     | replay                  | 1 |
+      | table slow             | after dispatch  | answer                    | in_progress unknown     | replay                  | 1 |
+      | table slow             | outcome write   | answer                    | in_progress unknown     | replay                  | 1 |
+      | table slow             | replay          | store_unavailable not-run | replay                  | replay                  | 1 |
+      | reply lost             | before claim    | answer                    | replay                  | replay                  | 1 |
+      | reply lost             | claim write     | answer                    | replay                  | replay                  | 1 |
+      | reply lost             | before dispatch | answer                    | replay                  | replay                  | 1 |
+      | reply lost             | dispatch        | answer                    | replay                  | replay                  | 1 |
+      | reply lost             | after dispatch  | answer                    | replay                  | replay                  | 1 |
+      | reply lost             | outcome write   | answer                    | replay                  | replay                  | 1 |
+      | reply lost             | replay          | replay                    | replay                  | replay                  | 1 |
+      | reply lost, write late | before claim    | answer                    | replay                  | replay                  | 1 |
+      | reply lost, write late | claim write     | answer                    | replay                  | replay                  | 1 |
+      | reply lost, write late | before dispatch | answer                    | replay                  | replay                  | 1 |
+      | reply lost, write late | dispatch        | answer                    | replay                  | replay                  | 1 |
+      | reply lost, write late | after dispatch  | answer                    | replay                  | replay                  | 1 |
+      | reply lost, write late | outcome write   | answer                    | replay                  | replay                  | 1 |
+      | reply lost, write late | replay          | replay                    | replay                  | replay                  | 1 |
+      | upstream refuses       | before claim    | answer                    | replay                  | replay                  | 1 |
+      | upstream refuses       | claim write     | answer                    | replay                  | replay                  | 1 |
+      | upstream refuses       | before dispatch | answer                    | replay                  | replay                  | 1 |
+      | upstream refuses       | dispatch        | answer                    | replay                  | replay                  | 1 |
+      | upstream refuses       | after dispatch  | answer                    | replay                  | replay                  | 1 |
+      | upstream refuses       | outcome write   | answer                    | replay                  | replay                  | 1 |
+      | upstream refuses       | replay          | replay                    | replay                  | replay                  | 1 |
+      | all upstreams refuse   | before claim    | upstream_failed not-run   | answer                  | replay                  | 1 |
+      | all upstreams refuse   | claim write     | upstream_failed not-run   | answer                  | replay                  | 1 |
+      | all upstreams refuse   | before dispatch | upstream_failed not-run   | answer                  | replay                  | 1 |
+      | all upstreams refuse   | dispatch        | upstream_failed not-run   | answer                  | replay                  | 1 |
+      | all upstreams refuse   | after dispatch  | answer                    | replay                  | replay                  | 1 |
+      | all upstreams refuse   | outcome write   | answer                    | replay                  | replay                  | 1 |
+      | all upstreams refuse   | replay          | replay                    | replay                  | replay                  | 1 |
+      | upstream unreachable   | before claim    | answer                    | replay                  | replay                  | 1 |
+      | upstream unreachable   | claim write     | answer                    | replay                  | replay                  | 1 |
+      | upstream unreachable   | before dispatch | answer                    | replay                  | replay                  | 1 |
+      | upstream unreachable   | dispatch        | answer                    | replay                  | replay                  | 1 |
+      | upstream unreachable   | after dispatch  | answer                    | replay                  | replay                  | 1 |
+      | upstream unreachable   | outcome write   | answer                    | replay                  | replay                  | 1 |
+      | upstream unreachable   | replay          | replay                    | replay                  | replay                  | 1 |
+      | cut before execution   | before claim    | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 0 |
+      | cut before execution   | claim write     | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 0 |
+      | cut before execution   | before dispatch | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 0 |
+      | cut before execution   | dispatch        | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 0 |
+      | cut before execution   | after dispatch  | answer                    | replay                  | replay                  | 1 |
+      | cut before execution   | outcome write   | answer                    | replay                  | replay                  | 1 |
+      | cut before execution   | replay          | replay                    | replay                  | replay                  | 1 |
+      | cut after execution    | before claim    | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 1 |
+      | cut after execution    | claim write     | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 1 |
+      | cut after execution    | before dispatch | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 1 |
+      | cut after execution    | dispatch        | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 1 |
+      | cut after execution    | after dispatch  | answer                    | replay                  | replay                  | 1 |
+      | cut after execution    | outcome write   | answer                    | replay                  | replay                  | 1 |
+      | cut after execution    | replay          | replay                    | replay                  | replay                  | 1 |
+      | node killed            | claim write     | none                      | answer                  | replay                  | 1 |
+      | node killed            | before dispatch | none                      | in_progress unknown     | outcome_unknown unknown | 0 |
+      | node killed            | dispatch        | none                      | in_progress unknown     | outcome_unknown unknown | 0 |
+      | node killed            | after dispatch  | none                      | in_progress unknown     | outcome_unknown unknown | 1 |
+      | node killed            | outcome write   | none                      | in_progress unknown     | outcome_unknown unknown | 1 |
+      | node killed            | replay          | none                      | replay                  | replay                  | 1 |
+      | node frozen            | before claim    | answer                    | replay                  | replay                  | 1 |
+      | node frozen            | claim write     | deadline_exceeded not-run | answer                  | replay                  | 1 |
+      | node frozen            | before dispatch | deadline_exceeded not-run | answer                  | replay                  | 1 |
+      | node frozen            | dispatch        | answer                    | replay                  | replay                  | 1 |
+      | node frozen            | after dispatch  | answer                    | replay                  | replay                  | 1 |
+      | node frozen            | outcome write   | answer                    | replay                  | replay                  | 1 |
+      | node frozen            | replay          | replay                    | replay                  | replay                  | 1 |
+      | caller gone            | claim write     | none                      | replay                  | replay                  | 1 |
+      | caller gone            | before dispatch | none                      | replay                  | replay                  | 1 |
+      | caller gone            | dispatch        | none                      | replay                  | replay                  | 1 |
+      | caller gone            | after dispatch  | none                      | replay                  | replay                  | 1 |
+      | caller gone            | outcome write   | none                      | replay                  | replay                  | 1 |
+      | caller gone            | replay          | none                      | replay                  | replay                  | 1 |
+      | two nodes at once      | before claim    | replay                    | replay                  | replay                  | 1 |
+      | two nodes at once      | claim write     | replay                    | replay                  | replay                  | 1 |
+      | two nodes at once      | before dispatch | answer                    | replay                  | replay                  | 1 |
+      | two nodes at once      | dispatch        | answer                    | replay                  | replay                  | 1 |
+      | two nodes at once      | after dispatch  | answer                    | replay                  | replay                  | 1 |
+      | two nodes at once      | outcome write   | answer                    | replay                  | replay                  | 1 |
+      | two nodes at once      | replay          | replay                    | replay                  | replay                  | 1 |
+
+  Scenario: Every pair of faults, each at every step
+    When a keyed call meets every pair of faults, each fault at every step
+    Then no call of 4095 pairs ran twice or ran after it was refused as not run
+
+  Scenario: Random interleavings of three nodes over a faulty store
+    Then claims hold over 100 random runs of 40 steps
+
+  Scenario Outline: A key belongs to one call of one client account: other <part>
+    Given two nodes before a table and a plain service with faults
+    When a key is used, and then by a call with another <part>
+    Then the second call gets <words>
+
+    Examples:
+      | part    | words                          |
+      | none    | replay                         |
+      | body    | idempotency_key_reused not-run |
+      | method  | idempotency_key_reused not-run |
+      | path    | idempotency_key_reused not-run |
+      | account | answer                         |
+      | key     | answer                         |
+
+  Scenario Outline: A <method> call <keyed> a key and <fault>
+    Given two nodes before a table and a plain service with faults
+    When a <method> call <keyed> a key meets <fault> before it is sent
+    Then the caller sees <words> after <sends> sends and <runs> executions
+
+    Examples:
+      | method | keyed   | fault                | words                     | sends | runs |
+      | POST   | without | table down           | answer                    | 1     | 1    |
+      | POST   | without | upstream refuses     | upstream_failed not-run   | 1     | 0    |
+      | POST   | without | upstream unreachable | upstream_failed not-run   | 1     | 0    |
+      | POST   | without | cut before execution | upstream_failed unknown   | 1     | 0    |
+      | POST   | without | cut after execution  | upstream_failed unknown   | 1     | 1    |
+      | POST   | with    | upstream refuses     | answer                    | 2     | 1    |
+      | POST   | with    | all upstreams refuse | upstream_failed not-run   | 2     | 0    |
+      | POST   | with    | cut after execution  | upstream_failed unknown   | 1     | 1    |
+      | POST   | with    | table down           | store_unavailable not-run | 0     | 0    |
+      | GET    | with    | table down           | answer                    | 1     | 1    |
+      | GET    | without | upstream refuses     | answer                    | 2     | 1    |
+      | GET    | without | cut before execution | answer                    | 2     | 1    |
+      | GET    | without | cut after execution  | answer                    | 2     | 2    |
+      | GET    | without | all upstreams refuse | upstream_failed not-run   | 3     | 0    |
+
+  Scenario Outline: A large answer is stored as an object, with <fault>
+    Given two nodes before a table and a plain service with faults
+    When a keyed call has an answer too large for its row, and <fault> at its storing
+    Then the answer is replayed whole from the object store
+
+    Examples:
+      | fault      |
+      | nothing    |
+      | table down |
+      | table slow |
+      | reply lost |
+
+  Scenario: An outage of the upstreams is not amplified by retries
+    Given two nodes before a table and a plain service with faults
+    When 100 GET calls in a row find every upstream refusing
+    Then there were at most 110 sends
--- /dev/null
+++ b/features/steps/claims_processes_steps.py
@@ -0,0 +1,234 @@
+"""Steps of orders through real processes that are killed, frozen or cut off."""
+
+from concurrent.futures import ThreadPoolExecutor
+from itertools import count
+from signal import SIGCONT, SIGSTOP
+from time import monotonic, sleep
+
+from behave import given, then, when
+
+from features.support.callers import send_plain
+from features.support.fleet import ZONES, Fleet, base_text, http, overlay_text
+from features.support.shared import shared_fleet
+
+BOUND_S = 6.0
+MAX_ANSWER_BYTES = 10_000
+NUMBERS = count(1)
+POOL = ThreadPoolExecutor(4)
+
+
+def order_desk_fleet() -> Fleet:
+    fleet = Fleet()
+    fleet.start_platform()
+    fleet.start_service()
+    fleet.start_nodes([ZONES[0]] * 2)
+    base = base_text().replace("base_s = 10.0", f"base_s = {BOUND_S}")
+    limit = f"[services.registry]\nmax_answer_bytes = {MAX_ANSWER_BYTES}\n"
+    folder = fleet.write_config(base, overlay_text(fleet) + limit)
+    applied = fleet.ctl("config", "apply", str(folder))
+    assert applied.returncode == 0, applied.stderr
+    return fleet
+
+
+def new_key() -> str:
+    return f"order-{next(NUMBERS)}"
+
+
+def order(fleet, node: int, key: str | None, method="POST", path="/orders"):
+    return send_plain(fleet.nodes[node], method, path, b"{}", key, timeout_s=20.0)
+
+
+def told(answer) -> str:
+    if answer.status == 200:
+        return "replayed" if "Idempotent-Replayed" in answer.headers else "answered"
+    return answer.json()["error"]["code"]
+
+
+def told_at_last(fleet, key: str) -> str:
+    """Send an order again until it is no longer in progress."""
+    until = monotonic() + 20.0
+    while (now := told(order(fleet, 1, key))) == "in_progress":
+        assert monotonic() < until, now
+        sleep(0.2)
+    return now
+
+
+def executions(fleet, name: str) -> int:
+    return (
+        http("GET", f"{fleet.services[0].url}/control/executions").json().get(name, 0)
+    )
+
+
+def wait_executed(fleet, key: str) -> None:
+    until = monotonic() + 10.0
+    while executions(fleet, key) == 0:
+        assert monotonic() < until, "the order did not reach the service"
+        sleep(0.02)
+
+
+def send_slowly(context, key: str, seconds: float, node: int = 0):
+    """Start an order that takes some time, and return once it is executed."""
+    context.running.services[0].put_faults(slow_s=seconds)
+    sent = POOL.submit(order, context.running, node, key)
+    wait_executed(context.running, key)
+    context.running.services[0].put_faults()
+    return sent
+
+
+@given("the order desk's fleet of 2 nodes and 1 service")
+def step_shared(context):
+    context.running = shared_fleet("order desk", order_desk_fleet)
+
+
+@given("an order desk's fleet of its own, of 2 nodes and 1 service")
+def step_own(context):
+    context.fleet = context.running = order_desk_fleet()
+
+
+@when("the order desk {fault} during a {method} call without a key")
+def step_cut(context, fault, method):
+    faults = {
+        "cuts after execution": {"cut": "after"},
+        "cuts before execution": {"cut": "before"},
+        "refuses": {"refuse": True},
+    }[fault]
+    service = context.running.services[0]
+    path = f"/{new_key()}"
+    service.put_faults(**faults)
+    context.answer = order(context.running, 0, None, method, path)
+    service.put_faults()
+    context.name = f"{method} {path}"
+
+
+@then("the service counted {runs:d} of that call, and the caller was told {outcome}")
+def step_counted(context, runs, outcome):
+    assert executions(context.running, context.name) == runs
+    assert context.answer.json()["error"]["outcome"] == outcome, context.answer
+
+
+@when("the first node is killed while an order of {seconds:d} seconds runs")
+def step_killed(context, seconds):
+    context.key = new_key()
+    context.sent = send_slowly(context, context.key, seconds)
+    context.running.nodes[0].kill()
+    assert context.sent.exception(20.0) is not None
+
+
+@when("the first node is frozen and woken while an order of {seconds:d} seconds runs")
+def step_frozen(context, seconds):
+    context.key = new_key()
+    context.sent = send_slowly(context, context.key, seconds)
+    context.running.nodes[0].popen.send_signal(SIGSTOP)
+    sleep(seconds)
+
+
+@then("the same order at the second node is told {codes}")
+def step_told(context, codes):
+    first, second = codes.split(", ")
+    assert told(order(context.running, 1, context.key)) == first
+    node = context.running.nodes[0].popen
+    if node.poll() is None:
+        node.send_signal(SIGCONT)
+    assert told_at_last(context.running, context.key) == second
+
+
+@then("the service counted {runs:d} of that order")
+def step_counted_order(context, runs):
+    assert executions(context.running, context.key) == runs
+
+
+@when("a caller leaves while its order of {seconds:d} seconds runs, and comes back")
+def step_leaves(context, seconds):
+    context.key = new_key()
+    context.running.services[0].put_faults(slow_s=seconds)
+    try:
+        send_plain(
+            context.running.nodes[0],
+            "POST",
+            "/orders",
+            b"{}",
+            context.key,
+            timeout_s=0.5,
+        )
+        raise AssertionError("the caller did not leave")
+    except TimeoutError:
+        pass
+    context.running.services[0].put_faults()
+    sleep(seconds + 0.5)
+    context.answer = order(context.running, 1, context.key)
+
+
+@then("it gets the stored answer, and the service counted {runs:d} of that order")
+def step_stored(context, runs):
+    assert told(context.answer) == "replayed", context.answer
+    assert executions(context.running, context.key) == runs
+
+
+@when("the platform is down, an order is refused as not run within {bound:d} seconds")
+def step_down(context, bound):
+    context.keys = [new_key()]
+    context.running.platform.put_faults(down=True)
+    started = monotonic()
+    answer = order(context.running, 0, context.keys[0])
+    assert monotonic() - started < bound
+    error = answer.json()["error"]
+    assert error["code"] == "store_unavailable", error
+    assert error["outcome"] == "not-run", error
+    assert "Retry-After" in answer.headers, answer
+    assert executions(context.running, context.keys[0]) == 0
+    got = order(context.running, 0, None, "GET", "/lookup")
+    assert told(got) == "answered", got
+    context.running.platform.put_faults()
+
+
+@when(
+    "the platform fails during an order of {seconds:d} seconds, "
+    "which is answered all the same"
+)
+def step_fails(context, seconds):
+    context.keys.append(new_key())
+    sent = send_slowly(context, context.keys[1], seconds)
+    context.running.platform.put_faults(down=True)
+    assert told(sent.result(20.0)) == "answered"
+    context.running.platform.put_faults()
+
+
+@then("both orders come to {runs:d} execution each when sent again after the outage")
+def step_both(context, runs):
+    # The claim of the refused order may have been stored; it is settled first.
+    for key, settled in zip(context.keys, ("answered", "replayed"), strict=True):
+        assert told_at_last(context.running, key) == settled, key
+    counts = [executions(context.running, key) for key in context.keys]
+    assert counts == [runs, runs], counts
+
+
+@when("an order's answer exceeds the limit")
+def step_long_answer(context):
+    context.key = new_key()
+    context.running.services[0].put_faults(padding=MAX_ANSWER_BYTES)
+    context.answers = [order(context.running, node, context.key) for node in (0, 1)]
+    context.running.services[0].put_faults()
+
+
+@then("the order is told {code} with outcome {outcome}, and again when resent")
+def step_long_told(context, code, outcome):
+    first, second = (answer.json()["error"] for answer in context.answers)
+    assert (first["code"], first["outcome"]) == (code, outcome), first
+    assert "more than" in first["message"] and "more than" in second["message"], second
+    assert second["outcome"] == outcome, second
+    assert executions(context.running, context.key) == 1
+
+
+@when("the first node is stopped while an order of {seconds:d} seconds runs")
+def step_stopped(context, seconds):
+    context.key = new_key()
+    context.sent = send_slowly(context, context.key, seconds)
+    context.status = context.running.nodes[0].terminate()
+
+
+@then("that order is answered, the node exits with 0, and a resend is replayed")
+def step_stopped_whole(context):
+    assert context.status == 0, context.status
+    assert told(context.sent.result(20.0)) == "answered"
+    assert told(order(context.running, 1, context.key)) == "replayed"
+    assert executions(context.running, context.key) == 1
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/plain_messages.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/plain_messages.py
@@ -35,3 +35,18 @@
     status: int
     headers: tuple[Header, ...]
     body: bytes
+
+
+@dataclass(frozen=True)
+class CallLimits:
+    """Limits of one attempt.
+
+    Attributes:
+        timeout_s: Longest time until the whole answer is there, in seconds.
+        max_answer_bytes: Longest answer that is read, in bytes.
+        new_connection: Whether the call must not use a pooled connection.
+    """
+
+    timeout_s: float
+    max_answer_bytes: int
+    new_connection: bool
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/ports.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/ports.py
@@ -15,7 +15,7 @@
     ReservationRequest,
     SpanRequest,
 )
-from lagoonhinge_core.plain_messages import PlainAnswer, PlainCall
+from lagoonhinge_core.plain_messages import CallLimits, PlainAnswer, PlainCall
 from lagoonhinge_core.store_messages import (
     ReadError,
     Row,
@@ -105,7 +105,7 @@
     """Calls to plain services."""
 
     async def send(
-        self, url: str, call: PlainCall, timeout_s: float
+        self, url: str, call: PlainCall, limits: CallLimits
     ) -> Result[PlainAnswer, UpstreamError]:
         """Send the call exactly once and return its answer."""
 
--- a/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
@@ -37,15 +37,20 @@
         raise ConnectionLost(str(error)) from error
 
 
-def open_session(connections: int = 0) -> ClientSession:
+def open_session(connections: int = 0, reuse: bool = True) -> ClientSession:
     """Return a client session.
 
     Args:
         connections: Most connections at once; 0 for no limit, since admission
             bounds the calls.
+        reuse: Whether idle connections are kept for later calls.
     """
     return ClientSession(
-        connector=TCPConnector(limit=connections, keepalive_timeout=KEEPALIVE_S),
+        connector=TCPConnector(
+            limit=connections,
+            force_close=not reuse,
+            keepalive_timeout=KEEPALIVE_S if reuse else None,
+        ),
         middlewares=(_stop_resending,),
         read_bufsize=MAX_LINE_BYTES,
         auto_decompress=False,
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/claimed_calls.py
@@ -0,0 +1,150 @@
+"""Calls that run at most once: claim first, dispatch once, store the outcome."""
+
+from asyncio import Task, create_task, shield, wait
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import replace
+from typing import Any, TypeAlias, TypeVar
+from uuid import uuid4
+
+from mode import Service
+from returns.result import Failure, Result, Success
+
+from lagoonhinge_core.claims import (
+    Answered,
+    Claim,
+    ClaimKey,
+    ClaimState,
+    Held,
+    StoredAnswer,
+    Turned,
+)
+from lagoonhinge_core.outcome import Failure as RequestFailure
+from lagoonhinge_core.outcome import Outcome
+from lagoonhinge_core.plain_messages import Header, PlainAnswer
+from lagoonhinge_core.ports import Clock
+from lagoonhinge_core.recovery import deadline_failure
+from lagoonhinge_node.claim_store import ClaimStore
+from lagoonhinge_node.logs import PartLogger
+
+CLAIM_BOUND_S = 1.5
+STORE_WAIT_S = 0.5
+SETTLE_BOUND_S = 60.0
+REPLAYED = Header("Idempotent-Replayed", "true")
+
+Answer: TypeAlias = Result[PlainAnswer, RequestFailure]
+Dispatch: TypeAlias = Callable[[], Awaitable[Answer]]
+ValueT = TypeVar("ValueT")
+
+
+class ClaimedCalls(Service):
+    """Runs calls under claims, each in a task of its own.
+
+    A caller that disconnects ends its handler but not the call, so the outcome is
+    stored for the caller's next arrival.
+    """
+
+    def __init__(self, store: ClaimStore, clock: Clock):
+        super().__init__()
+        self.store = store
+        self.clock = clock
+        self.tasks: set[Task[Any]] = set()
+        self.log_part = PartLogger("claims")
+
+    async def on_stop(self) -> None:
+        """Finish running calls and store their outcomes; each is bounded in time."""
+        while self.tasks:
+            await wait(self.tasks)
+
+    async def run(
+        self, key: ClaimKey, call_digest: str, deadline_s: float, dispatch: Dispatch
+    ) -> Answer:
+        """Run a call at most once over all arrivals of its key.
+
+        Args:
+            key: What to claim.
+            call_digest: Digest of the call, to refuse another call of the same key.
+            deadline_s: End of the time bound on the monotonic clock.
+            dispatch: Sends the call; its failure says `not-run` only if it surely
+                was not run.
+
+        Returns:
+            The answer, perhaps a stored one, or a truthful failure.
+        """
+        return await shield(
+            self._start(self._claim_and_run(key, call_digest, deadline_s, dispatch))
+        )
+
+    async def _claim_and_run(
+        self, key: ClaimKey, call_digest: str, deadline_s: float, dispatch: Dispatch
+    ) -> Answer:
+        remaining_s = deadline_s - self.clock.monotonic_s()
+        deadline_wall_s = self.clock.wall_s() + remaining_s
+        token = uuid4().hex
+        claim = Claim(ClaimState.RUNNING, token, call_digest, deadline_wall_s)
+        bound_s = max(0.0, min(CLAIM_BOUND_S, remaining_s))
+        attempt = await self.store.claim(key, claim, bound_s)
+        match attempt.result:
+            case Held(version):
+                return await self._dispatch(key, claim, version, deadline_s, dispatch)
+            case Answered(stored):
+                loaded = await self.store.load_answer(stored)
+                return loaded.map(_replayed)
+            case Turned(failure):
+                if attempt.fence_version is not None:
+                    # A write that is applied late must not look like a running call.
+                    fence = claim.not_run(failure.message)
+                    self._settle(key, fence, attempt.fence_version)
+                return Failure(failure)
+        raise AssertionError("not a claim result")
+
+    async def _dispatch(
+        self,
+        key: ClaimKey,
+        claim: Claim,
+        version: int,
+        deadline_s: float,
+        dispatch: Dispatch,
+    ) -> Answer:
+        # The process may have been paused since the claim was written.
+        is_late = self.clock.monotonic_s() >= deadline_s
+        result = Failure(deadline_failure(False)) if is_late else await dispatch()
+        storing = self._settle(key, _settled(claim, result), version)
+        remaining_s = max(0.0, deadline_s - self.clock.monotonic_s())
+        await wait((storing,), timeout=min(STORE_WAIT_S, remaining_s))
+        return result
+
+    def _settle(self, key: ClaimKey, settled: Claim, version: int) -> Task[None]:
+        return self._start(self._settle_until_stored(key, settled, version))
+
+    async def _settle_until_stored(
+        self, key: ClaimKey, settled: Claim, version: int
+    ) -> None:
+        until_s = self.clock.monotonic_s() + SETTLE_BOUND_S
+        if not await self.store.settle(key, settled, version, until_s):
+            self.log_part.error(
+                f"Outcome {settled.state} of {key.row_key()} was not stored."
+            )
+
+    def _start(self, work: Coroutine[Any, Any, ValueT]) -> Task[ValueT]:
+        task = create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+
+def _settled(claim: Claim, result: Answer) -> Claim:
+    match result:
+        case Success(answer):
+            return claim.answered(
+                StoredAnswer(answer.status, answer.headers, answer.body)
+            )
+        case Failure(RequestFailure(outcome=Outcome.NOT_RUN, message=message)):
+            return claim.not_run(message)
+        case Failure(failure):
+            return claim.unknown(failure.message)
+    raise AssertionError("not a result")
+
+
+def _replayed(stored: StoredAnswer) -> PlainAnswer:
+    answer = PlainAnswer(stored.status, stored.headers, stored.body)
+    return replace(answer, headers=(*answer.headers, REPLAYED))
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -20,6 +20,8 @@
 from lagoonhinge_node.admission import Admission
 from lagoonhinge_node.caller_api import CallerApi
 from lagoonhinge_node.caller_requests import RequestReader
+from lagoonhinge_node.claim_store import ClaimStore
+from lagoonhinge_node.claimed_calls import ClaimedCalls
 from lagoonhinge_node.clock import SystemClock
 from lagoonhinge_node.config_controller import ConfigController
 from lagoonhinge_node.engine_client import HttpEngineClient
@@ -91,7 +93,16 @@
             self.releaser,
             self.estimator,
         )
-        plain = PlainPath(self.board, HttpPlainClient(self.session), clock, self.ledger)
+        self.plain_client = HttpPlainClient(self.session)
+        self.claimed = ClaimedCalls(ClaimStore(platform, platform, clock), clock)
+        plain = PlainPath(
+            self.board,
+            self.plain_client,
+            clock,
+            self.ledger,
+            self.claimed,
+            models.budget,
+        )
         reader = RequestReader(self.board, clock, self.estimator)
         callers = CallerApi(self.board, reader, models, plain, self.metrics)
         operators = OperatorApi(
@@ -104,7 +115,7 @@
             callers.app(MAX_BODY_BYTES), settings.listen, tls
         )
         self.control_listener = Listener(control, settings.control_listen, tls)
-        return [self.releaser, self.config, self.upstreams]
+        return [self.releaser, self.config, self.upstreams, self.claimed]
 
     async def on_started(self) -> None:
         """Open the listeners once every controller runs."""
@@ -125,6 +136,7 @@
         """Close what the parts shared."""
         await self.control_listener.stop()
         await self.engines.close()
+        await self.plain_client.close()
         await self.session.close()
 
     def _follow_config(self, section: ConfigSection) -> None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/plain_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/plain_client.py
@@ -1,39 +1,80 @@
 """Adapter of plain services: each call is sent exactly once."""
 
-from aiohttp import ClientError, ClientSession
+from aiohttp import ClientError, ClientResponse, ClientSession, ConnectionTimeoutError
 from returns.result import Failure, Result, Success
 
-from lagoonhinge_core.plain_messages import Header, PlainAnswer, PlainCall
-from lagoonhinge_core.upstream_errors import UpstreamError
-from lagoonhinge_http.session import ConnectionLost, call_timeout
-from lagoonhinge_node.engine_client import error_of_exception, error_of_status
+from lagoonhinge_core.plain_messages import CallLimits, Header, PlainAnswer, PlainCall
+from lagoonhinge_core.upstream_errors import (
+    EngineFault,
+    NotSent,
+    Refused,
+    UpstreamError,
+)
+from lagoonhinge_http.session import ConnectionLost, call_timeout, open_session
+from lagoonhinge_node.engine_client import MAX_REASON_BYTES, error_of_exception
 
 REFUSED_STATUSES = (429, 503)
+RETRY_AFTER = "Retry-After"
 
 
 class HttpPlainClient:
-    """Calls to plain services over HTTP."""
+    """Calls to plain services over HTTP.
+
+    Args:
+        session: Session whose connections are reused.
+    """
 
     def __init__(self, session: ClientSession):
         self.session = session
+        self.unpooled = open_session(reuse=False)
 
     async def send(
-        self, url: str, call: PlainCall, timeout_s: float
+        self, url: str, call: PlainCall, limits: CallLimits
     ) -> Result[PlainAnswer, UpstreamError]:
         """Send the call exactly once and return its answer."""
+        session = self.unpooled if limits.new_connection else self.session
         try:
-            async with self.session.request(
+            async with session.request(
                 call.method,
                 url + call.path,
                 data=call.body or None,
                 headers=[(header.name, header.value) for header in call.headers],
-                timeout=call_timeout(timeout_s),
+                timeout=call_timeout(limits.timeout_s),
                 allow_redirects=False,
             ) as response:
-                body = await response.read()
+                body = await _read_bounded(response, limits.max_answer_bytes)
+        except ConnectionTimeoutError as error:
+            return Failure(NotSent(str(error)))
         except (ConnectionLost, ClientError, TimeoutError) as error:
-            return Failure(error_of_exception(error, timeout_s))
+            return Failure(error_of_exception(error, limits.timeout_s))
         if response.status in REFUSED_STATUSES:
-            return Failure(error_of_status(response.status, body))
-        headers = tuple(Header(name, value) for name, value in response.headers.items())
+            reason = (body or b"")[:MAX_REASON_BYTES].decode(errors="replace")
+            return Failure(Refused(reason, _retry_after_s(response)))
+        if body is None:
+            limit = limits.max_answer_bytes
+            return Failure(EngineFault(f"the answer has more than {limit} bytes"))
+        # The names are of a subclass of str, which has no encoding.
+        headers = tuple(
+            Header(str(name), value) for name, value in response.headers.items()
+        )
         return Success(PlainAnswer(response.status, headers, body))
+
+    async def close(self) -> None:
+        """Close the session opened here."""
+        await self.unpooled.close()
+
+
+async def _read_bounded(response: ClientResponse, max_bytes: int) -> bytes | None:
+    """Return the body, or `None` as soon as it is longer than `max_bytes`."""
+    parts = bytearray()
+    async for data in response.content.iter_any():
+        parts += data
+        if len(parts) > max_bytes:
+            response.close()
+            return None
+    return bytes(parts)
+
+
+def _retry_after_s(response: ClientResponse) -> float | None:
+    raw = response.headers.get(RETRY_AFTER, "")
+    return float(raw) if raw.isdigit() else None
--- a/stand_ins/plain.py
+++ b/stand_ins/plain.py
@@ -24,12 +24,14 @@
         slow_s: Delay between execution and answer, in seconds.
         cut: Where calls are cut: `""`, `before` or `after` execution.
         crash: Where the process dies: `""`, `before` or `after` execution.
+        padding: Bytes added to each answer.
     """
 
     refuse: bool = False
     slow_s: float = 0.0
     cut: str = ""
     crash: str = ""
+    padding: int = 0
 
 
 @dataclass
@@ -69,7 +71,9 @@
     number = state.executions.total()
     _fail_at(request, "after")
     await sleep(state.faults.slow_s)
-    return _json({"number": number, "path": request.path, "bytes": len(body)})
+    padding = "." * state.faults.padding
+    answer = {"number": number, "path": request.path, "bytes": len(body)}
+    return _json({**answer, "padding": padding} if padding else answer)
 
 
 async def _executions(request: web.Request) -> web.Response:
