--- a/features/claims.feature
+++ b/features/claims.feature
@@ -17,10 +17,10 @@
       | table down             | replay          | store_unavailable not-run | replay                  | replay                  | 1 |
       | table slow             | before claim    | store_unavailable not-run | answer                  | replay                  | 1 |
       | table slow             | claim write     | store_unavailable not-run | answer                  | replay                  | 1 |
-      | table slow             | before dispatch | answer                    | in_progress unknown     | replay                  | 1 |
-      | table slow             | dispatch        | answer                    | in_progress unknown     | replay                  | 1 |
-      | table slow             | after dispatch  | answer                    | in_progress unknown     | replay                  | 1 |
-      | table slow             | outcome write   | answer                    | in_progress unknown     | replay                  | 1 |
+      | table slow             | before dispatch | answer                    | replay                  | replay                  | 1 |
+      | table slow             | dispatch        | answer                    | replay                  | replay                  | 1 |
+      | table slow             | after dispatch  | answer                    | replay                  | replay                  | 1 |
+      | table slow             | outcome write   | answer                    | replay                  | replay                  | 1 |
       | table slow             | replay          | store_unavailable not-run | replay                  | replay                  | 1 |
       | reply lost             | before claim    | answer                    | replay                  | replay                  | 1 |
       | reply lost             | claim write     | answer                    | replay                  | replay                  | 1 |
--- a/features/support/claims.py
+++ b/features/support/claims.py
@@ -25,11 +25,12 @@
 from lagoonhinge_core.upstream_errors import Broken, NotSent, Refused
 from lagoonhinge_node.claim_store import ClaimStore
 from lagoonhinge_node.claimed_calls import REPLAYED, ClaimedCalls
+from lagoonhinge_node.metrics import Metrics
 from lagoonhinge_node.plain_path import PlainPath
 
 BOUND_S = 10.0
 FROZEN_S = 30.0
-SLOW_S = 5.0
+SLOW_S = 2.0  # beyond the bound of a claim, before the first resend
 DOWN = Unavailable("connection refused", False)
 LOST = Unavailable("connection cut", True)
 
@@ -180,7 +181,7 @@
                 FaultyService(self),
                 self.loop,
                 InFlightLedger(),
-                ClaimedCalls(store, self.loop),
+                ClaimedCalls(store, self.loop, Metrics()),
                 RetryBudget(),
             )
         )
--- a/features/support/claims_machine.py
+++ b/features/support/claims_machine.py
@@ -22,6 +22,7 @@
 from lagoonhinge_core.store_messages import NotStored, Row
 from lagoonhinge_node.claim_store import MAX_ROW_BODY_BYTES, ClaimStore
 from lagoonhinge_node.claimed_calls import ClaimedCalls
+from lagoonhinge_node.metrics import Metrics
 
 NODES = 3
 BOUND_S = 10.0
@@ -93,9 +94,12 @@
         self.dispatched: list[tuple[Arrival, object]] = []
         self.executed: dict[ClaimKey, list[Arrival]] = defaultdict(list)
         self.arrivals: list[Arrival] = []
+        self.latest_start_s = -BOUND_S
         platform = HeldPlatform(self)
         self.nodes = [
-            ClaimedCalls(ClaimStore(platform, platform, self.loop), self.loop)
+            ClaimedCalls(
+                ClaimStore(platform, platform, self.loop), self.loop, Metrics()
+            )
             for _ in range(NODES)
         ]
 
@@ -130,13 +134,17 @@
         arrival = Arrival(ClaimKey(account, "registry", key), call)
         self.arrivals.append(arrival)
 
+        deadline_s = self.loop.time() + BOUND_S
+
         async def dispatch():
+            self.latest_start_s = max(
+                self.latest_start_s, self.loop.time() - deadline_s
+            )
             future = self.loop.create_future()
             self.dispatched.append((arrival, future))
             return await future
 
         async def run():
-            deadline_s = self.loop.time() + BOUND_S
             arrival.result = await self.nodes[node].run(
                 arrival.key, arrival.call, deadline_s, dispatch
             )
@@ -225,6 +233,7 @@
 
     @invariant()
     def told_the_truth(self):
+        assert self.latest_start_s < 0, "dispatched beyond the deadline"
         for key, runs in self.executed.items():
             assert len(runs) <= 1, (key, runs)
         for arrival in self.arrivals:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/claimed_calls.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/claimed_calls.py
@@ -25,6 +25,7 @@
 from lagoonhinge_core.recovery import deadline_failure
 from lagoonhinge_node.claim_store import ClaimStore
 from lagoonhinge_node.logs import PartLogger
+from lagoonhinge_node.metrics import Metrics
 
 CLAIM_BOUND_S = 1.5
 STORE_WAIT_S = 0.5
@@ -43,10 +44,11 @@
     stored for the caller's next arrival.
     """
 
-    def __init__(self, store: ClaimStore, clock: Clock):
+    def __init__(self, store: ClaimStore, clock: Clock, metrics: Metrics):
         super().__init__()
         self.store = store
         self.clock = clock
+        self.metrics = metrics
         self.tasks: set[Task[Any]] = set()
         self.log_part = PartLogger("claims")
 
@@ -83,6 +85,7 @@
         claim = Claim(ClaimState.RUNNING, token, call_digest, deadline_wall_s)
         bound_s = max(0.0, min(CLAIM_BOUND_S, remaining_s))
         attempt = await self.store.claim(key, claim, bound_s)
+        self.metrics.claims.labels(_label(attempt.result)).inc()
         match attempt.result:
             case Held(version):
                 return await self._dispatch(key, claim, version, deadline_s, dispatch)
@@ -121,6 +124,7 @@
     ) -> None:
         until_s = self.clock.monotonic_s() + SETTLE_BOUND_S
         if not await self.store.settle(key, settled, version, until_s):
+            self.metrics.claims.labels("unsettled").inc()
             self.log_part.error(
                 f"Outcome {settled.state} of {key.row_key()} was not stored."
             )
@@ -132,6 +136,16 @@
         return task
 
 
+def _label(result: Held | Answered | Turned) -> str:
+    match result:
+        case Held():
+            return "held"
+        case Answered():
+            return "replayed"
+        case Turned(failure):
+            return failure.code
+
+
 def _settled(claim: Claim, result: Answer) -> Claim:
     match result:
         case Success(answer):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -94,7 +94,9 @@
             self.estimator,
         )
         self.plain_client = HttpPlainClient(self.session)
-        self.claimed = ClaimedCalls(ClaimStore(platform, platform, clock), clock)
+        self.claimed = ClaimedCalls(
+            ClaimStore(platform, platform, clock), clock, self.metrics
+        )
         plain = PlainPath(
             self.board,
             self.plain_client,
