--- a/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
@@ -39,7 +39,9 @@
         raise ConnectionLost(str(error)) from error
 
 
-def open_session(connections: int = 0, tls_ca: Path | None = None) -> ClientSession:
+def open_session(
+    connections: int = 0, tls_ca: Path | None = None, reuse: bool = True
+) -> ClientSession:
     """Return a client session.
 
     Args:
@@ -47,11 +49,15 @@
             bounds the calls.
         tls_ca: Certificates of the authorities that are trusted, instead of the
             system's.
+        reuse: Whether idle connections are kept for later calls.
     """
     trust = True if tls_ca is None else create_default_context(cafile=tls_ca)
     return ClientSession(
         connector=TCPConnector(
-            limit=connections, keepalive_timeout=KEEPALIVE_S, ssl=trust
+            limit=connections,
+            force_close=not reuse,
+            keepalive_timeout=KEEPALIVE_S if reuse else None,
+            ssl=trust,
         ),
         middlewares=(_stop_resending,),
         read_bufsize=MAX_LINE_BYTES,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -29,6 +29,8 @@
 from lagoonhinge_node.admission import Admission
 from lagoonhinge_node.caller_api import CallerApi
 from lagoonhinge_node.caller_requests import RequestReader
+from lagoonhinge_node.claim_store import ClaimStore
+from lagoonhinge_node.claimed_calls import ClaimedCalls
 from lagoonhinge_node.clock import SystemClock
 from lagoonhinge_node.config_controller import ConfigController
 from lagoonhinge_node.engine_client import HttpEngineClient
@@ -142,7 +144,18 @@
             self.releaser,
             self.estimator,
         )
-        plain = PlainPath(self.board, HttpPlainClient(self.session), clock, self.ledger)
+        self.plain_client = HttpPlainClient(self.session)
+        self.claimed = ClaimedCalls(
+            ClaimStore(platform, platform, clock), clock, self.metrics
+        )
+        plain = PlainPath(
+            self.board,
+            self.plain_client,
+            clock,
+            self.ledger,
+            self.claimed,
+            models.budget,
+        )
         reader = RequestReader(self.board, clock, self.estimator)
         callers = CallerApi(self.board, reader, models, plain, self.metrics)
         operators = OperatorApi(
@@ -164,7 +177,13 @@
         )
         self.control_listener = Listener(control, self.sockets.control, tls)
         self.pending_work.append(lambda: len(self.releaser.pending))
-        return [self.releaser, self.config, self.membership, self.upstreams]
+        return [
+            self.releaser,
+            self.config,
+            self.membership,
+            self.upstreams,
+            self.claimed,
+        ]
 
     async def on_started(self) -> None:
         """Open the listeners once every controller runs."""
@@ -191,6 +210,7 @@
         await self.control_listener.stop(CONTROL_STOP_S)
         await self.engines.close()
         await self.peers.close()
+        await self.plain_client.close()
         await self.session.close()
 
     async def _flush(self) -> None:
