--- a/packages/lagoonhinge-core/src/lagoonhinge_core/answer_text.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/answer_text.py
@@ -20,24 +20,32 @@
     def __init__(self) -> None:
         self.delivered: list[str] = []
         self.to_repeat = ""
+        self.repeated = 0
 
     def restart(self) -> None:
         """Expect the answer from its beginning."""
         self.to_repeat = "".join(self.delivered)
         self.delivered = [self.to_repeat]
+        self.repeated = 0
+
+    def forget(self) -> None:
+        """Expect the answer from its beginning, with nothing delivered yet."""
+        self.delivered = []
+        self.restart()
 
     def accept(self, text: str) -> str | AnswerDiffers:
         """Return the part of `text` that is new."""
-        if self.to_repeat:
-            common = min(len(text), len(self.to_repeat))
-            if text[:common] != self.to_repeat[:common]:
-                return AnswerDiffers(len(self.delivered[0]) - len(self.to_repeat))
-            self.to_repeat = self.to_repeat[common:]
-            text = text[common:]
+        if not self.all_repeated():
+            end = self.repeated + len(text)
+            common = self.to_repeat[self.repeated : end]
+            if not text.startswith(common):
+                return AnswerDiffers(self.repeated)
+            self.repeated += len(common)
+            text = text[len(common) :]
         if text:
             self.delivered.append(text)
         return text
 
     def all_repeated(self) -> bool:
         """Return whether everything delivered was seen again."""
-        return not self.to_repeat
+        return self.repeated >= len(self.to_repeat)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/recovery.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/recovery.py
@@ -1,4 +1,4 @@
-"""What to do after an attempt failed: resume it, run another, or give up."""
+"""What to do when an attempt is interrupted or over: probe it, rerun, or give up."""
 
 from dataclasses import dataclass
 from typing import TypeAlias, assert_never
@@ -13,10 +13,94 @@
     Rejected,
     Silent,
     UpstreamError,
-    surely_not_run,
 )
 
 RETRY_AFTER_S = 1.0
+MAX_FUTILE_PROBES = 3
+PROBE_PAUSE_S = 0.2
+
+
+@dataclass(frozen=True)
+class Resume:
+    """Read the same attempt on from where it stopped, over a new connection.
+
+    Attributes:
+        pause_s: Time to wait before, in seconds.
+    """
+
+    pause_s: float
+
+
+@dataclass(frozen=True)
+class EndAttempt:
+    """Take the attempt as lost."""
+
+
+AttemptStep: TypeAlias = Resume | EndAttempt
+
+
+@dataclass(frozen=True)
+class AttemptProgress:
+    """What one attempt has been through since it last showed life.
+
+    Attributes:
+        futile: Interruptions in a row without a sign that the engine holds it.
+    """
+
+    futile: int = 0
+
+    def interrupted(self, error: UpstreamError, shown_alive: bool) -> "AttemptProgress":
+        """Return the progress after one more interruption.
+
+        Args:
+            error: What ended the stream, or the failure of a probe.
+            shown_alive: Whether new chunks arrived over this connection, or the
+                engine confirmed over it that it holds the attempt.
+        """
+        if shown_alive and isinstance(error, Silent):
+            return AttemptProgress(0)
+        return AttemptProgress(self.futile + 1)
+
+    def delivered(self) -> "AttemptProgress":
+        """Return the progress after new chunks."""
+        return AttemptProgress(0)
+
+
+def after_interruption(progress: AttemptProgress, error: UpstreamError) -> AttemptStep:
+    """Decide how an attempt goes on that the engine may hold.
+
+    A silent stream is probed for as long as the engine confirms the attempt, since
+    a long prompt gives nothing before its first token; unanswered probes are few.
+
+    Args:
+        progress: The attempt's state, with this interruption counted.
+        error: Why the stream ended, or why the last probe failed.
+    """
+    match error:
+        case NotSent() | Gone() | Rejected():
+            # Nobody listens there any more, or the engine does not hold it.
+            return EndAttempt()
+        case Broken() | Silent() | Refused() | EngineFault():
+            if progress.futile > MAX_FUTILE_PROBES:
+                return EndAttempt()
+            return Resume(PROBE_PAUSE_S if progress.futile > 1 else 0.0)
+        case _:
+            assert_never(error)
+
+
+@dataclass(frozen=True)
+class AttemptEnded:
+    """How an attempt ended without a whole answer.
+
+    Attributes:
+        error: The last error.
+        maybe_run: Whether the engine may have executed any of it.
+        upstream_died: Whether the upstream's process ended while it ran.
+    """
+
+    error: UpstreamError
+    maybe_run: bool
+    upstream_died: bool = False
 
 
 @dataclass(frozen=True)
@@ -24,30 +108,25 @@
     """What one request has been through so far.
 
     Attributes:
-        idempotent: Whether it may be executed more than once.
-        attempts: Attempts made, the failed one included.
-        resumes: Times that the current attempt was resumed.
-        maybe_run: Whether any earlier attempt may have been executed.
+        maybe_run: Whether any attempt, the last included, may have been executed.
         may_retry: Whether the retry budget and the attempts allow one more.
         remaining_s: Time left before the deadline, in seconds.
     """
 
-    idempotent: bool
-    attempts: int
-    resumes: int
     maybe_run: bool
     may_retry: bool
     remaining_s: float
 
 
 @dataclass(frozen=True)
-class Resume:
-    """Read the same attempt on from where it stopped, over a new connection."""
+class Rerun:
+    """Start another attempt, on another upstream if there is one.
 
+    Attributes:
+        otherwise: Failure to give if no upstream can take it.
+    """
 
-@dataclass(frozen=True)
-class Rerun:
-    """Start another attempt, on another upstream if there is one."""
+    otherwise: Failure
 
 
 @dataclass(frozen=True)
@@ -57,37 +136,47 @@
     failure: Failure
 
 
-NextStep: TypeAlias = Resume | Rerun | GiveUp
-MAX_RESUMES = 3
-
-
-def next_step(progress: RequestProgress, error: UpstreamError) -> NextStep:
-    """Decide how a request goes on after an attempt failed.
+def after_attempt(progress: RequestProgress, ended: AttemptEnded) -> Rerun | GiveUp:
+    """Decide how an idempotent request goes on after an attempt ended.
 
     Args:
-        progress: The request's state, with the failed attempt counted.
-        error: How the attempt failed.
+        progress: The request's state, with the ended attempt counted.
+        ended: How the attempt ended.
 
     Returns:
-        The next step; `GiveUp` carries the truthful outcome.
+        The next step, with the truthful failure if there is none.
     """
     if progress.remaining_s <= 0:
-        return GiveUp(deadline_failure(progress.maybe_run or not surely_not_run(error)))
+        return GiveUp(deadline_failure(progress.maybe_run))
+    failure = failure_of(progress.maybe_run, ended.error)
+    if isinstance(ended.error, Rejected) or not progress.may_retry:
+        return GiveUp(failure)
+    return Rerun(failure)
+
+
+def failure_of(maybe_run: bool, error: UpstreamError) -> Failure:
+    """Return the failure of a request whose last attempt ended with `error`."""
+    outcome = Outcome.FAILED if maybe_run else Outcome.NOT_RUN
     match error:
         case Rejected(status, reason):
             message = f"the upstream rejected the request with {status}: {reason}"
-            return GiveUp(Failure(ErrorCode.BAD_REQUEST, _not_run(progress), message))
-        case NotSent() | Refused():
-            return _rerun_or(progress, _unplaced_failure(progress, error))
-        case Broken() | Silent() if progress.resumes < MAX_RESUMES:
-            return Resume()
-        case Broken() | Silent() | Gone() | EngineFault():
-            failure = _ran_failure(progress, error)
-            return (
-                _rerun_or(progress, failure) if progress.idempotent else GiveUp(failure)
-            )
+            return Failure(ErrorCode.BAD_REQUEST, outcome, message)
+        case Refused(retry_after_s=retry_after_s):
+            message = f"no upstream took the request: {error}"
+            wait_s = RETRY_AFTER_S if retry_after_s is None else retry_after_s
+            return Failure(ErrorCode.OVERLOADED, outcome, message, wait_s)
+        case NotSent():
+            message = f"no upstream took the request: {error}"
+            return Failure(ErrorCode.OVERLOADED, outcome, message, RETRY_AFTER_S)
         case _:
-            assert_never(error)
+            message = f"the upstream failed: {error}"
+            return Failure(ErrorCode.UPSTREAM_FAILED, outcome, message, RETRY_AFTER_S)
+
+
+def answer_differs_failure(offset: int) -> Failure:
+    """Return the failure of a rerun that contradicts text already delivered."""
+    message = f"a repeated attempt gave another answer after {offset} characters"
+    return Failure(ErrorCode.UPSTREAM_FAILED, Outcome.FAILED, message, RETRY_AFTER_S)
 
 
 def deadline_failure(maybe_run: bool) -> Failure:
@@ -96,26 +185,3 @@
     return Failure(
         ErrorCode.DEADLINE, outcome, "the time bound has passed", RETRY_AFTER_S
     )
-
-
-def _rerun_or(progress: RequestProgress, failure: Failure) -> NextStep:
-    return Rerun() if progress.may_retry else GiveUp(failure)
-
-
-def _not_run(progress: RequestProgress) -> Outcome:
-    return Outcome.UNKNOWN if progress.maybe_run else Outcome.NOT_RUN
-
-
-def _unplaced_failure(progress: RequestProgress, error: UpstreamError) -> Failure:
-    retry_after_s = RETRY_AFTER_S
-    if isinstance(error, Refused) and error.retry_after_s is not None:
-        retry_after_s = error.retry_after_s
-    message = f"no upstream took the request: {error}"
-    return Failure(ErrorCode.OVERLOADED, _not_run(progress), message, retry_after_s)
-
-
-def _ran_failure(progress: RequestProgress, error: UpstreamError) -> Failure:
-    outcome = Outcome.FAILED if progress.idempotent else Outcome.UNKNOWN
-    message = f"the upstream failed: {error}"
-    retry_after_s = RETRY_AFTER_S if progress.idempotent else None
-    return Failure(ErrorCode.UPSTREAM_FAILED, outcome, message, retry_after_s)
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/attempts.py
@@ -0,0 +1,262 @@
+"""One attempt of a model request: open, relay, probe when interrupted, release."""
+
+from asyncio import sleep
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from lagoonhinge_core.answer_text import AnswerDiffers, AnswerText
+from lagoonhinge_core.chunk_sequence import ChunkSequence
+from lagoonhinge_core.config import UpstreamConfig
+from lagoonhinge_core.engine_messages import EngineCall, SpanRef
+from lagoonhinge_core.in_flight import InFlightLedger, WorkItem
+from lagoonhinge_core.ports import Clock, EngineClient, EngineStream
+from lagoonhinge_core.recovery import (
+    AttemptEnded,
+    AttemptProgress,
+    EndAttempt,
+    after_interruption,
+)
+from lagoonhinge_core.request import ModelRequest
+from lagoonhinge_core.upstream_errors import (
+    Broken,
+    Gone,
+    NotSent,
+    Rejected,
+    Silent,
+    UpstreamError,
+    surely_not_run,
+)
+from lagoonhinge_node.answer_relay import AnswerSink, Finished, deliver
+from lagoonhinge_node.releases import Release, Releaser
+
+ACCEPT_TIMEOUT_S = 5.0
+PROBE_TIMEOUT_S = 3.0
+EXPIRY_MARGIN_S = 5.0
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """One attempt on one upstream.
+
+    Attributes:
+        name: Identity of the attempt.
+        upstream: Name of the upstream.
+        config: Its configuration.
+        reservation: Memory reservation to run in, for a group.
+        spans: Spans to import first, for a group.
+        boot: The upstream's run as last reported, `""` if it never reported.
+    """
+
+    name: str
+    upstream: str
+    config: UpstreamConfig
+    reservation: str | None = None
+    spans: tuple[SpanRef, ...] = ()
+    boot: str = ""
+
+
+@dataclass(frozen=True)
+class Interrupted:
+    """A stream that ended before its end mark.
+
+    Attributes:
+        error: Why.
+        shown_alive: Whether the engine showed over it that it holds the attempt.
+        advanced: Whether new chunks arrived over it.
+    """
+
+    error: UpstreamError
+    shown_alive: bool = False
+    advanced: bool = False
+
+
+AttemptResult = Result[Finished, AttemptEnded | AnswerDiffers]
+
+
+class AttemptRunner:
+    """Runs attempts one by one; everything that an attempt took is given back."""
+
+    def __init__(
+        self,
+        engines: EngineClient,
+        clock: Clock,
+        ledger: InFlightLedger,
+        releaser: Releaser,
+    ):
+        self.engines = engines
+        self.clock = clock
+        self.ledger = ledger
+        self.releaser = releaser
+
+    async def run(
+        self,
+        request: ModelRequest,
+        attempt: Attempt,
+        call: EngineCall,
+        item: WorkItem,
+        text: AnswerText,
+        sink: AnswerSink,
+    ) -> AttemptResult:
+        """Run one attempt to its end.
+
+        Args:
+            request: The request.
+            attempt: The attempt.
+            call: What to send to the engine.
+            item: Its work, for the ledger.
+            text: Text delivered by earlier attempts.
+            sink: Takes the answer's text.
+
+        Returns:
+            The end of a whole answer, or how the attempt ended without one.
+        """
+        self.ledger.start(attempt.name, item)
+        result: AttemptResult | None = None
+        try:
+            result = await self._run(request, attempt, call, text, sink)
+            return result
+        finally:
+            self.ledger.finish(attempt.name)
+            if _may_be_held(result):
+                self._release(request, attempt)
+
+    async def _run(
+        self,
+        request: ModelRequest,
+        attempt: Attempt,
+        call: EngineCall,
+        text: AnswerText,
+        sink: AnswerSink,
+    ) -> AttemptResult:
+        opened = await self.engines.open_stream(
+            attempt.config.url, call, self._bounded_s(request, ACCEPT_TIMEOUT_S)
+        )
+        match opened:
+            case Failure(Gone(reason)):
+                # There is no such path, which is not about the attempt.
+                return Failure(AttemptEnded(Rejected(404, reason), False))
+            case Failure(error) if surely_not_run(error):
+                return Failure(AttemptEnded(error, False))
+        sequence = ChunkSequence(attempt.name)
+        progress = AttemptProgress()
+        was_broken = False
+        while True:
+            match opened:
+                case Success(stream):
+                    relayed = await self._relay(request, stream, sequence, text, sink)
+                case Failure(error):
+                    relayed = Failure(Interrupted(error))
+            match relayed:
+                case Success(finished):
+                    return Success(finished)
+                case Failure(Interrupted(error, shown_alive, advanced)):
+                    was_broken = was_broken or isinstance(error, Broken)
+                    if advanced:
+                        progress = progress.delivered()
+                    progress = progress.interrupted(error, shown_alive)
+                    step = after_interruption(progress, error)
+                case Failure(differs):
+                    return Failure(differs)
+            if isinstance(step, EndAttempt) or self._remaining_s(request) <= 0:
+                died = was_broken and await self._has_died(attempt, error)
+                return Failure(AttemptEnded(error, True, died))
+            await sleep(step.pause_s)
+            opened = await self._probe(request, attempt, sequence, error)
+
+    async def _relay(
+        self,
+        request: ModelRequest,
+        stream: EngineStream,
+        sequence: ChunkSequence,
+        text: AnswerText,
+        sink: AnswerSink,
+    ) -> Result[Finished, Interrupted | AnswerDiffers]:
+        first_seq = sequence.next_seq
+        stalled_at_s = self.clock.monotonic_s() + request.stall_timeout_s
+        try:
+            while True:
+                wait_s = stalled_at_s - self.clock.monotonic_s()
+                received = await stream.next_chunks(self._bounded_s(request, wait_s))
+                now_s = self.clock.monotonic_s()
+                if now_s >= request.deadline_s:
+                    # A process that was paused passes nothing on past the bound.
+                    return Failure(Interrupted(Silent(wait_s)))
+                last_seq = sequence.next_seq
+                match received:
+                    case Failure(error):
+                        return _interrupted(error, sequence, first_seq)
+                    case Success(arrived):
+                        outcome = await deliver(arrived, sequence, text, sink)
+                match outcome:
+                    case Success(finished):
+                        return Success(finished)
+                    case Failure(Broken() as broken):
+                        return _interrupted(broken, sequence, first_seq)
+                    case Failure(differs):
+                        return Failure(differs)
+                if sequence.next_seq > last_seq:
+                    self.ledger.first_token(sequence.attempt)
+                    stalled_at_s = now_s + request.stall_timeout_s
+                elif now_s >= stalled_at_s:
+                    # Chunks that are not the answer's are no sign of life.
+                    return _interrupted(Silent(wait_s), sequence, first_seq)
+        finally:
+            await stream.close()
+
+    async def _probe(
+        self,
+        request: ModelRequest,
+        attempt: Attempt,
+        sequence: ChunkSequence,
+        error: UpstreamError,
+    ) -> Result[EngineStream, UpstreamError]:
+        if isinstance(error, Silent):
+            # Other pooled connections may be as silent as this one.
+            await self.engines.drop_connections(attempt.config.url)
+        return await self.engines.resume_stream(
+            attempt.config.url,
+            attempt.name,
+            sequence.next_seq,
+            self._bounded_s(request, PROBE_TIMEOUT_S),
+        )
+
+    async def _has_died(self, attempt: Attempt, error: UpstreamError) -> bool:
+        """Return whether the run of the upstream that held the attempt is over."""
+        if isinstance(error, NotSent):
+            return True
+        if not isinstance(error, Gone) or not attempt.boot:
+            return False
+        match await self.engines.holdings(attempt.config.url, PROBE_TIMEOUT_S):
+            case Success(holdings):
+                return bool(holdings.boot != attempt.boot)
+            case _:
+                return False
+
+    def _release(self, request: ModelRequest, attempt: Attempt) -> None:
+        expiry_s = request.deadline_s + EXPIRY_MARGIN_S
+        self.releaser.submit(
+            Release(attempt.config.url, "stream", attempt.name, expiry_s)
+        )
+
+    def _bounded_s(self, request: ModelRequest, timeout_s: float) -> float:
+        return max(0.0, min(timeout_s, self._remaining_s(request)))
+
+    def _remaining_s(self, request: ModelRequest) -> float:
+        return request.deadline_s - self.clock.monotonic_s()
+
+
+def _interrupted(
+    error: UpstreamError, sequence: ChunkSequence, first_seq: int
+) -> Result[Finished, Interrupted | AnswerDiffers]:
+    return Failure(Interrupted(error, True, sequence.next_seq > first_seq))
+
+
+def _may_be_held(result: AttemptResult | None) -> bool:
+    match result:
+        case Success(_):
+            return False
+        case Failure(AttemptEnded(maybe_run=maybe_run)):
+            return maybe_run
+        case _:
+            return True
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_answers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_answers.py
@@ -1,11 +1,13 @@
 """Answers to callers: JSON, server-sent events, and errors with their statuses."""
 
+from asyncio import timeout
 from math import ceil
 
 from aiohttp import web
 
 from lagoonhinge_core.outcome import ErrorCode, Failure
 from lagoonhinge_http.wire import encode
+from lagoonhinge_node.answer_relay import Finished
 from lagoonhinge_node.caller_messages import (
     ChatChoice,
     ChatDelta,
@@ -18,7 +20,6 @@
     TextChoice,
     UsageBody,
 )
-from lagoonhinge_node.model_path import Finished
 
 STATUSES = {
     ErrorCode.BAD_REQUEST: 400,
@@ -39,6 +40,7 @@
     ErrorCode.OUTCOME_UNKNOWN: 502,
 }
 REQUEST_ID = "X-Request-Id"
+LAST_WRITE_TIMEOUT_S = 5.0
 JSON_TYPE = "application/json"
 
 
@@ -108,6 +110,32 @@
     return UsageBody(usage.prompt_tokens, usage.completion_tokens, total)
 
 
+async def send_last(
+    request: web.Request,
+    response: web.StreamResponse,
+    timeout_s: float,
+    body: bytes = b"",
+) -> web.StreamResponse:
+    """Send the rest of an answer, or drop the connection of a silent caller.
+
+    Args:
+        request: The caller's request.
+        response: Its answer, perhaps partly sent.
+        timeout_s: Time for the caller to take it, in seconds.
+        body: Last part of a streamed answer.
+    """
+    try:
+        async with timeout(timeout_s):
+            await response.prepare(request)
+            if body:
+                await response.write(body)
+            await response.write_eof()
+    except TimeoutError:
+        if request.transport is not None:
+            request.transport.abort()
+    return response
+
+
 class WholeSink:
     """Collects an answer that is sent in one piece."""
 
@@ -118,6 +146,11 @@
         """Take the next part of the answer."""
         self.parts.append(text)
 
+    def restart(self) -> bool:
+        """Forget what was taken; nothing of it was sent yet."""
+        self.parts.clear()
+        return True
+
 
 class EventSink:
     """Sends an answer as server-sent events, from its first part on."""
@@ -132,6 +165,10 @@
         response = await self.open()
         await response.write(self.format.part(text))
 
+    def restart(self) -> bool:
+        """Return whether nothing was sent yet."""
+        return self.response is None
+
     async def open(self) -> web.StreamResponse:
         """Return the answer, with its head sent."""
         if self.response is None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_api.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_api.py
@@ -10,12 +10,14 @@
 from lagoonhinge_core.sections import ConfigSection
 from lagoonhinge_node.caller_answers import (
     JSON_TYPE,
+    LAST_WRITE_TIMEOUT_S,
     REQUEST_ID,
     AnswerFormat,
     EventSink,
     WholeSink,
     error_answer,
     error_body,
+    send_last,
 )
 from lagoonhinge_node.caller_messages import ChatBody, CompletionBody
 from lagoonhinge_node.caller_requests import RequestReader
@@ -113,22 +115,23 @@
                 )
                 if is_streamed:
                     return await self._stream(request, checked, answer_format)
-                return await self._answer_whole(checked, answer_format)
+                return await self._answer_whole(request, checked, answer_format)
         raise AssertionError("not a result")
 
     async def _answer_whole(
-        self, checked: ModelRequest, answer_format: AnswerFormat
+        self, request: web.Request, checked: ModelRequest, answer_format: AnswerFormat
     ) -> web.StreamResponse:
         sink = WholeSink()
         match await self.models.run(checked, sink):
             case Failure(failure):
                 return self._fail(failure, checked.request_id)
             case Success(finished):
-                return web.Response(
+                answer = web.Response(
                     body=answer_format.whole("".join(sink.parts), finished),
                     content_type=JSON_TYPE,
                     headers={REQUEST_ID: checked.request_id},
                 )
+                return await send_last(request, answer, self._write_s(checked))
         raise AssertionError("not a result")
 
     async def _stream(
@@ -141,16 +144,20 @@
             case Failure(failure):
                 # The head is gone, so the failure is the last event; no end mark.
                 self._note(failure, checked.request_id)
-                response = await sink.open()
                 body = error_body(failure, checked.request_id)
-                await response.write(b"data: " + body + b"\n\n")
-                return response
+                event = b"data: " + body + b"\n\n"
+                response = await sink.open()
+                return await send_last(request, response, LAST_WRITE_TIMEOUT_S, event)
             case Success(finished):
+                end = answer_format.end(finished)
                 response = await sink.open()
-                await response.write(answer_format.end(finished))
-                return response
+                return await send_last(request, response, self._write_s(checked), end)
         raise AssertionError("not a result")
 
+    def _write_s(self, checked: ModelRequest) -> float:
+        remaining_s = checked.deadline_s - self.models.clock.monotonic_s()
+        return max(LAST_WRITE_TIMEOUT_S, remaining_s)
+
     def _ready(self) -> bool:
         return self.board.read(ConfigSection).version > 0
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
@@ -1,93 +1,61 @@
-"""The way of a model request: admit, place, attempt, relay, finish or fail."""
+"""The way of a model request: admit, place, attempt, rerun, finish or fail in time."""
 
-from dataclasses import dataclass
+from asyncio import timeout
+from dataclasses import dataclass, field
 from itertools import count
-from typing import Protocol
 
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.answer_text import AnswerDiffers, AnswerText
 from lagoonhinge_core.blackboard import Blackboard
-from lagoonhinge_core.chunk_sequence import ChunkSequence, SequenceBroken
-from lagoonhinge_core.config import (
-    LengthAware,
-    ModelService,
-    PlacementConfig,
-    UpstreamConfig,
-)
-from lagoonhinge_core.engine_messages import EngineCall, EngineChunk, SpanRef, Usage
+from lagoonhinge_core.config import LengthAware, ModelService, PlacementConfig
+from lagoonhinge_core.engine_messages import EngineCall
 from lagoonhinge_core.in_flight import InFlightLedger, WorkItem
 from lagoonhinge_core.outcome import ErrorCode, Outcome
 from lagoonhinge_core.outcome import Failure as RequestFailure
 from lagoonhinge_core.placement import PlacementRequest, Placer
-from lagoonhinge_core.ports import Clock, EngineClient, EngineStream
+from lagoonhinge_core.ports import Clock, EngineClient
 from lagoonhinge_core.recovery import (
+    AttemptEnded,
     GiveUp,
     RequestProgress,
     Rerun,
-    Resume,
+    after_attempt,
+    answer_differs_failure,
     deadline_failure,
-    next_step,
 )
 from lagoonhinge_core.request import ModelRequest
 from lagoonhinge_core.retry_budget import RetryBudget
-from lagoonhinge_core.sections import ConfigSection, NodeSection
+from lagoonhinge_core.sections import ConfigSection, NodeSection, UpstreamsSection
 from lagoonhinge_core.tokens import TokenEstimator
-from lagoonhinge_core.upstream_errors import Broken, UpstreamError, surely_not_run
 from lagoonhinge_node.admission import Admission
+from lagoonhinge_node.answer_relay import AnswerSink, Finished
+from lagoonhinge_node.attempts import EXPIRY_MARGIN_S, Attempt, AttemptRunner
 from lagoonhinge_node.candidates import find_candidates
-from lagoonhinge_node.releases import Release, Releaser
+from lagoonhinge_node.releases import Releaser
 
-ACCEPT_TIMEOUT_S = 5.0
-EXPIRY_MARGIN_S = 5.0
 NO_UPSTREAM_RETRY_AFTER_S = 2.0
 SHORT_PRIORITY = 0
 LONG_PRIORITY = 10
 
 
-class AnswerSink(Protocol):
-    """Where the answer's text goes."""
-
-    async def write(self, text: str) -> None:
-        """Take the next part of the answer."""
-
-
-@dataclass(frozen=True)
-class Finished:
-    """The answer is whole."""
-
-    finish: str
-    usage: Usage
-
-
-@dataclass(frozen=True)
-class Attempt:
-    """One attempt on one upstream.
+@dataclass
+class RequestState:
+    """What the request has been through; changes with each attempt.
 
     Attributes:
-        name: Identity of the attempt.
-        upstream: Name of the upstream.
-        config: Its configuration.
-        reservation: Memory reservation to run in, for a group.
-        spans: Spans to import first, for a group.
+        text: Text given to the sink.
+        attempts: Attempts made.
+        maybe_run: Whether an upstream may have executed any of them.
+        tried: Upstreams that had one.
+        failure: Failure to give if no upstream can take another attempt.
     """
 
-    name: str
-    upstream: str
-    config: UpstreamConfig
-    reservation: str | None = None
-    spans: tuple[SpanRef, ...] = ()
-
-
-@dataclass
-class RequestState:
-    """What the request has been through; changes with each attempt."""
-
-    text: AnswerText
+    text: AnswerText = field(default_factory=AnswerText)
     attempts: int = 0
-    resumes: int = 0
     maybe_run: bool = False
     tried: frozenset[str] = frozenset()
+    failure: RequestFailure | None = None
 
 
 class ModelPath:
@@ -104,12 +72,11 @@
         estimator: TokenEstimator,
     ):
         self.board = board
-        self.engines = engines
         self.clock = clock
         self.admission = admission
         self.ledger = ledger
-        self.releaser = releaser
         self.estimator = estimator
+        self.attempts = AttemptRunner(engines, clock, ledger, releaser)
         self.budget = RetryBudget()
         self.placer = Placer()
         self.numbers = count(1)
@@ -117,7 +84,7 @@
     async def run(
         self, request: ModelRequest, sink: AnswerSink
     ) -> Result[Finished, RequestFailure]:
-        """Serve one request.
+        """Serve one request within its time bound.
 
         Args:
             request: The checked request.
@@ -126,35 +93,55 @@
         Returns:
             The end of a whole answer, or a truthful failure.
         """
+        state = RequestState()
+        bound = timeout(max(0.0, self._remaining_s(request)))
+        try:
+            async with bound:
+                return await self._run_admitted(request, state, sink)
+        except TimeoutError:
+            assert bound.expired()
+            return Failure(deadline_failure(state.maybe_run))
+
+    async def _run_admitted(
+        self, request: ModelRequest, state: RequestState, sink: AnswerSink
+    ) -> Result[Finished, RequestFailure]:
         match await self.admission.admit(request):
             case Failure(failure):
                 return Failure(failure)
             case Success(ticket):
                 try:
-                    return await self._attempt_until_done(request, sink)
+                    return await self._attempt_until_done(request, state, sink)
                 finally:
                     self.admission.release(ticket)
         raise AssertionError("not a result")
 
     async def _attempt_until_done(
-        self, request: ModelRequest, sink: AnswerSink
+        self, request: ModelRequest, state: RequestState, sink: AnswerSink
     ) -> Result[Finished, RequestFailure]:
-        state = RequestState(AnswerText())
         while True:
+            if self._remaining_s(request) <= 0:
+                return Failure(deadline_failure(state.maybe_run))
             attempt = self._place(request, state)
             if attempt is None:
-                return Failure(_no_upstream(request, state))
+                return Failure(state.failure or _no_upstream(request))
             state.attempts += 1
-            state.resumes = 0
             match await self._run_attempt(request, attempt, state, sink):
                 case Success(finished):
                     self._learn(request, finished)
                     return Success(finished)
-                case Failure(GiveUp(failure)):
-                    return Failure(failure)
+                case Failure(AnswerDiffers(offset)):
+                    return Failure(answer_differs_failure(offset))
+                case Failure(AttemptEnded() as ended):
+                    step = self._decide(request, state, ended)
+            if isinstance(step, GiveUp):
+                return Failure(step.failure)
             self.budget.spend(request.service)
+            state.failure = step.otherwise
             state.tried |= {attempt.upstream}
-            state.text.restart()
+            if sink.restart():
+                state.text.forget()
+            else:
+                state.text.restart()
 
     def _place(self, request: ModelRequest, state: RequestState) -> Attempt | None:
         candidates = find_candidates(self.board, self.ledger, request.service)
@@ -168,7 +155,9 @@
         node = self.board.read(NodeSection).node
         name = f"{node.vm}-{node.incarnation}-{next(self.numbers)}"
         config = self.board.read(ConfigSection).config.upstreams[choice.name]
-        return Attempt(name, choice.name, config)
+        report = self.board.read(UpstreamsSection).reports.get(choice.name)
+        boot = report.load.boot if report is not None and report.load else ""
+        return Attempt(name, choice.name, config, boot=boot)
 
     async def _run_attempt(
         self,
@@ -176,102 +165,36 @@
         attempt: Attempt,
         state: RequestState,
         sink: AnswerSink,
-    ) -> Result[Finished, GiveUp | Rerun]:
-        estimate = request.estimate
+    ) -> Result[Finished, AttemptEnded | AnswerDiffers]:
         item = WorkItem(
             upstream=attempt.upstream,
-            prompt_tokens=estimate.prompt_tokens,
-            total_tokens=estimate.total(),
+            prompt_tokens=request.estimate.prompt_tokens,
+            total_tokens=request.estimate.total(),
             is_long=self._is_long(request),
         )
-        self.ledger.start(attempt.name, item)
-        finished = False
-        not_run = False
-        try:
-            opened = await self.engines.open_stream(
-                attempt.config.url,
-                self._call(request, attempt),
-                min(ACCEPT_TIMEOUT_S, self._remaining_s(request)),
-            )
-            sequence = ChunkSequence(attempt.name)
-            while True:
-                match opened:
-                    case Success(stream):
-                        outcome = await self._relay(
-                            request, stream, sequence, state, sink
-                        )
-                    case Failure(error):
-                        outcome = Failure(error)
-                match outcome:
-                    case Success(end):
-                        finished = True
-                        return Success(end)
-                    case Failure(error):
-                        not_run = surely_not_run(error) and sequence.next_seq == 0
-                        step = self._decide(request, state, error)
-                if not isinstance(step, Resume):
-                    return Failure(step)
-                state.resumes += 1
-                opened = await self._resume(request, attempt, sequence)
-        finally:
-            self.ledger.finish(attempt.name)
-            if not finished and not not_run:
-                self._release(request, attempt)
-
-    async def _resume(
-        self, request: ModelRequest, attempt: Attempt, sequence: ChunkSequence
-    ) -> Result[EngineStream, UpstreamError]:
-        await self.engines.drop_connections(attempt.config.url)
-        resumed = await self.engines.resume_stream(
-            attempt.config.url,
-            attempt.name,
-            sequence.next_seq,
-            min(ACCEPT_TIMEOUT_S, self._remaining_s(request)),
-        )
-        # A resume that was not taken says nothing about the attempt itself.
-        return resumed.alt(lambda error: Broken(f"not resumed: {error}"))
-
-    async def _relay(
-        self,
-        request: ModelRequest,
-        stream: EngineStream,
-        sequence: ChunkSequence,
-        state: RequestState,
-        sink: AnswerSink,
-    ) -> Result[Finished, UpstreamError]:
-        try:
-            while True:
-                wait_s = min(request.stall_timeout_s, self._remaining_s(request))
-                match await stream.next_chunks(max(0.0, wait_s)):
-                    case Failure(error):
-                        return Failure(error)
-                    case Success(arrived):
-                        state.resumes = 0
-                        self.ledger.first_token(sequence.attempt)
-                done = await _deliver(arrived, sequence, state.text, sink)
-                if done is not None:
-                    return done
-        finally:
-            await stream.close()
+        call = self._call(request, attempt)
+        maybe_run_before = state.maybe_run
+        # If the time bound ends this attempt, what it did is not known.
+        state.maybe_run = True
+        result = await self.attempts.run(request, attempt, call, item, state.text, sink)
+        match result:
+            case Failure(AttemptEnded(maybe_run=False)):
+                state.maybe_run = maybe_run_before
+        return result
 
     def _decide(
-        self, request: ModelRequest, state: RequestState, error: UpstreamError
-    ) -> GiveUp | Rerun | Resume:
+        self, request: ModelRequest, state: RequestState, ended: AttemptEnded
+    ) -> GiveUp | Rerun:
         retries = self.board.read(ConfigSection).config.retries
         may_retry = state.attempts < retries.max_attempts and self.budget.can_spend(
             request.service
         )
         progress = RequestProgress(
-            idempotent=True,
-            attempts=state.attempts,
-            resumes=state.resumes,
             maybe_run=state.maybe_run,
             may_retry=may_retry,
             remaining_s=self._remaining_s(request),
         )
-        step = next_step(progress, error)
-        state.maybe_run = state.maybe_run or not surely_not_run(error)
-        return step
+        return after_attempt(progress, ended)
 
     def _call(self, request: ModelRequest, attempt: Attempt) -> EngineCall:
         return EngineCall(
@@ -288,12 +211,6 @@
             spans=attempt.spans,
         )
 
-    def _release(self, request: ModelRequest, attempt: Attempt) -> None:
-        expiry_s = request.deadline_s + EXPIRY_MARGIN_S
-        self.releaser.submit(
-            Release(attempt.config.url, "stream", attempt.name, expiry_s)
-        )
-
     def _learn(self, request: ModelRequest, finished: Finished) -> None:
         share = self.board.read(ConfigSection).config.retries.budget_share
         self.budget.earn(request.service, share)
@@ -317,39 +234,7 @@
         return request.deadline_s - self.clock.monotonic_s()
 
 
-async def _deliver(
-    arrived: tuple[EngineChunk, ...],
-    sequence: ChunkSequence,
-    text: AnswerText,
-    sink: AnswerSink,
-) -> Result[Finished, UpstreamError] | None:
-    """Pass on what is in order; returns the end, a failure, or `None` to go on."""
-    new: list[str] = []
-    end: EngineChunk | None = None
-    for chunk in arrived:
-        ready = sequence.accept(chunk)
-        if isinstance(ready, SequenceBroken):
-            return Failure(Broken(ready.reason))
-        for part in ready:
-            fresh = text.accept(part.text)
-            if isinstance(fresh, AnswerDiffers):
-                return Failure(Broken(f"the answer differs at {fresh.offset}"))
-            new.append(fresh)
-            end = part if part.finish is not None else end
-    whole = "".join(new)
-    if whole:
-        await sink.write(whole)
-    if end is None:
-        return None
-    if not text.all_repeated():
-        return Failure(Broken("the repeated answer is shorter"))
-    assert end.finish is not None
-    return Success(Finished(end.finish, end.usage or Usage(0, 0)))
-
-
-def _no_upstream(request: ModelRequest, state: RequestState) -> RequestFailure:
-    if state.maybe_run:
-        return deadline_failure(True)
+def _no_upstream(request: ModelRequest) -> RequestFailure:
     return RequestFailure(
         ErrorCode.NO_UPSTREAM,
         Outcome.NOT_RUN,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/plain_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/plain_client.py
@@ -6,7 +6,7 @@
 from lagoonhinge_core.plain_messages import Header, PlainAnswer, PlainCall
 from lagoonhinge_core.upstream_errors import UpstreamError
 from lagoonhinge_http.session import ConnectionLost, call_timeout
-from lagoonhinge_node.engine_client import error_of_exception, error_of_status
+from lagoonhinge_node.upstream_faults import error_of_exception, error_of_status
 
 REFUSED_STATUSES = (429, 503)
 
