Fault matrix of the model request's path, and truthful outcomes

Cause: a lost attempt was reported as a passed deadline, an ambiguous one as failed, and an engine that had merely lost the attempt was never used again. Ruled out: waiting for the engine's expiry, since a release after a pause still helps. Change: each attempt says not-run, failed or unknown, and the request the weakest of them; features/attempts.feature runs 12 faults at 7 steps, damaged answers, and a state machine over fake engines in virtual time.

--- /dev/null
+++ b/features/support/request_faults.py
@@ -0,0 +1,94 @@
+"""Faults of the request path, injected once when a request reaches a step."""
+
+from features.support.request_rig import BOUND_S, RecordingSink, RequestRig, verdict
+
+STEPS = (
+    "admission",
+    "connect",
+    "accept",
+    "before first token",
+    "mid-stream",
+    "at the end mark",
+    "after the end",
+)
+PAUSE_S = 20.0
+SLACK_S = 0.1
+
+
+class FaultAtStep:
+    """One request with one fault at one step."""
+
+    def __init__(self, rig: RequestRig, fault: str, step: str, is_streamed: bool):
+        self.rig = rig
+        self.fault = fault
+        self.step = step
+        self.sink = RecordingSink(is_streamed)
+        self.is_due = True
+        self.task = None
+
+    def run(self) -> str:
+        """Run the request and return its verdict once everything is given back."""
+        self.rig.port.on_step = self.reach
+        if self.step == "admission":
+            self.rig.on_admission(lambda: self.inject(self.rig.engines[0], None))
+        started_s = self.rig.loop.time()
+        self.task = self.rig.start(self.sink)
+        result = self.rig.finish(self.task)
+        took_s = self.rig.loop.time() - started_s
+        if self.fault != "node paused past the bound":
+            assert took_s <= BOUND_S + SLACK_S, took_s
+        got = verdict(result, self.sink)
+        if "not-run" in got:
+            assert not self.rig.accepted(), self.rig.accepted()
+        self.rig.settle()
+        return got
+
+    def reach(self, step, engine, stream) -> None:
+        """Inject the fault if this is its step."""
+        if step == self.step and self.is_due:
+            self.inject(engine, stream)
+
+    def inject(self, engine, stream) -> None:
+        """Let the fault happen."""
+        self.is_due = False
+        match self.fault:
+            case "engine crash":
+                engine.crash()
+            case "engine restart":
+                engine.crash()
+                engine.restart()
+            case "connection cut" if stream is None:
+                engine.listens = False
+            case "connection cut":
+                stream.is_cut = True
+            case "connection silent" if stream is None:
+                engine.swallows_next = True
+            case "connection silent":
+                stream.is_silent = True
+            case "engine silent":
+                engine.silent = True
+            case "engine refusing":
+                engine.refuses = True
+            case "attempt gone":
+                engine.runs.clear()
+            case "engine stuck":
+                engine.stuck = True
+            case "node paused":
+                self.rig.loop.freeze(PAUSE_S)
+            case "node paused past the bound":
+                self.rig.loop.freeze(2 * BOUND_S)
+            case "caller gone":
+                self.task.cancel()
+            case "caller silent":
+                self.sink.is_blocked = True
+            case _:
+                raise AssertionError(self.fault)
+
+
+def run_cell(fault, step, is_streamed, engines=2) -> str:
+    """Return the verdict of one cell of the fault matrix."""
+    rig = RequestRig(engines)
+    try:
+        return FaultAtStep(rig, fault, step, is_streamed).run()
+    finally:
+        rig.close()
--- /dev/null
+++ b/features/support/request_machine.py
@@ -0,0 +1,163 @@
+"""Stateful fuzzing of the request path: any faults, any order, several requests."""
+
+from asyncio import CancelledError, sleep
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from features.support.request_rig import (
+    BOUND_S,
+    RecordingSink,
+    RequestRig,
+    verdict,
+)
+from stand_ins.answers import whole_answer
+
+ENGINES = 3
+TICK_S = 0.05
+
+
+class _Request:
+    def __init__(self, rig, number, is_streamed):
+        self.prompt = f"prompt {number}"
+        self.sink = RecordingSink(is_streamed)
+        self.deadline_s = rig.loop.time() + BOUND_S
+        self.task = rig.start(self.sink, self.prompt)
+        self.expected = whole_answer(self.prompt, 8, 7)
+
+
+class RequestMachine(RuleBasedStateMachine):
+    """Requests over three engines, each fault at any time."""
+
+    def __init__(self):
+        super().__init__()
+        self.rig = RequestRig(ENGINES)
+        self.requests = []
+
+    def _pass(self, seconds):
+        self.rig.run(sleep(seconds))
+
+    @precondition(lambda self: len(self.requests) < 6)
+    @rule(is_streamed=st.booleans())
+    def start(self, is_streamed):
+        self.requests.append(_Request(self.rig, len(self.requests), is_streamed))
+        self._pass(0.0)
+
+    @rule(seconds=st.sampled_from((0.05, 0.3, 1.0, 6.0, 20.0)))
+    def wait(self, seconds):
+        self._pass(seconds)
+
+    @rule(seconds=st.sampled_from((1.0, 8.0, 70.0)))
+    def pause_node(self, seconds):
+        self.rig.loop.freeze(seconds)
+        self._pass(TICK_S)
+
+    @rule(
+        number=st.integers(0, ENGINES - 1),
+        fault=st.sampled_from(
+            (
+                "crash",
+                "restart",
+                "cut",
+                "silence open",
+                "silence",
+                "speak",
+                "refuse",
+                "take",
+                "lose runs",
+                "stick",
+                "go on",
+                "swallow",
+                "double",
+                "reorder",
+                "gap",
+                "mend",
+            )
+        ),
+    )
+    def fault(self, number, fault):
+        engine = self.rig.engines[number]
+        match fault:
+            case "crash":
+                engine.crash()
+            case "restart":
+                engine.crash()
+                engine.restart()
+            case "cut":
+                engine.cut()
+            case "silence open":
+                engine.silence_open()
+            case "silence" | "speak":
+                engine.silent = fault == "silence"
+            case "refuse" | "take":
+                engine.refuses = fault == "refuse"
+            case "lose runs":
+                engine.runs.clear()
+            case "stick" | "go on":
+                engine.stuck = fault == "stick"
+            case "swallow":
+                engine.swallows_next = True
+            case "double" | "reorder":
+                engine.corrupt = fault + ("d" if fault == "double" else "ed")
+            case "gap":
+                engine.corrupt = "gapped"
+            case "mend":
+                engine.corrupt = ""
+
+    @precondition(lambda self: self.requests)
+    @rule(data=st.data(), is_gone=st.booleans())
+    def lose_caller(self, data, is_gone):
+        request = data.draw(st.sampled_from(self.requests))
+        if is_gone:
+            request.task.cancel()
+        request.sink.is_blocked = True
+        self._pass(TICK_S)
+
+    @invariant()
+    def answers_are_prefixes_and_in_time(self):
+        for request in self.requests:
+            assert request.expected.startswith(request.sink.text()), request.sink
+            is_late = self.rig.loop.time() > request.deadline_s + TICK_S
+            assert request.task.done() or not is_late, "past its bound"
+
+    def teardown(self):
+        try:
+            self._pass(BOUND_S + 1.0)
+            for request in self.requests:
+                assert request.task.done()
+                self._check(request)
+            self.rig.settle()
+        finally:
+            self.rig.close()
+
+    def _check(self, request):
+        try:
+            result = request.task.result()
+        except CancelledError:
+            return
+        got = verdict(result, request.sink, request.prompt)
+        if "not-run" in got:
+            ran = self.rig.port.accepted_prompts()
+            assert request.prompt not in ran, (got, request.prompt)
+
+
+def run_request_machine(examples: int) -> None:
+    """Run the machine with a fixed seed."""
+    run_state_machine_as_test(
+        RequestMachine,
+        settings=settings(
+            derandomize=True,
+            database=None,
+            deadline=None,
+            max_examples=examples,
+            stateful_step_count=30,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
--- /dev/null
+++ b/features/support/request_rig.py
@@ -0,0 +1,207 @@
+"""A request path over fake engines in virtual time, and its oracle."""
+
+from asyncio import CancelledError, Event, set_event_loop, sleep
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Success
+
+from features.support.fake_engines import FakeEngine, FakeEngines
+from features.support.virtual_time import VirtualLoop
+from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.config import (
+    Config,
+    LeastInFlight,
+    ModelConfig,
+    ModelService,
+    UpstreamConfig,
+)
+from lagoonhinge_core.engine_messages import LoadReport, Sampling
+from lagoonhinge_core.identity import NodeId
+from lagoonhinge_core.in_flight import InFlightLedger
+from lagoonhinge_core.request import ModelRequest
+from lagoonhinge_core.sections import (
+    ConfigSection,
+    NodeSection,
+    Readiness,
+    UpstreamReport,
+    UpstreamsSection,
+)
+from lagoonhinge_core.tokens import TokenEstimate, TokenEstimator
+from lagoonhinge_node.admission import Admission
+from lagoonhinge_node.model_path import ModelPath
+from lagoonhinge_node.releases import Releaser
+from stand_ins.answers import whole_answer
+
+BOUND_S = 60.0
+STALL_S = 5.0
+TOKENS = 8
+SEED = 7
+SETTLE_S = 10.0
+
+
+@dataclass
+class RecordingSink:
+    """Takes an answer; `is_streamed` ones cannot be taken back."""
+
+    is_streamed: bool
+    parts: list[str] = field(default_factory=list)
+    is_blocked: bool = False
+
+    async def write(self, text):
+        """Take a part, or wait for ever like a caller that reads nothing."""
+        if self.is_blocked and self.is_streamed:
+            await Event().wait()
+        self.parts.append(text)
+
+    def restart(self):
+        """Forget the answer unless it was sent."""
+        if self.is_streamed:
+            return not self.parts
+        self.parts.clear()
+        return True
+
+    def text(self) -> str:
+        """Return what was taken."""
+        return "".join(self.parts)
+
+
+class RequestRig:
+    """One node's request path with its engines."""
+
+    def __init__(self, engines=2, **engine_settings):
+        self.loop = VirtualLoop()
+        set_event_loop(self.loop)
+        self.engines = [
+            FakeEngine(f"http://engine-{n}", **engine_settings) for n in range(engines)
+        ]
+        self.port = FakeEngines(self.loop, self.engines)
+        self.board = self._board()
+        self.ledger = InFlightLedger()
+        self.releaser = Releaser(self.port)
+        self.admission = Admission(self.board)
+        self.path = ModelPath(
+            self.board,
+            self.port,
+            self.loop,
+            self.admission,
+            self.ledger,
+            self.releaser,
+            TokenEstimator({"compliance": 4.0}),
+        )
+        self.started = 0
+
+    def start(self, sink, prompt="A winding specification", bound_s=BOUND_S):
+        """Start a request and return its task."""
+        self.started += 1
+        request = ModelRequest(
+            request_id=f"request-{self.started}",
+            account="tube-mills",
+            service="assistant",
+            model="compliance",
+            prompt=prompt,
+            prompt_bytes=len(prompt),
+            estimate=TokenEstimate(10, TOKENS),
+            seed=SEED,
+            sampling=Sampling(),
+            deadline_s=self.loop.time() + bound_s,
+            stall_timeout_s=STALL_S,
+        )
+        return self.loop.create_task(self.path.run(request, sink))
+
+    def run(self, awaitable):
+        """Run until the awaitable is done."""
+        return self.loop.run_until_complete(awaitable)
+
+    def on_admission(self, act):
+        """Call `act` once, when a request was admitted and not placed yet."""
+        admit = self.admission.admit
+
+        async def admit_and_act(request):
+            ticket = await admit(request)
+            self.admission.admit = admit
+            act()
+            return ticket
+
+        self.admission.admit = admit_and_act
+
+    def finish(self, task):
+        """Run a request to its end and return its verdict."""
+        try:
+            return self.run(task)
+        except CancelledError:
+            return None
+
+    def settle(self):
+        """Mend the engines, wait for releases, and check that nothing is held."""
+        for engine in self.engines:
+            engine.silent = engine.stuck = False
+            engine.listens = True
+            if not engine.alive:
+                engine.restart()
+        self.run(sleep(SETTLE_S))
+        assert not self.releaser.pending, self.releaser.pending
+        assert not self.ledger.by_upstream, self.ledger.by_upstream
+        assert not self.ledger.open_items, self.ledger.open_items
+        assert not self.admission.admitted, self.admission.admitted
+        for engine in self.engines:
+            engine.expire(self.loop.time())
+            assert not engine.runs, engine
+            assert not engine.streams, engine
+
+    def accepted(self):
+        """Return the attempts that any engine took."""
+        return [name for engine in self.engines for name in engine.accepted]
+
+    def close(self):
+        """Close the loop."""
+        self.loop.close()
+        set_event_loop(None)
+
+    def _board(self):
+        board = Blackboard()
+        zone = "perth-north"
+        node = NodeId("vm", 1)
+        board.writer(NodeSection(node, "perth", zone, Readiness.READY, 0.0), "node")
+        upstreams = {
+            engine.url.removeprefix("http://"): UpstreamConfig(
+                engine.url, zone, "assistant", kv_tokens=400_000
+            )
+            for engine in self.engines
+        }
+        config = Config(
+            zones=(zone,),
+            models={"compliance": ModelConfig()},
+            services={
+                "assistant": ModelService("compliance", placement=LeastInFlight())
+            },
+            upstreams=upstreams,
+        )
+        self.config = board.writer(ConfigSection(1, "digest", config), "config")
+        self.reports = board.writer(self._reports(upstreams), "upstreams")
+        return board
+
+    def _reports(self, upstreams):
+        return UpstreamsSection(
+            {
+                name: UpstreamReport(
+                    LoadReport(0.0, 0, 0, 0, 0, 400_000, False, engine.boot)
+                )
+                for name, engine in zip(upstreams, self.engines, strict=True)
+            }
+        )
+
+
+def verdict(result, sink, prompt="A winding specification"):
+    """Return `whole`, `cancelled`, or `code/outcome`, after checking the text."""
+    expected = whole_answer(prompt, TOKENS, SEED)
+    match result:
+        case None:
+            return "cancelled"
+        case Success(_):
+            assert sink.text() == expected, (sink.text(), expected)
+            return "whole"
+        case Failure(failure):
+            assert expected.startswith(sink.text()), (sink.text(), expected)
+            assert failure.retry_after_s is not None, failure
+            return f"{failure.code}/{failure.outcome}"
+    raise AssertionError(result)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/recovery.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/recovery.py
@@ -94,12 +94,12 @@
 
     Attributes:
         error: The last error.
-        maybe_run: Whether the engine may have executed any of it.
+        outcome: What is known about its execution.
         upstream_died: Whether the upstream's process ended while it ran.
     """
 
     error: UpstreamError
-    maybe_run: bool
+    outcome: Outcome
     upstream_died: bool = False
 
 
@@ -108,12 +108,12 @@
     """What one request has been through so far.
 
     Attributes:
-        maybe_run: Whether any attempt, the last included, may have been executed.
+        outcome: What is known about the execution of all attempts so far.
         may_retry: Whether the retry budget and the attempts allow one more.
         remaining_s: Time left before the deadline, in seconds.
     """
 
-    maybe_run: bool
+    outcome: Outcome
     may_retry: bool
     remaining_s: float
 
@@ -147,30 +147,37 @@
         The next step, with the truthful failure if there is none.
     """
     if progress.remaining_s <= 0:
-        return GiveUp(deadline_failure(progress.maybe_run))
-    failure = failure_of(progress.maybe_run, ended.error)
+        return GiveUp(deadline_failure(progress.outcome))
+    failure = failure_of(progress.outcome, ended.error)
     if isinstance(ended.error, Rejected) or not progress.may_retry:
         return GiveUp(failure)
     return Rerun(failure)
 
 
-def failure_of(maybe_run: bool, error: UpstreamError) -> Failure:
+def combined_outcome(first: Outcome, second: Outcome) -> Outcome:
+    """Return what is known about two attempts of the same request together."""
+    order = (Outcome.NOT_RUN, Outcome.FAILED, Outcome.UNKNOWN)
+    return max(first, second, key=order.index)
+
+
+def _wait_s(error: UpstreamError) -> float:
+    if isinstance(error, Refused) and error.retry_after_s is not None:
+        return error.retry_after_s
+    return RETRY_AFTER_S
+
+
+def failure_of(outcome: Outcome, error: UpstreamError) -> Failure:
     """Return the failure of a request whose last attempt ended with `error`."""
-    outcome = Outcome.FAILED if maybe_run else Outcome.NOT_RUN
     match error:
         case Rejected(status, reason):
             message = f"the upstream rejected the request with {status}: {reason}"
             return Failure(ErrorCode.BAD_REQUEST, outcome, message)
-        case Refused(retry_after_s=retry_after_s):
+        case NotSent() | Refused() if outcome == Outcome.NOT_RUN:
             message = f"no upstream took the request: {error}"
-            wait_s = RETRY_AFTER_S if retry_after_s is None else retry_after_s
-            return Failure(ErrorCode.OVERLOADED, outcome, message, wait_s)
-        case NotSent():
-            message = f"no upstream took the request: {error}"
-            return Failure(ErrorCode.OVERLOADED, outcome, message, RETRY_AFTER_S)
+            return Failure(ErrorCode.OVERLOADED, outcome, message, _wait_s(error))
         case _:
             message = f"the upstream failed: {error}"
-            return Failure(ErrorCode.UPSTREAM_FAILED, outcome, message, RETRY_AFTER_S)
+            return Failure(ErrorCode.UPSTREAM_FAILED, outcome, message, _wait_s(error))
 
 
 def answer_differs_failure(offset: int) -> Failure:
@@ -179,9 +186,15 @@
     return Failure(ErrorCode.UPSTREAM_FAILED, Outcome.FAILED, message, RETRY_AFTER_S)
 
 
-def deadline_failure(maybe_run: bool) -> Failure:
-    """Return the failure of a request whose time bound has passed."""
-    outcome = Outcome.UNKNOWN if maybe_run else Outcome.NOT_RUN
+def deadline_failure(outcome: Outcome) -> Failure:
+    """Return the failure of a request whose time bound has passed.
+
+    Args:
+        outcome: What is known about the execution of its attempts.
+    """
+    if outcome != Outcome.NOT_RUN:
+        # An attempt that the bound interrupts may still be running.
+        outcome = Outcome.UNKNOWN
     return Failure(
         ErrorCode.DEADLINE, outcome, "the time bound has passed", RETRY_AFTER_S
     )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/attempts.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/attempts.py
@@ -10,6 +10,7 @@
 from lagoonhinge_core.config import UpstreamConfig
 from lagoonhinge_core.engine_messages import EngineCall, SpanRef
 from lagoonhinge_core.in_flight import InFlightLedger, WorkItem
+from lagoonhinge_core.outcome import Outcome
 from lagoonhinge_core.ports import Clock, EngineClient, EngineStream
 from lagoonhinge_core.recovery import (
     AttemptEnded,
@@ -20,6 +21,7 @@
 from lagoonhinge_core.request import ModelRequest
 from lagoonhinge_core.upstream_errors import (
     Broken,
+    EngineFault,
     Gone,
     NotSent,
     Rejected,
@@ -135,15 +137,17 @@
         match opened:
             case Failure(Gone(reason)):
                 # There is no such path, which is not about the attempt.
-                return Failure(AttemptEnded(Rejected(404, reason), False))
+                return Failure(AttemptEnded(Rejected(404, reason), Outcome.NOT_RUN))
             case Failure(error) if surely_not_run(error):
-                return Failure(AttemptEnded(error, False))
+                return Failure(AttemptEnded(error, Outcome.NOT_RUN))
         sequence = ChunkSequence(attempt.name)
         progress = AttemptProgress()
         was_broken = False
+        outcome = Outcome.UNKNOWN
         while True:
             match opened:
                 case Success(stream):
+                    outcome = Outcome.FAILED
                     relayed = await self._relay(request, stream, sequence, text, sink)
                 case Failure(error):
                     relayed = Failure(Interrupted(error))
@@ -160,7 +164,9 @@
                     return Failure(differs)
             if isinstance(step, EndAttempt) or self._remaining_s(request) <= 0:
                 died = was_broken and await self._has_died(attempt, error)
-                return Failure(AttemptEnded(error, True, died))
+                if isinstance(error, EngineFault):
+                    outcome = Outcome.FAILED
+                return Failure(AttemptEnded(error, outcome, died))
             await sleep(step.pause_s)
             opened = await self._probe(request, attempt, sequence, error)
 
@@ -234,7 +240,9 @@
                 return False
 
     def _release(self, request: ModelRequest, attempt: Attempt) -> None:
-        expiry_s = request.deadline_s + EXPIRY_MARGIN_S
+        # After a pause of this process the engine may have started to count late.
+        last_s = max(request.deadline_s, self.clock.monotonic_s())
+        expiry_s = last_s + EXPIRY_MARGIN_S
         self.releaser.submit(
             Release(attempt.config.url, "stream", attempt.name, expiry_s)
         )
@@ -256,7 +264,7 @@
     match result:
         case Success(_):
             return False
-        case Failure(AttemptEnded(maybe_run=maybe_run)):
-            return maybe_run
+        case Failure(AttemptEnded(outcome=outcome)):
+            return outcome != Outcome.NOT_RUN
         case _:
             return True
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
@@ -13,7 +13,7 @@
 from lagoonhinge_core.in_flight import InFlightLedger, WorkItem
 from lagoonhinge_core.outcome import ErrorCode, Outcome
 from lagoonhinge_core.outcome import Failure as RequestFailure
-from lagoonhinge_core.placement import PlacementRequest, Placer
+from lagoonhinge_core.placement import Candidate, PlacementRequest, Placer
 from lagoonhinge_core.ports import Clock, EngineClient
 from lagoonhinge_core.recovery import (
     AttemptEnded,
@@ -22,12 +22,14 @@
     Rerun,
     after_attempt,
     answer_differs_failure,
+    combined_outcome,
     deadline_failure,
 )
 from lagoonhinge_core.request import ModelRequest
 from lagoonhinge_core.retry_budget import RetryBudget
 from lagoonhinge_core.sections import ConfigSection, NodeSection, UpstreamsSection
 from lagoonhinge_core.tokens import TokenEstimator
+from lagoonhinge_core.upstream_errors import Gone
 from lagoonhinge_node.admission import Admission
 from lagoonhinge_node.answer_relay import AnswerSink, Finished
 from lagoonhinge_node.attempts import EXPIRY_MARGIN_S, Attempt, AttemptRunner
@@ -46,15 +48,17 @@
     Attributes:
         text: Text given to the sink.
         attempts: Attempts made.
-        maybe_run: Whether an upstream may have executed any of them.
+        outcome: What is known about their execution.
         tried: Upstreams that had one.
+        unusable: Those among them that cannot take another now.
         failure: Failure to give if no upstream can take another attempt.
     """
 
     text: AnswerText = field(default_factory=AnswerText)
     attempts: int = 0
-    maybe_run: bool = False
+    outcome: Outcome = Outcome.NOT_RUN
     tried: frozenset[str] = frozenset()
+    unusable: frozenset[str] = frozenset()
     failure: RequestFailure | None = None
 
 
@@ -100,7 +104,7 @@
                 return await self._run_admitted(request, state, sink)
         except TimeoutError:
             assert bound.expired()
-            return Failure(deadline_failure(state.maybe_run))
+            return Failure(deadline_failure(state.outcome))
 
     async def _run_admitted(
         self, request: ModelRequest, state: RequestState, sink: AnswerSink
@@ -120,7 +124,7 @@
     ) -> Result[Finished, RequestFailure]:
         while True:
             if self._remaining_s(request) <= 0:
-                return Failure(deadline_failure(state.maybe_run))
+                return Failure(deadline_failure(state.outcome))
             attempt = self._place(request, state)
             if attempt is None:
                 return Failure(state.failure or _no_upstream(request))
@@ -138,18 +142,18 @@
             self.budget.spend(request.service)
             state.failure = step.otherwise
             state.tried |= {attempt.upstream}
+            if not isinstance(ended.error, Gone):
+                state.unusable |= {attempt.upstream}
             if sink.restart():
                 state.text.forget()
             else:
                 state.text.restart()
 
     def _place(self, request: ModelRequest, state: RequestState) -> Attempt | None:
-        candidates = find_candidates(self.board, self.ledger, request.service)
-        wanted = PlacementRequest(
-            request.estimate.prompt_tokens, request.estimate.output_tokens, state.tried
-        )
-        policy = self._policy(request.service)
-        choice = self.placer.choose(policy, candidates, wanted)
+        choice = self._choose(request, state.tried)
+        if choice is None:
+            # One that answers but lost the attempt is better than none.
+            choice = self._choose(request, state.unusable)
         if choice is None:
             return None
         node = self.board.read(NodeSection).node
@@ -159,6 +163,16 @@
         boot = report.load.boot if report is not None and report.load else ""
         return Attempt(name, choice.name, config, boot=boot)
 
+    def _choose(
+        self, request: ModelRequest, excluded: frozenset[str]
+    ) -> Candidate | None:
+        candidates = find_candidates(self.board, self.ledger, request.service)
+        wanted = PlacementRequest(
+            request.estimate.prompt_tokens, request.estimate.output_tokens, excluded
+        )
+        policy = self._policy(request.service)
+        return self.placer.choose(policy, candidates, wanted)
+
     async def _run_attempt(
         self,
         request: ModelRequest,
@@ -173,13 +187,13 @@
             is_long=self._is_long(request),
         )
         call = self._call(request, attempt)
-        maybe_run_before = state.maybe_run
+        earlier = state.outcome
         # If the time bound ends this attempt, what it did is not known.
-        state.maybe_run = True
+        state.outcome = Outcome.UNKNOWN
         result = await self.attempts.run(request, attempt, call, item, state.text, sink)
         match result:
-            case Failure(AttemptEnded(maybe_run=False)):
-                state.maybe_run = maybe_run_before
+            case Failure(AttemptEnded(outcome=outcome)):
+                state.outcome = combined_outcome(earlier, outcome)
         return result
 
     def _decide(
@@ -190,7 +204,7 @@
             request.service
         )
         progress = RequestProgress(
-            maybe_run=state.maybe_run,
+            outcome=state.outcome,
             may_retry=may_retry,
             remaining_s=self._remaining_s(request),
         )
