--- a/features/support/claims.py
+++ b/features/support/claims.py
@@ -232,7 +232,7 @@
                 self.nodes[0].kill()
                 await sleep(0)
             case "node frozen":
-                self.loop.pause(FROZEN_S)
+                self.loop.freeze(FROZEN_S)
                 await sleep(0)
             case "caller gone" if self.first_caller is not None:
                 self.first_caller.cancel()
--- a/features/support/claims_machine.py
+++ b/features/support/claims_machine.py
@@ -220,7 +220,7 @@
             case "leave" if self.arrivals:
                 data.draw(st.sampled_from(self.arrivals)).task.cancel()
             case "pause":
-                self.loop.pause(seconds)
+                self.loop.freeze(seconds)
             case "pass":
                 self.turn(seconds)
         self.turn()
