Engine stand-in: memory ledger, reservations, exports, prefix cache, late events

Cause: the stand-in knew only streams, so neither groups nor memory leaks nor cached prefixes could be tested. Change: the memory ledger, the batch and the prefix cache are modules of their own. Reservations are taken at once or not at all, spans and grouped streams draw their memory from a reservation, every holding has an owner and an expiry. A wake between reading the chunks and waiting for more is still not lost. Conclusion: memory can be driven without processes under a clock that tests move.

--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -8,23 +8,26 @@
 from typing import Annotated
 from uuid import uuid4
 
-from aiohttp import web
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
 from cappa import Arg, command, parse
 
-from lagoonhinge_core.engine_messages import EngineCall, EngineChunk, Order
-from lagoonhinge_http.wire import BadMessage, decode, encode
-from stand_ins.engine_state import (
-    EngineFaults,
-    EngineRates,
-    EngineState,
-    Refusal,
-    StreamRun,
+from lagoonhinge_core.engine_messages import (
+    EngineCall,
+    EngineChunk,
+    Order,
+    ReservationRequest,
+    SpanRef,
+    SpanRequest,
 )
+from lagoonhinge_http.wire import BadMessage, decode, encode
+from stand_ins.engine_batch import StreamRun
+from stand_ins.engine_state import EngineFaults, EngineRates, EngineState, Refusal
 from stand_ins.serving import cut_connection, start
 
 STATE = web.AppKey("state", EngineState)
 CRASH_STATUS = 70
 REFUSED_RETRY_AFTER_S = 0.5
+IMPORT_TIMEOUT = ClientTimeout(total=5.0)
 
 
 def _json(value: object, status: int = 200) -> web.Response:
@@ -44,7 +47,11 @@
         call = decode(await request.read(), EngineCall)
     except BadMessage as error:
         return _refuse(Refusal(400, str(error)))
-    accepted = state.accept(call)
+    try:
+        imported = "".join([await _import_span(span) for span in call.spans])
+    except (ClientError, TimeoutError) as error:
+        return _refuse(Refusal(503, f"a span is missing: {error!r}"))
+    accepted = state.accept(call, imported)
     if isinstance(accepted, Refusal):
         return _refuse(accepted)
     marker = state.faults.crash_marker
@@ -53,6 +60,16 @@
     return await _send_stream(request, accepted, 0)
 
 
+async def _import_span(span: SpanRef) -> str:
+    async with (
+        ClientSession(raise_for_status=True) as session,
+        session.get(
+            f"{span.url}/v1/exports/{span.export}", timeout=IMPORT_TIMEOUT
+        ) as answer,
+    ):
+        return await answer.text()
+
+
 async def _resume(request: web.Request) -> web.StreamResponse:
     run = request.app[STATE].streams.get(request.match_info["attempt"])
     if run is None:
@@ -67,7 +84,7 @@
     await response.prepare(request)
     faults = request.app[STATE].faults
     while not run.cancelled:
-        progress = run.progress
+        changed = run.progress.event
         batch = run.chunks[position:]
         position += len(batch)
         for chunk in _corrupted(batch, faults):
@@ -77,7 +94,7 @@
             return response
         if run.finished and position >= len(run.chunks):
             return response
-        await progress.wait()
+        await changed.wait()
     return response
 
 
@@ -93,8 +110,41 @@
             return batch
 
 
+async def _reserve(request: web.Request) -> web.Response:
+    wanted = decode(await request.read(), ReservationRequest)
+    refusal = request.app[STATE].reserve(wanted)
+    return _refuse(refusal) if refusal else _json("reserved")
+
+
+async def _add_span(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    run = state.add_span(decode(await request.read(), SpanRequest))
+    if isinstance(run, Refusal):
+        return _refuse(run)
+    marker = state.faults.crash_marker
+    if marker and marker in run.request.prompt:
+        _exit(CRASH_STATUS)
+    while not run.is_ready():
+        if run.cancelled:
+            return _refuse(Refusal(404, "the export was released"))
+        await run.progress.wait()
+    return _json("exported")
+
+
+async def _export(request: web.Request) -> web.Response:
+    run = request.app[STATE].spans.get(request.match_info["name"])
+    if run is None or not run.is_ready():
+        return _refuse(Refusal(404, "no such export"))
+    return web.Response(text=run.request.prompt)
+
+
 async def _release(request: web.Request) -> web.Response:
-    known = request.app[STATE].cancel(request.match_info["name"])
+    state = request.app[STATE]
+    known = state.release(request.match_info["kind"], request.match_info["name"])
+    if state.faults.lose_release_replies:
+        left = state.faults.lose_release_replies - 1
+        state.faults = replace(state.faults, lose_release_replies=left)
+        cut_connection(request)
     return _json("released" if known else "not held", 200 if known else 404)
 
 
@@ -102,6 +152,11 @@
     return _json(request.app[STATE].held())
 
 
+async def _cache_events(request: web.Request) -> web.Response:
+    after = int(request.query.get("after", "0"))
+    return _json(request.app[STATE].published_events(after))
+
+
 async def _load(request: web.Request) -> web.Response:
     reports = request.app[STATE].reports
     if not reports:
@@ -116,7 +171,7 @@
 
 
 async def _set_faults(request: web.Request) -> web.Response:
-    request.app[STATE].faults = decode(await request.read(), EngineFaults)
+    request.app[STATE].set_faults(decode(await request.read(), EngineFaults))
     return _json("set")
 
 
@@ -152,6 +207,10 @@
         [
             web.post("/v1/completions", _complete),
             web.get("/v1/streams/{attempt}", _resume),
+            web.post("/v1/reservations", _reserve),
+            web.post("/v1/spans", _add_span),
+            web.get("/v1/exports/{name}", _export),
+            web.get("/v1/cache-events", _cache_events),
             web.delete("/v1/holdings/{kind}/{name}", _release),
             web.get("/v1/holdings", _holdings),
             web.get("/v1/load", _load),
--- a/stand_ins/engine_state.py
+++ b/stand_ins/engine_state.py
@@ -1,22 +1,28 @@
 """Model of an engine: continuous batching by token steps over a memory ledger."""
 
-from asyncio import Event
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from time import monotonic
 
 from lagoonhinge_core.engine_messages import (
+    CacheEvents,
     EngineCall,
-    EngineChunk,
     Holding,
     Holdings,
     LoadReport,
     Order,
     OrderReport,
-    Usage,
+    ReservationRequest,
+    SpanRequest,
 )
-from stand_ins.answers import answer_token, count_tokens, prompt_digest
+from stand_ins.answers import count_tokens
+from stand_ins.engine_batch import SpanRun, StreamRun, in_running_order
+from stand_ins.engine_cache import PrefixCache
+from stand_ins.engine_memory import EXPORT, RESERVATION, STREAM, HoldingKey
+from stand_ins.engine_memory import MemoryLedger as Memory
 
 NOTHING_LOADED = OrderReport("", (), "mixed", False)
+CACHE_SHARE = 0.1
 
 
 @dataclass(frozen=True)
@@ -30,6 +36,7 @@
         max_waiting: Streams that may wait for memory.
         step_s: Length of one batch step, in seconds.
         report_lag_s: Age of load reports, in seconds.
+        event_lag_s: Age of cache events, in seconds.
     """
 
     kv_tokens: int
@@ -38,6 +45,7 @@
     max_waiting: int = 64
     step_s: float = 0.005
     report_lag_s: float = 0.5
+    event_lag_s: float = 0.5
 
 
 @dataclass(frozen=True)
@@ -49,64 +57,22 @@
         leaving: Whether load reports say that the engine is about to stop.
         crash_marker: A prompt that contains this text kills the process.
         corrupt: How answers are damaged: `""`, `cut`, `double`, `reorder`, `foreign`.
+        lose_release_replies: Releases still to be applied and then cut, instead of
+            answered.
+        lose_every_event: Each cache event with a multiple of this number is lost.
     """
 
     refuse: bool = False
     leaving: bool = False
     crash_marker: str = ""
     corrupt: str = ""
-
-
-class StreamRun:
-    """One accepted stream."""
-
-    def __init__(self, call: EngineCall, now: float):
-        self.call = call
-        self.prompt_tokens = count_tokens(call.prompt)
-        self.tokens = self.prompt_tokens + call.max_tokens
-        self.digest = prompt_digest(call.prompt, call.seed)
-        self.arrived = now
-        self.expires = now + call.expires_s
-        self.to_prefill = float(self.prompt_tokens)
-        self.credit = 0.0
-        self.chunks: list[EngineChunk] = []
-        self.generated = 0
-        self.admitted = False
-        self.finished = False
-        self.cancelled = False
-        self.progress = Event()
-
-    def wake_readers(self) -> None:
-        """Tell the readers that something changed."""
-        self.progress.set()
-        self.progress = Event()
-
-    def generate(self, tokens: int) -> None:
-        """Append up to `tokens` tokens as one chunk, with the end mark if done."""
-        tokens = min(tokens, self.call.max_tokens - self.generated)
-        text = "".join(
-            answer_token(self.digest, self.generated + i) for i in range(tokens)
-        )
-        self.generated += tokens
-        done = self.generated >= self.call.max_tokens
-        usage = Usage(self.prompt_tokens, self.generated) if done else None
-        self.chunks.append(
-            EngineChunk(
-                attempt=self.call.attempt,
-                seq=len(self.chunks),
-                text=text,
-                tokens=tokens,
-                finish="length" if done else None,
-                usage=usage,
-            )
-        )
-        self.finished = done
-        self.wake_readers()
+    lose_release_replies: int = 0
+    lose_every_event: int = 0
 
 
 @dataclass(frozen=True)
 class Refusal:
-    """The engine did not take a stream.
+    """The engine did not take a piece of work.
 
     Attributes:
         status: HTTP status.
@@ -119,96 +85,199 @@
 
 @dataclass
 class EngineState:
-    """The engine: streams by attempt and the memory they hold."""
+    """The engine: its work by name and the memory that it holds."""
 
     rates: EngineRates
     boot: str
     checks_fencing: bool = True
     faults: EngineFaults = EngineFaults()
+    clock: Callable[[], float] = monotonic
     streams: dict[str, StreamRun] = field(default_factory=dict)
-    used_tokens: int = 0
+    spans: dict[str, SpanRun] = field(default_factory=dict)
     reports: list[tuple[float, LoadReport]] = field(default_factory=list)
     fencing: int = 0
     loaded: OrderReport = NOTHING_LOADED
     orders: list[Order] = field(default_factory=list)
 
-    def accept(self, call: EngineCall) -> StreamRun | Refusal:
-        """Take a stream into the batch or the waiting line, or refuse it."""
+    def __post_init__(self) -> None:
+        """Start with empty memory and an empty cache."""
+        self.memory = Memory(self.rates.kv_tokens, self.clock)
+        cache_tokens = int(self.rates.kv_tokens * CACHE_SHARE)
+        self.cache = PrefixCache(cache_tokens, self.rates.event_lag_s, self.clock)
+
+    @property
+    def used_tokens(self) -> int:
+        """Return the memory in use, in tokens."""
+        return self.memory.used_tokens
+
+    def set_faults(self, faults: EngineFaults) -> None:
+        """Replace the faults in force."""
+        self.faults = faults
+        self.cache.lose_every = faults.lose_every_event
+
+    def accept(self, call: EngineCall, imported: str = "") -> StreamRun | Refusal:
+        """Take a stream into the batch or the waiting line, or refuse it.
+
+        Args:
+            call: The attempt.
+            imported: Text of the spans that it imports, in order.
+        """
         if self.faults.refuse or self.faults.leaving:
             return Refusal(503, "refusing new work")
         if call.attempt in self.streams:
             return Refusal(409, "attempt already known")
-        run = StreamRun(call, monotonic())
+        cached = 0 if call.spans else self.cache.cached_tokens(call.prompt)
+        run = StreamRun(call, imported, cached, self.clock())
         if run.tokens > self.rates.kv_tokens:
             return Refusal(422, f"{run.tokens} tokens exceed the memory")
-        if len(self.waiting()) >= self.rates.max_waiting:
+        if call.reservation is not None:
+            source = HoldingKey(RESERVATION, call.reservation)
+            if not self.memory.move(source, run.key, run.tokens, run.expires):
+                return Refusal(503, f"{call.reservation} has not {run.tokens} tokens")
+            run.admitted = True
+        elif len(self.waiting()) >= self.rates.max_waiting:
             return Refusal(503, "too many waiting")
         self.streams[call.attempt] = run
         self.admit_waiting()
         return run
 
+    def reserve(self, request: ReservationRequest) -> Refusal | None:
+        """Set memory aside now or not at all; a repeated request changes nothing."""
+        key = HoldingKey(RESERVATION, request.name)
+        if key in self.memory.held:
+            return None
+        if self.faults.refuse or self.faults.leaving:
+            return Refusal(503, "refusing new work")
+        expires = self.clock() + request.expires_s
+        if self.memory.take(key, request.owner, request.tokens, expires):
+            return None
+        return Refusal(503, f"{request.tokens} tokens are not free")
+
+    def add_span(self, request: SpanRequest) -> SpanRun | Refusal:
+        """Process a span in a reservation; a repeated request joins the first."""
+        known = self.spans.get(request.export)
+        if known is not None:
+            return known
+        tokens = count_tokens(request.prompt)
+        now = self.clock()
+        run = SpanRun(request, now, float(tokens))
+        source = HoldingKey(RESERVATION, request.reservation)
+        if not self.memory.move(source, run.key, tokens, now + request.expires_s):
+            return Refusal(503, f"{request.reservation} has not {tokens} tokens")
+        self.spans[request.export] = run
+        return run
+
     def waiting(self) -> list[StreamRun]:
         """Return the streams that wait for memory, first in line first."""
-        runs = (r for r in self.streams.values() if self._is_open(r) and not r.admitted)
-        return sorted(runs, key=lambda r: (r.call.priority, r.arrived))
+        runs = (r for r in self.streams.values() if r.is_open() and not r.admitted)
+        return sorted(runs, key=lambda run: (run.priority, run.arrived))
 
     def running(self) -> list[StreamRun]:
         """Return the streams in the batch."""
-        return [r for r in self.streams.values() if self._is_open(r) and r.admitted]
+        return [r for r in self.streams.values() if r.is_open() and r.admitted]
 
     def admit_waiting(self) -> None:
         """Give memory to waiting streams while it lasts."""
         for run in self.waiting():
-            if self.used_tokens + run.tokens > self.rates.kv_tokens:
+            if not self.memory.take(run.key, run.call.owner, run.tokens, run.expires):
                 return
             run.admitted = True
-            self.used_tokens += run.tokens
-
-    def release(self, run: StreamRun) -> None:
-        """Free what a stream holds."""
-        if run.admitted:
-            run.admitted = False
-            self.used_tokens -= run.tokens
 
-    def cancel(self, attempt: str) -> bool:
-        """Drop a stream; returns whether it was known."""
-        run = self.streams.pop(attempt, None)
-        if run is None:
-            return False
-        self.release(run)
-        run.cancelled = True
-        run.wake_readers()
-        return True
+    def release(self, kind: str, name: str) -> bool:
+        """Drop a stream, reservation or export; returns whether it was known."""
+        match kind:
+            case "stream":
+                return self._drop_stream(name)
+            case "export":
+                return self._drop_span(name)
+            case _:
+                return self.memory.free(HoldingKey(kind, name))
 
     def step(self, elapsed_s: float) -> None:
         """Run the batch for a time."""
-        now = monotonic()
-        for run in [r for r in self.streams.values() if r.expires < now]:
-            self.cancel(run.call.attempt)
+        self._drop_expired()
         self.admit_waiting()
-        running = sorted(self.running(), key=lambda r: (r.call.priority, r.arrived))
         budget = self.rates.prefill_tokens_per_s * elapsed_s
-        for run in running:
+        unready = (span for span in self.spans.values() if not span.is_ready())
+        for run in in_running_order((*self.running(), *unready)):
             if run.to_prefill > 0:
                 used = min(budget, run.to_prefill)
                 run.to_prefill -= used
                 budget -= used
-            else:
-                self._decode(run, elapsed_s)
-        self._report(now)
-
-    def _decode(self, run: StreamRun, elapsed_s: float) -> None:
-        run.credit += self.rates.decode_tokens_per_s * elapsed_s
-        if run.credit >= 1.0:
-            run.generate(int(run.credit))
-            run.credit %= 1.0
-        if run.finished:
-            self.release(run)
-
-    def _is_open(self, run: StreamRun) -> bool:
-        return not run.finished and not run.cancelled
-
-    def _report(self, now: float) -> None:
+                if run.to_prefill <= 0:
+                    self._end_prefill(run)
+            elif isinstance(run, StreamRun):
+                run.decode(self.rates.decode_tokens_per_s * elapsed_s)
+                if run.finished:
+                    self.memory.free(run.key)
+        self._report()
+
+    def held(self) -> Holdings:
+        """Return everything that is held, waiting streams included."""
+        now = self.clock()
+        waiting = tuple(
+            Holding(
+                kind=STREAM,
+                name=run.call.attempt,
+                owner=run.call.owner,
+                tokens=0,
+                expires_in_s=run.expires - now,
+                age_s=now - run.arrived,
+            )
+            for run in self.waiting()
+        )
+        return Holdings(self.boot, self.memory.holdings() + waiting)
+
+    def published_events(self, after_seq: int) -> CacheEvents:
+        """Return the cache events after a number that are published so far."""
+        events = self.cache.published(after_seq)
+        next_seq = events[-1].seq + 1 if events else after_seq + 1
+        return CacheEvents(self.boot, events, next_seq)
+
+    def obey(self, order: Order) -> OrderReport | Refusal:
+        """Take an order, unless its fencing number is old and checked."""
+        if self.checks_fencing and order.fencing < self.fencing:
+            return Refusal(412, f"fencing {order.fencing} is below {self.fencing}")
+        self.fencing = max(self.fencing, order.fencing)
+        self.orders.append(order)
+        self.loaded = OrderReport(order.version, order.adapters, order.role, False)
+        return self.loaded
+
+    def _end_prefill(self, run: StreamRun | SpanRun) -> None:
+        if isinstance(run, SpanRun):
+            run.progress.wake()
+        elif not run.call.spans:
+            self.cache.store(run.call.prompt)
+
+    def _drop_stream(self, attempt: str) -> bool:
+        run = self.streams.pop(attempt, None)
+        if run is None:
+            return False
+        self.memory.free(run.key)
+        run.cancelled = True
+        run.progress.wake()
+        return True
+
+    def _drop_span(self, export: str) -> bool:
+        run = self.spans.pop(export, None)
+        if run is None:
+            return False
+        self.memory.free(run.key)
+        run.cancelled = True
+        run.progress.wake()
+        return True
+
+    def _drop_expired(self) -> None:
+        now = self.clock()
+        for run in tuple(self.streams.values()):
+            if run.expires < now:
+                self.release(STREAM, run.call.attempt)
+        for key in self.memory.expired():
+            if key.kind in (RESERVATION, EXPORT):
+                self.release(key.kind, key.name)
+
+    def _report(self) -> None:
+        now = self.clock()
         running = self.running()
         waiting = self.waiting()
         report = LoadReport(
@@ -226,31 +295,3 @@
             len(self.reports) > 1 and self.reports[1][0] < now - self.rates.report_lag_s
         ):
             self.reports.pop(0)
-
-    def held(self) -> Holdings:
-        """Return everything that is held."""
-        now = monotonic()
-        return Holdings(
-            self.boot,
-            tuple(
-                Holding(
-                    kind="stream",
-                    name=run.call.attempt,
-                    owner=run.call.owner,
-                    tokens=run.tokens,
-                    expires_in_s=run.expires - now,
-                    age_s=now - run.arrived,
-                )
-                for run in self.streams.values()
-                if self._is_open(run)
-            ),
-        )
-
-    def obey(self, order: Order) -> OrderReport | Refusal:
-        """Take an order, unless its fencing number is old and checked."""
-        if self.checks_fencing and order.fencing < self.fencing:
-            return Refusal(412, f"fencing {order.fencing} is below {self.fencing}")
-        self.fencing = max(self.fencing, order.fencing)
-        self.orders.append(order)
-        self.loaded = OrderReport(order.version, order.adapters, order.role, False)
-        return self.loaded
