Reaper: memory left over on engines is found and freed

Cause: a node that dies leaves its streams on the engines until their expiry, up to the whole time bound; a late request or a lost reply leaves work that no node knows. Releases pending at a stop were dropped. Ruled out: freeing what a silent node holds (it may only be cut off or paused); one reaper for the zone (its death stops it); every node polling every engine often. Change: a node judges each holding by its owner: a newer run of the same VM, a VM that is off the platform's list and silent for 15 s, an own name that is not in flight for 10 s, or an expiry passed.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/blackboard.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/blackboard.py
@@ -50,6 +50,12 @@
         assert isinstance(section, kind)
         return section
 
+    def find(self, default: SectionT) -> SectionT:
+        """Return the current value of a section, or the default if it has no writer."""
+        section = self.sections.get(type(default), default)
+        assert isinstance(section, type(default))
+        return section
+
     def items(self) -> Iterator[tuple[str, Any]]:
         """Return every section with its name, for the state dump."""
         for kind, section in self.sections.items():
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
@@ -64,7 +64,8 @@
         address: Host and port of its control listener.
         zone: Availability zone.
         alive: Whether it was heard from within the heartbeat timeout.
-        heard_monotonic_s: When it was last heard from.
+        heard_monotonic_s: When it was last heard from; 0 if it never was.
+        delisted: Whether the platform's list named it once and no longer does.
     """
 
     node: NodeId
@@ -72,13 +73,39 @@
     zone: str
     alive: bool
     heard_monotonic_s: float
+    delisted: bool = False
 
 
 @dataclass(frozen=True)
 class MembersSection:
-    """The other nodes of the site; written by the membership controller."""
+    """The other nodes of the site; written by the membership controller.
+
+    Attributes:
+        members: The others by VM name.
+        cell: VM names of this node's own cell, itself among them.
+        cell_number: Number of that cell in its zone.
+        cell_count: Cells of the zone.
+    """
 
     members: dict[str, Member] = field(default_factory=dict)
+    cell: tuple[str, ...] = ()
+    cell_number: int = 0
+    cell_count: int = 1
+
+
+@dataclass(frozen=True)
+class VmsSection:
+    """Upstream VMs in the platform's list; written by the membership controller.
+
+    Attributes:
+        live: Addresses of those that are live.
+        leaving: Address and VM name of those that are leaving.
+        read_monotonic_s: When the list was read; 0 if it never was.
+    """
+
+    live: tuple[str, ...] = ()
+    leaving: tuple[tuple[str, str], ...] = ()
+    read_monotonic_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -125,3 +152,42 @@
 
     strikes: tuple[Strike, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
+
+
+@dataclass(frozen=True)
+class ReaperFinding:
+    """Memory of an engine that was found without a use and is being freed.
+
+    Attributes:
+        upstream: Name of the engine.
+        kind: `stream`, `reservation` or `export`.
+        name: Name under which the engine holds it.
+        owner: Identity of the node that took it.
+        tokens: Size, in tokens.
+        reason: Why it is freed.
+        found_wall_s: When it was found, in seconds since the epoch.
+    """
+
+    upstream: str
+    kind: str
+    name: str
+    owner: str
+    tokens: int
+    reason: str
+    found_wall_s: float
+
+
+@dataclass(frozen=True)
+class ReaperSection:
+    """Leftover memory found on engines; written by the reaper.
+
+    Attributes:
+        findings: The newest findings, oldest first.
+        found_tokens: Memory found since the start, in tokens.
+        swept_wall_s: When each engine last listed its holdings to this node, in
+            seconds since the epoch.
+    """
+
+    findings: tuple[ReaperFinding, ...] = ()
+    found_tokens: int = 0
+    swept_wall_s: dict[str, float] = field(default_factory=dict)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -30,6 +30,7 @@
 from lagoonhinge_node.operator_api import OperatorApi
 from lagoonhinge_node.plain_client import HttpPlainClient
 from lagoonhinge_node.plain_path import PlainPath
+from lagoonhinge_node.reaper_controller import ReaperController
 from lagoonhinge_node.releases import Releaser
 from lagoonhinge_node.settings import NodeSettings
 from lagoonhinge_node.upstream_controller import UpstreamController
@@ -69,7 +70,7 @@
         self.session = open_session()
         self.engines = HttpEngineClient()
         platform = HttpPlatform(self.session, settings.platform_url)
-        self.releaser = Releaser(self.engines)
+        self.releaser = Releaser(self.engines, clock)
         self.config = ConfigController(
             self.board,
             platform,
@@ -81,6 +82,9 @@
         )
         self.config.on_adopted.append(self._follow_config)
         self.upstreams = UpstreamController(self.board, self.engines, clock)
+        self.reaper = ReaperController(
+            self.board, self.engines, clock, self.ledger, self.releaser
+        )
         self.admission = Admission(self.board)
         models = ModelPath(
             self.board,
@@ -104,7 +108,7 @@
             callers.app(MAX_BODY_BYTES), settings.listen, tls
         )
         self.control_listener = Listener(control, settings.control_listen, tls)
-        return [self.releaser, self.config, self.upstreams]
+        return [self.releaser, self.config, self.upstreams, self.reaper]
 
     async def on_started(self) -> None:
         """Open the listeners once every controller runs."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/releases.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/releases.py
@@ -1,17 +1,20 @@
 """Releases of what engines hold, repeated until each is confirmed."""
 
-from asyncio import sleep
+from asyncio import Future, Semaphore, sleep, wait
 from dataclasses import dataclass
 
 from mode import Service
-from returns.result import Success
+from returns.result import Failure, Success
 
-from lagoonhinge_core.ports import EngineClient
+from lagoonhinge_core.ports import Clock, EngineClient
+from lagoonhinge_core.upstream_errors import Silent
 from lagoonhinge_node.logs import PartLogger
 
 RELEASE_TIMEOUT_S = 2.0
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 5.0
+MAX_CALLS_AT_ONCE = 32
+DRAIN_TIMEOUT_S = 15.0
 
 
 @dataclass(frozen=True)
@@ -32,30 +35,64 @@
 
 
 class Releaser(Service):
-    """Frees holdings outside of the request's own task."""
+    """Frees holdings outside of the request's own task.
 
-    def __init__(self, engines: EngineClient):
+    A stop of the node waits for the releases that are still pending, up to a limit;
+    what is left then ends by its expiry or is found by another node's reaper.
+    """
+
+    def __init__(self, engines: EngineClient, clock: Clock):
         super().__init__()
         self.engines = engines
+        self.clock = clock
         self.log_part = PartLogger("release")
-        self.pending: set[Release] = set()
+        self.pending: dict[Release, Future[None]] = {}
+        self.calls = Semaphore(MAX_CALLS_AT_ONCE)
 
     def submit(self, release: Release) -> None:
         """Free a holding; returns at once."""
-        if release not in self.pending:
-            self.pending.add(release)
-            self.add_future(self._repeat(release))
+        if not self.is_pending(release.url, release.kind, release.name):
+            self.pending[release] = self.add_future(self._repeat(release))
+
+    def is_pending(self, url: str, kind: str, name: str) -> bool:
+        """Return whether a holding is being freed already."""
+        wanted = (url, kind, name)
+        return any((r.url, r.kind, r.name) == wanted for r in self.pending)
+
+    async def on_stop(self) -> None:
+        """Finish the pending releases."""
+        await self.drain(DRAIN_TIMEOUT_S)
+
+    async def drain(self, timeout_s: float) -> None:
+        """Wait until nothing is pending, or a time is over."""
+        if self.pending:
+            await wait(tuple(self.pending.values()), timeout=timeout_s)
+        for release in self.pending:
+            self.log_part.warning(
+                f"Stopped before {release.kind} {release.name} was confirmed free."
+            )
 
     async def _repeat(self, release: Release) -> None:
         pause_s = FIRST_PAUSE_S
-        while self.loop.time() < release.until_monotonic_s:
+        try:
+            while self.clock.monotonic_s() < release.until_monotonic_s:
+                if await self._release(release):
+                    return
+                await sleep(pause_s)
+                pause_s = min(MAX_PAUSE_S, 2 * pause_s)
+            self.log_part.warning(f"{release.kind} {release.name} was left to expire.")
+        finally:
+            self.pending.pop(release, None)
+
+    async def _release(self, release: Release) -> bool:
+        async with self.calls:
             answer = await self.engines.release(
                 release.url, release.kind, release.name, RELEASE_TIMEOUT_S
             )
-            if isinstance(answer, Success):
-                break
-            await sleep(pause_s)
-            pause_s = min(MAX_PAUSE_S, 2 * pause_s)
-        else:
-            self.log_part.warning(f"{release.kind} {release.name} was left to expire.")
-        self.pending.discard(release)
+        match answer:
+            case Success(_):
+                return True
+            case Failure(Silent()):
+                # The pooled connection may be dead while new ones work.
+                await self.engines.drop_connections(release.url)
+        return False
