Engine stand-in: cache events name prefixes as the prefix index reads them

Cause: the stand-in named prefixes by blocks of its own, which the index of cached prefixes does not know. Events are numbered from 0, a reading from 0 is whole, a later one may have gaps. Before and after: features/engine_stand_in.feature 21 passed before, 23 after. Conclusion: gaps and resyncs of the index can be tested against the stand-in.

--- a/features/engine_stand_in.feature
+++ b/features/engine_stand_in.feature
@@ -29,21 +29,23 @@
     Then the stand-in finishes them in the order 1, 3, 5
 
   Scenario: A cached prefix is reported and speeds the prefill
-    Given an engine stand-in of 100000 tokens with a clock of its own
+    Given an engine stand-in of 200000 tokens with a clock of its own
     When a prompt of 8192 tokens is run twice on the stand-in
     Then the second run has 8192 cached tokens and is at least 4 times as fast
 
   Scenario Outline: Cache events are late and have gaps
-    Given an engine stand-in of 100000 tokens with a clock of its own
+    Given an engine stand-in of 200000 tokens with a clock of its own
     And the stand-in loses every event with a multiple of <lost>
-    When a prompt of 1024 tokens is run and its events are read after <wait> s
+    When a prompt of 8192 tokens is run and its events from <from> on are read after <wait> s
     Then the cache events have the numbers <numbers>
 
     Examples:
-      | lost | wait | numbers |
-      | 0    | 0.0  | none    |
-      | 0    | 1.0  | 1,2,3,4 |
-      | 3    | 1.0  | 1,2,4   |
+      | lost | wait | from | numbers |
+      | 0    | 0.0  | 0    | none    |
+      | 0    | 1.0  | 0    | 0,1,2,3 |
+      | 0    | 1.0  | 2    | 2,3     |
+      | 2    | 1.0  | 1    | 1,3     |
+      | 2    | 1.0  | 0    | 0,1,2,3 |
 
   Scenario: A cache that is full drops the prefixes used longest ago
     Given an engine stand-in of 20480 tokens with a clock of its own
--- a/features/steps/engine_stand_in_steps.py
+++ b/features/steps/engine_stand_in_steps.py
@@ -112,18 +112,22 @@
     assert context.times[0] >= 4 * context.times[1], context.times
 
 
-@when("a prompt of {tokens:d} tokens is run and its events are read after {wait:f} s")
-def step_events(context, tokens, wait):
+@when(
+    "a prompt of {tokens:d} tokens is run"
+    " and its events from {start:d} on are read after {wait:f} s"
+)
+def step_events(context, tokens, start, wait):
+    context.start = start
     context.engine.accept(make_call("a", tokens))
     # Up to the end of the prefill only, so that the events are not yet old.
-    while not context.engine.cache.blocks:
+    while not context.engine.cache.lengths:
         context.engine.step(0.1)
     context.clock.now_s += wait
 
 
 @then("the cache events have the numbers {numbers}")
 def step_numbers(context, numbers):
-    answer = context.engine.published_events(0)
+    answer = context.engine.published_events(context.start)
     found = ",".join(str(event.seq) for event in answer.events)
     assert (found or "none") == numbers, answer
     assert all(event.cached for event in answer.events)
--- a/stand_ins/engine_cache.py
+++ b/stand_ins/engine_cache.py
@@ -6,11 +6,10 @@
 from time import monotonic
 
 from lagoonhinge_core.engine_messages import CacheEvent
-from lagoonhinge_core.prefix_blocks import BLOCK_BYTES, prefix_names
-from stand_ins.answers import BYTES_PER_TOKEN
+from lagoonhinge_core.prefix_index import prefixes_of
+from stand_ins.answers import count_tokens
 
-BLOCK_TOKENS = BLOCK_BYTES // BYTES_PER_TOKEN
-MAX_KEPT_EVENTS = 2048
+MAX_KEPT_EVENTS = 4096
 
 
 @dataclass(frozen=True)
@@ -21,65 +20,79 @@
     event: CacheEvent
 
 
+@dataclass(frozen=True)
+class CacheEventsRead:
+    """Published events, and the number of the first one that is not published yet."""
+
+    events: tuple[CacheEvent, ...]
+    next_seq: int
+
+
 @dataclass
 class PrefixCache:
-    """Blocks of prompt prefixes, the least recently used ones dropped first.
+    """Prefixes of prompts, the least recently used ones dropped first.
 
     Attributes:
         max_tokens: Memory of the cache, in tokens.
         event_lag_s: Age at which an event is published, in seconds.
         clock: Source of time.
-        lose_every: Each event whose number is a multiple is never published; 0 for
-            none.
+        lose_every: Each event whose number is a multiple is left out of what is read
+            on from a later number than 0; 0 for none.
+        lengths: Length of each cached prefix, in tokens, by name.
     """
 
     max_tokens: int
     event_lag_s: float
     clock: Callable[[], float] = monotonic
     lose_every: int = 0
-    blocks: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    lengths: OrderedDict[str, int] = field(default_factory=OrderedDict)
     events: deque[TimedEvent] = field(
         default_factory=lambda: deque(maxlen=MAX_KEPT_EVENTS)
     )
-    next_seq: int = 1
+    next_seq: int = 0
 
     def cached_tokens(self, prompt: str) -> int:
-        """Return the length of the prompt's cached prefix, in tokens."""
-        names = prefix_names(prompt.encode(), len(self.blocks))
-        count = 0
-        while count < len(names) and names[count] in self.blocks:
-            count += 1
-        return count * BLOCK_TOKENS
+        """Return the length of the prompt's longest cached prefix, in tokens."""
+        if not self.lengths:
+            return 0
+        for prefix in prefixes_of(prompt):
+            if prefix.digest in self.lengths:
+                return self.lengths[prefix.digest]
+        return 0
 
     def store(self, prompt: str) -> None:
         """Keep as much of a prompt's prefix as the cache can hold."""
-        names = prefix_names(prompt.encode(), self.max_tokens // BLOCK_TOKENS)
-        # Shorter prefixes are touched last, since longer ones are useless without.
-        for name in reversed(names):
-            if name not in self.blocks:
-                self._note(name, True)
-            self.blocks[name] = None
-            self.blocks.move_to_end(name)
-        while len(self.blocks) * BLOCK_TOKENS > self.max_tokens:
-            name, _ = self.blocks.popitem(last=False)
+        tokens = count_tokens(prompt)
+        # Longest first: shorter prefixes are used by more prompts and stay longer.
+        for prefix in prefixes_of(prompt):
+            length = int(prefix.part * tokens)
+            if length > self.max_tokens:
+                continue
+            if prefix.digest not in self.lengths:
+                self._note(prefix.digest, True)
+            self.lengths[prefix.digest] = length
+            self.lengths.move_to_end(prefix.digest)
+        while sum(self.lengths.values()) > self.max_tokens:
+            name, _ = self.lengths.popitem(last=False)
             self._note(name, False)
 
-    def published(self, after_seq: int) -> tuple[CacheEvent, ...]:
-        """Return the events after a number that are old enough to be published."""
+    def published(self, from_seq: int) -> CacheEventsRead:
+        """Return the events from a number on that are old enough to be published.
+
+        Args:
+            from_seq: First number wanted; 0 reads everything, without gaps.
+        """
         limit = self.clock() - self.event_lag_s
-        return tuple(
-            timed.event
-            for timed in self.events
-            if timed.at <= limit
-            and timed.event.seq > after_seq
-            and not self._is_lost(timed.event.seq)
-        )
+        events = [timed.event for timed in self.events if timed.at <= limit]
+        next_seq = events[-1].seq + 1 if events else 0
+        if from_seq > 0:
+            events = [e for e in events if e.seq >= from_seq and not self._is_lost(e)]
+        return CacheEventsRead(tuple(events), next_seq)
 
     def _note(self, name: str, cached: bool) -> None:
-        self.events.append(
-            TimedEvent(self.clock(), CacheEvent(self.next_seq, name, cached))
-        )
+        event = CacheEvent(self.next_seq, name, cached)
+        self.events.append(TimedEvent(self.clock(), event))
         self.next_seq += 1
 
-    def _is_lost(self, seq: int) -> bool:
-        return self.lose_every > 0 and seq % self.lose_every == 0
+    def _is_lost(self, event: CacheEvent) -> bool:
+        return self.lose_every > 0 and event.seq % self.lose_every == 0
--- a/stand_ins/engine_state.py
+++ b/stand_ins/engine_state.py
@@ -228,11 +228,10 @@
         )
         return Holdings(self.boot, self.memory.holdings() + waiting)
 
-    def published_events(self, after_seq: int) -> CacheEvents:
-        """Return the cache events after a number that are published so far."""
-        events = self.cache.published(after_seq)
-        next_seq = events[-1].seq + 1 if events else after_seq + 1
-        return CacheEvents(self.boot, events, next_seq)
+    def published_events(self, from_seq: int) -> CacheEvents:
+        """Return the cache events from a number on that are published so far."""
+        read = self.cache.published(from_seq)
+        return CacheEvents(self.boot, read.events, read.next_seq)
 
     def obey(self, order: Order) -> OrderReport | Refusal:
         """Take an order, unless its fencing number is old and checked."""
