Groups: prompts larger than one engine's memory

Cause: a prompt that no engine holds was placed on one and rejected. Ruled out: reserving on one member after another while holding the rest (two nodes then wait for each other); one name for all tries of a request (a late release of an earlier try frees what the next one took). Change: the prompt is split over as few members as hold it, by their free memory, at character boundaries. Members are reserved in the order of their names, at once or not at all; when one refuses all are released and the node tries again after a random pause, for a quarter of the time left and 30 s at most. All spans but the last are processed in parallel and exported; the roomiest member imports them and answers. A silent span is looked up over a new connection and joined again. Everything is released on success, failure, a caller that goes away and the end of the time bound; after a death by expiry or by the reaper. Conclusion: a group is answered whole or fails truthfully, and every ledger returns to zero.

--- /dev/null
+++ b/features/steps/groups_steps.py
@@ -0,0 +1,195 @@
+"""Steps that form groups over fake engines in virtual time."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+from hypothesis import given as hypothesis_given
+from hypothesis import settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from features.support.group_engines import StepFault
+from features.support.group_rig import GroupRig, expected_answer
+from lagoonhinge_core.engine_messages import ReservationRequest
+from lagoonhinge_core.groups import GroupMember, GroupPlan, plan_group
+from lagoonhinge_core.tokens import TokenEstimate
+from stand_ins.answers import BYTES_PER_TOKEN
+
+BOUND_S = 120.0
+MANY_CALLS = 200
+LETTERS = "aé漢🙂"
+
+
+def make_prompt(tokens: int) -> str:
+    """Return a prompt of about a length in tokens, of characters of all widths."""
+    line = "core record 76-12 é漢🙂 "
+    count = tokens * BYTES_PER_TOKEN // len(line.encode())
+    rest = tokens * BYTES_PER_TOKEN - count * len(line.encode())
+    return line * count + "x" * rest
+
+
+@when(
+    "a prompt of {prompt:d} tokens and an answer of {answer:d} are planned over {free}"
+)
+def step_plan(context, prompt, answer, free):
+    members = []
+    for entry in free.split(", "):
+        name, tokens = entry.split()
+        members.append(GroupMember(name, int(tokens)))
+    estimate = TokenEstimate(prompt, answer)
+    context.plan = plan_group(members, make_prompt(prompt), estimate)
+
+
+@then("the plan is {plan}")
+def step_plan_is(context, plan):
+    if not isinstance(context.plan, GroupPlan):
+        assert plan == "no room", context.plan
+        return
+    found = ", ".join(span.member for span in context.plan.spans)
+    assert found == plan, context.plan
+
+
+@then("any plan keeps the prompt, the free memory and the order of the names")
+def step_any_plan(context):
+    check_any_plan()
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=300)
+@hypothesis_given(
+    free=st.lists(st.integers(0, 500), max_size=8),
+    prompt=st.text(LETTERS, min_size=1, max_size=1000),
+    answer=st.integers(1, 100),
+)
+def check_any_plan(free, prompt, answer):
+    """Check one plan against what every plan must keep."""
+    members = [GroupMember(f"engine-{i}", tokens) for i, tokens in enumerate(free)]
+    estimate = TokenEstimate(max(1, len(prompt.encode()) // BYTES_PER_TOKEN), answer)
+    plan = plan_group(members, prompt, estimate)
+    if not isinstance(plan, GroupPlan):
+        roomiest = max(free, default=0)
+        assert sum(free) < estimate.total() or roomiest <= answer + 1
+        return
+    by_name = {member.name: member.free_tokens for member in members}
+    names = [span.member for span in plan.spans]
+    assert "".join(span.text for span in plan.spans) == prompt
+    assert len(set(names)) == len(names)
+    assert names[:-1] == sorted(names[:-1])
+    for span in plan.spans:
+        assert 0 < span.reserve_tokens <= by_name[span.member]
+    assert plan.spans[-1].estimate.output_tokens == answer
+    ordered = [span.member for span in plan.in_reserving_order()]
+    assert ordered == sorted(names)
+
+
+@given("a zone of engines with {memory} tokens and {nodes:d} nodes")
+def step_zone_nodes(context, memory, nodes):
+    context.rig = GroupRig([int(size) for size in memory.split(", ")], nodes)
+    context.add_cleanup(context.rig.close)
+
+
+@given("a zone of engines with {memory} tokens")
+def step_zone(context, memory):
+    step_zone_nodes(context, memory, 1)
+
+
+@given("at call {call:d} of {step} the fault {fault}")
+def step_fault(context, call, step, fault):
+    context.rig.engines.faults.append(StepFault(step, call, fault))
+
+
+@given("at every call of {step} the fault {fault}")
+def step_every_fault(context, step, fault):
+    context.rig.engines.faults += [
+        StepFault(step, call, fault) for call in range(1, MANY_CALLS)
+    ]
+
+
+@given("at call {call:d} of {step} the caller goes away")
+def step_caller(context, call, step):
+    _on_step(context, step, call, lambda: context.task.cancel())
+
+
+@given("at call {call:d} of {step} the time bound passes")
+def step_bound(context, call, step):
+    _on_step(context, step, call, lambda: context.rig.loop.freeze(BOUND_S + 1))
+
+
+def _on_step(context, step, call, act):
+    def reached(at_step, at_call):
+        if (at_step, at_call) == (step, call):
+            act()
+
+    context.rig.engines.on_step = reached
+
+
+@given("the engines of the zone process {rate:d} tokens a second")
+def step_rate(context, rate):
+    for engine in context.rig.engines.engines.values():
+        engine.rates = replace(engine.rates, prefill_tokens_per_s=float(rate))
+
+
+@then("{count:d} calls of {step} were made")
+def step_calls(context, count, step):
+    assert context.rig.engines.calls[step] == count, context.rig.engines.calls
+
+
+@given("another owner holds {tokens:d} tokens of {engine}")
+def step_other(context, tokens, engine):
+    request = ReservationRequest("other", "vm-other/1", tokens, 1000.0)
+    assert context.rig.engines.engines[engine].reserve(request) is None
+
+
+@when("a prompt of {tokens:d} tokens is sent to the zone")
+def step_send(context, tokens):
+    context.prompt = make_prompt(tokens)
+    context.task = context.rig.start(context.prompt)
+    context.outcome = context.rig.finish(context.task)
+
+
+@then("the request to the zone is {end}")
+def step_end(context, end):
+    match end.split(": "):
+        case ["cancelled"]:
+            assert context.outcome is None, context.outcome
+        case ["answered"]:
+            result, text, _ = context.outcome
+            assert isinstance(result, Success), result
+            assert text == expected_answer(context.prompt), text
+        case ["refused", kind]:
+            _check_refused(context.outcome[0], *kind.split(", "))
+
+
+def _check_refused(result, code, outcome="not-run"):
+    assert isinstance(result, Failure), result
+    failure = result.failure()
+    assert (failure.code, failure.outcome) == (code, outcome), failure
+    if code != "prompt_too_long":
+        assert failure.retry_after_s, failure
+
+
+@then("it ended within {bound:d} s")
+def step_within(context, bound):
+    assert context.outcome[2] <= bound, context.outcome
+
+
+@then("the zone holds nothing afterwards")
+def step_nothing(context):
+    context.rig.settle()
+
+
+@when("each node sends a prompt of {tokens:d} tokens to the zone at once")
+def step_send_each(context, tokens):
+    prompts = [make_prompt(tokens - n) for n in range(len(context.rig.nodes))]
+    tasks = [context.rig.start(prompt, n) for n, prompt in enumerate(prompts)]
+    context.ends = [
+        (prompt, context.rig.finish(task))
+        for prompt, task in zip(prompts, tasks, strict=True)
+    ]
+
+
+@then("every request to the zone is answered within its bound")
+def step_all_answered(context):
+    for prompt, (result, text, elapsed_s) in context.ends:
+        assert isinstance(result, Success), result
+        assert text == expected_answer(prompt)
+        assert elapsed_s <= BOUND_S
--- /dev/null
+++ b/features/support/group_rig.py
@@ -0,0 +1,159 @@
+"""Nodes that form groups over the same engines, in virtual time."""
+
+from asyncio import CancelledError, set_event_loop, sleep
+from random import Random
+
+from features.support.group_engines import GroupEngines
+from features.support.virtual_time import VirtualLoop
+from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.config import (
+    Config,
+    LeastInFlight,
+    ModelConfig,
+    ModelService,
+    UpstreamConfig,
+)
+from lagoonhinge_core.engine_messages import Sampling
+from lagoonhinge_core.identity import NodeId
+from lagoonhinge_core.in_flight import InFlightLedger
+from lagoonhinge_core.request import ModelRequest
+from lagoonhinge_core.sections import (
+    ConfigSection,
+    NodeSection,
+    Readiness,
+    UpstreamsSection,
+)
+from lagoonhinge_core.tokens import TokenEstimate, TokenEstimator
+from lagoonhinge_node.admission import Admission
+from lagoonhinge_node.group_path import GroupPath
+from lagoonhinge_node.model_path import ModelPath
+from lagoonhinge_node.releases import Releaser
+from stand_ins.answers import BYTES_PER_TOKEN, whole_answer
+
+ZONE = "perth-north"
+SEED = 7
+OUTPUT_TOKENS = 20
+STALL_S = 5.0
+SETTLE_S = 20.0
+
+
+class Sink:
+    """Takes an answer that can't be taken back."""
+
+    def __init__(self):
+        self.parts = []
+
+    async def write(self, text):
+        """Take a part."""
+        self.parts.append(text)
+
+    def restart(self):
+        """Return whether the answer may begin anew."""
+        return not self.parts
+
+
+class GroupNode:
+    """The part of one node that serves model requests."""
+
+    def __init__(self, number, loop, engines, config):
+        node = NodeId(f"vm-{number}", 1)
+        self.board = Blackboard()
+        section = NodeSection(node, "perth", ZONE, Readiness.READY, 0.0)
+        self.board.writer(section, "test")
+        self.board.writer(ConfigSection(1, "", config), "test")
+        self.board.writer(UpstreamsSection(), "test")
+        self.ledger = InFlightLedger()
+        self.releaser = Releaser(engines)
+        self.admission = Admission(self.board)
+        groups = GroupPath(
+            self.board, engines, loop, Random(number), self.ledger, self.releaser
+        )
+        self.path = ModelPath(
+            self.board,
+            engines,
+            loop,
+            self.admission,
+            self.ledger,
+            self.releaser,
+            TokenEstimator({"compliance": 4.0}),
+            groups,
+        )
+
+
+class GroupRig:
+    """One zone: its engines, and nodes that don't know of each other."""
+
+    def __init__(self, kv_tokens, nodes=1):
+        self.loop = VirtualLoop()
+        set_event_loop(self.loop)
+        sizes = {f"engine-{i}": size for i, size in enumerate(kv_tokens)}
+        self.engines = GroupEngines(self.loop, sizes)
+        config = Config(
+            models={"compliance": ModelConfig()},
+            services={
+                "assistant": ModelService("compliance", placement=LeastInFlight())
+            },
+            upstreams={
+                name: UpstreamConfig(
+                    f"http://{name}", ZONE, "assistant", kv_tokens=size
+                )
+                for name, size in sizes.items()
+            },
+        )
+        self.nodes = [
+            GroupNode(i, self.loop, self.engines, config) for i in range(nodes)
+        ]
+        self.stepping = self.loop.create_task(self.engines.run_steps())
+
+    def start(self, prompt, node=0, bound_s=120.0):
+        """Start a request; returns its task, which gives the answer or a failure."""
+        request = ModelRequest(
+            request_id=f"request-{node}-{len(prompt)}",
+            account="tube-mills",
+            service="assistant",
+            model="compliance",
+            prompt=prompt,
+            prompt_bytes=len(prompt.encode()),
+            estimate=TokenEstimate(
+                len(prompt.encode()) // BYTES_PER_TOKEN, OUTPUT_TOKENS
+            ),
+            seed=SEED,
+            sampling=Sampling(),
+            deadline_s=self.loop.time() + bound_s,
+            stall_timeout_s=STALL_S,
+        )
+        return self.loop.create_task(self._run(self.nodes[node], request))
+
+    async def _run(self, node, request):
+        sink = Sink()
+        started_s = self.loop.time()
+        result = await node.path.run(request, sink)
+        return result, "".join(sink.parts), self.loop.time() - started_s
+
+    def finish(self, task):
+        """Run a request to its end; `None` if it was cancelled."""
+        try:
+            return self.loop.run_until_complete(task)
+        except CancelledError:
+            return None
+
+    def settle(self):
+        """Let releases finish; nothing may be held, long before any expiry."""
+        self.loop.run_until_complete(sleep(SETTLE_S))
+        held = {name: e.held().holdings for name, e in self.engines.engines.items()}
+        assert not any(held.values()), held
+        for node in self.nodes:
+            assert not node.ledger.open_items, node.ledger.open_items
+            assert not node.admission.admitted
+            assert not node.releaser.pending
+
+    def close(self):
+        """End the loop."""
+        self.stepping.cancel()
+        self.loop.run_until_complete(sleep(0))
+        self.loop.close()
+
+
+def expected_answer(prompt) -> str:
+    """Return the whole answer to a prompt."""
+    return whole_answer(prompt, OUTPUT_TOKENS, SEED)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/attempts.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/attempts.py
@@ -18,6 +18,7 @@
     after_interruption,
 )
 from lagoonhinge_core.request import ModelRequest
+from lagoonhinge_core.tokens import TokenEstimate
 from lagoonhinge_core.upstream_errors import (
     Broken,
     Gone,
@@ -45,6 +46,8 @@
         config: Its configuration.
         reservation: Memory reservation to run in, for a group.
         spans: Spans to import first, for a group.
+        prompt: Text of the last span, for a group; `None` for the whole prompt.
+        estimate: Work on this upstream, for a group; `None` for the whole request.
         boot: The upstream's run as last reported, `""` if it never reported.
     """
 
@@ -53,6 +56,8 @@
     config: UpstreamConfig
     reservation: str | None = None
     spans: tuple[SpanRef, ...] = ()
+    prompt: str | None = None
+    estimate: TokenEstimate | None = None
     boot: str = ""
 
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -24,6 +24,7 @@
 from lagoonhinge_node.clock import SystemClock
 from lagoonhinge_node.config_controller import ConfigController
 from lagoonhinge_node.engine_client import HttpEngineClient
+from lagoonhinge_node.group_path import GroupPath
 from lagoonhinge_node.listener import Listener
 from lagoonhinge_node.logs import PartLogger
 from lagoonhinge_node.membership_controller import MembershipController
@@ -75,7 +76,7 @@
         self.session = open_session()
         self.engines = HttpEngineClient()
         platform = HttpPlatform(self.session, settings.platform_url)
-        self.releaser = Releaser(self.engines, clock)
+        self.releaser = Releaser(self.engines)
         self.config = ConfigController(
             self.board,
             platform,
@@ -109,6 +110,9 @@
             self.board, self.engines, clock, self.ledger, self.releaser
         )
         self.admission = Admission(self.board)
+        groups = GroupPath(
+            self.board, self.engines, clock, self.random, self.ledger, self.releaser
+        )
         models = ModelPath(
             self.board,
             self.engines,
@@ -117,6 +121,7 @@
             self.ledger,
             self.releaser,
             self.estimator,
+            groups,
         )
         plain = PlainPath(self.board, HttpPlainClient(self.session), clock, self.ledger)
         reader = RequestReader(self.board, clock, self.estimator)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/releases.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/releases.py
@@ -6,7 +6,7 @@
 from mode import Service
 from returns.result import Failure, Success
 
-from lagoonhinge_core.ports import Clock, EngineClient
+from lagoonhinge_core.ports import EngineClient
 from lagoonhinge_core.upstream_errors import Silent
 from lagoonhinge_node.logs import PartLogger
 
@@ -41,10 +41,9 @@
     what is left then ends by its expiry or is found by another node's reaper.
     """
 
-    def __init__(self, engines: EngineClient, clock: Clock):
+    def __init__(self, engines: EngineClient):
         super().__init__()
         self.engines = engines
-        self.clock = clock
         self.log_part = PartLogger("release")
         self.pending: dict[Release, Future[None]] = {}
         self.calls = Semaphore(MAX_CALLS_AT_ONCE)
@@ -75,7 +74,7 @@
     async def _repeat(self, release: Release) -> None:
         pause_s = FIRST_PAUSE_S
         try:
-            while self.clock.monotonic_s() < release.until_monotonic_s:
+            while self.loop.time() < release.until_monotonic_s:
                 if await self._release(release):
                     return
                 await sleep(pause_s)
