Groups: random faults during two groups at once

Cause: single faults were tested at each step, not several together. Change: a property over up to five faults, a caller that may leave, and two nodes; every end must be a whole answer or a truthful failure, and a request refused as not run must not have begun on any engine.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -148,3 +148,6 @@
     When a prompt of 2500 tokens is sent to the zone
     Then the request to the zone is refused: overloaded, not-run
     And it ended within 31 s
+
+  Scenario: Any few faults, of any two nodes at once, leave whole answers or truthful failures
+    Then random faults during two groups are all survived
--- a/features/steps/groups_steps.py
+++ b/features/steps/groups_steps.py
@@ -193,3 +193,46 @@
         assert isinstance(result, Success), result
         assert text == expected_answer(prompt)
         assert elapsed_s <= BOUND_S
+
+
+CALLS = st.integers(1, 8)
+FAULTS = st.builds(
+    StepFault,
+    step=st.sampled_from(("reserve", "prefill", "open", "read", "release")),
+    call=st.integers(1, 8),
+    fault=st.sampled_from(("refuse", "unreachable", "crash", "cut", "silent")),
+)
+
+
+@then("random faults during two groups are all survived")
+def step_random_faults(context):
+    check_faults()
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=60)
+@hypothesis_given(
+    faults=st.lists(FAULTS, min_size=1, max_size=5),
+    leaver=st.none()
+    | st.tuples(st.sampled_from(("reserve", "prefill", "read")), CALLS),
+    sizes=st.tuples(st.integers(300, 2800), st.integers(300, 2800)),
+)
+def check_faults(faults, leaver, sizes):
+    """Run two requests through faults and check their ends and what is held."""
+    rig = GroupRig([1000, 1000, 1000], 2)
+    rig.engines.faults += faults
+    prompts = [make_prompt(size) for size in sizes]
+    tasks = [rig.start(prompt, node) for node, prompt in enumerate(prompts)]
+    if leaver is not None:
+        rig.engines.on_step = lambda *at: tasks[0].cancel() if at == leaver else None
+    for node, (prompt, task) in enumerate(zip(prompts, tasks, strict=True)):
+        outcome = rig.finish(task)
+        if outcome is None:
+            continue
+        result, text, elapsed_s = outcome
+        assert elapsed_s <= BOUND_S + 1, elapsed_s
+        if isinstance(result, Success):
+            assert text == expected_answer(prompt)
+        elif result.failure().outcome == "not-run":
+            assert f"vm-{node}/1" not in rig.engines.started, result
+    rig.settle()
+    rig.close()
--- a/features/support/group_engines.py
+++ b/features/support/group_engines.py
@@ -45,6 +45,7 @@
     kv_tokens: dict[str, int]
     faults: list[StepFault] = field(default_factory=list)
     calls: dict[str, int] = field(default_factory=dict)
+    started: set[str] = field(default_factory=set)
     on_step: Callable[[str, int], None] = lambda step, call: None
 
     def __post_init__(self):
@@ -76,9 +77,11 @@
         """Process a span."""
         until_s = self.loop.time() + timeout_s
         engine = self.engines[_name(url)]
-        answer = await self._call(
-            "prefill", url, timeout_s, lambda engine: engine.add_span(request)
-        )
+
+        def add(engine):
+            return self._note(request.owner, engine.add_span(request))
+
+        answer = await self._call("prefill", url, timeout_s, add)
         while isinstance(answer, Success):
             if engine is not self.engines[_name(url)]:
                 return Failure(Broken("crashed"))
@@ -102,7 +105,7 @@
                 if run is None or not run.is_ready():
                     return Refusal(503, f"{span.export} is missing")
                 texts.append(run.request.prompt)
-            return engine.accept(call, "".join(texts))
+            return self._note(call.owner, engine.accept(call, "".join(texts)))
 
         answer = await self._call("open", url, timeout_s, accept)
         return answer.map(lambda run: GroupStream(self, _name(url), run, 0))
@@ -130,6 +133,12 @@
     async def drop_connections(self, url):
         """Forget connections; there are none."""
 
+    def _note(self, owner, answer):
+        """Remember whose work was begun."""
+        if not isinstance(answer, Refusal):
+            self.started.add(owner)
+        return answer
+
     async def _call(self, step, url, timeout_s, act):
         await sleep(TICK_S)
         name = _name(url)
