--- a/features/groups.feature
+++ b/features/groups.feature
@@ -2,7 +2,7 @@
 
   Scenario Outline: A plan spreads the prompt over as few members as hold it
     When a prompt of <prompt> tokens and an answer of <answer> are planned over <free>
-    Then the plan is <plan>
+    Then the group plan is <plan>
 
     Examples: free memory by member; the plan's members in the order of the prompt
       | prompt | answer | free                   | plan             |
@@ -109,7 +109,7 @@
     And at every call of <step> the fault <fault>
     When a prompt of 2500 tokens is sent to the zone
     Then the request to the zone is refused: <end>
-    And it ended within <bound> s
+    And the group request ended within <bound> s
     And the zone holds nothing afterwards
 
     Examples:
@@ -118,10 +118,10 @@
       | reserve | unreachable | overloaded, not-run      | 31    |
       | reserve | cut         | overloaded, not-run      | 31    |
       | reserve | silent      | overloaded, not-run      | 34    |
-      | prefill | refuse      | overloaded, failed       | 11    |
+      | prefill | refuse      | upstream_failed, failed  | 11    |
       | prefill | crash       | upstream_failed, failed  | 11    |
-      | open    | refuse      | overloaded, failed       | 11    |
-      | open    | crash       | upstream_failed, failed  | 60    |
+      | open    | refuse      | upstream_failed, failed  | 11    |
+      | open    | crash       | upstream_failed, unknown | 60    |
 
   Scenario Outline: Nodes that form groups at once neither deadlock nor starve
     Given a zone of engines with <memory> tokens and <nodes> nodes
@@ -160,7 +160,7 @@
     And another owner holds 1000 tokens of engine-1
     When a prompt of 2500 tokens is sent to the zone
     Then the request to the zone is refused: overloaded, not-run
-    And it ended within 31 s
+    And the group request ended within 31 s
 
   Scenario: Any few faults, of any two nodes at once, leave whole answers or truthful failures
     Then random faults during two groups are all survived
--- a/features/memory.feature
+++ b/features/memory.feature
@@ -4,7 +4,7 @@
     Given a holding of <owner>, <age> s old, that expires in <expires> s
     And the reaper's node uses the name: <used>
     When the reaper judges the holding
-    Then the verdict is "<verdict>"
+    Then the reaper answers "<verdict>"
 
     Examples:
       | owner               | age  | expires | used | verdict                    |
@@ -55,7 +55,7 @@
   Scenario Outline: A release is repeated until it is confirmed
     Given an engine on which <fault>
     When a release is submitted and <event>
-    Then the release is <end>
+    Then the engine's release is <end>
 
     Examples:
       | fault                             | event                      | end                          |
--- a/features/steps/groups_steps.py
+++ b/features/steps/groups_steps.py
@@ -40,7 +40,7 @@
     context.plan = plan_group(members, make_prompt(prompt), estimate)
 
 
-@then("the plan is {plan}")
+@then("the group plan is {plan}")
 def step_plan_is(context, plan):
     if not isinstance(context.plan, GroupPlan):
         assert plan == "no room", context.plan
@@ -167,7 +167,7 @@
         assert failure.retry_after_s, failure
 
 
-@then("it ended within {bound:d} s")
+@then("the group request ended within {bound:d} s")
 def step_within(context, bound):
     assert context.outcome[2] <= bound, context.outcome
 
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -56,7 +56,7 @@
     context.verdict = judge(context.holding, context.known)
 
 
-@then('the verdict is "{verdict}"')
+@then('the reaper answers "{verdict}"')
 def step_verdict(context, verdict):
     assert context.verdict == verdict, context.verdict
 
@@ -184,17 +184,17 @@
         await sleep(0.01)
 
 
-@then("the release is confirmed after {calls:d} calls")
+@then("the engine's release is confirmed after {calls:d} calls")
 def step_confirmed(context, calls):
     assert context.engine.calls == calls, context.engine.calls
 
 
-@then("the release is left to expire")
+@then("the engine's release is left to expire")
 def step_expired(context):
     assert context.engine.calls < 999
 
 
-@then("the release is left pending, and said so")
+@then("the engine's release is left pending, and said so")
 def step_left(context):
     assert [left.name for left in context.left] == [RELEASE.name], context.left
 
--- a/features/support/group_rig.py
+++ b/features/support/group_rig.py
@@ -1,7 +1,6 @@
 """Nodes that form groups over the same engines, in virtual time."""
 
 from asyncio import CancelledError, set_event_loop, sleep
-from random import Random
 
 from features.support.group_engines import GroupEngines
 from features.support.virtual_time import VirtualLoop
@@ -25,7 +24,6 @@
 )
 from lagoonhinge_core.tokens import TokenEstimate, TokenEstimator
 from lagoonhinge_node.admission import Admission
-from lagoonhinge_node.group_path import GroupPath
 from lagoonhinge_node.model_path import ModelPath
 from lagoonhinge_node.releases import Releaser
 from stand_ins.answers import BYTES_PER_TOKEN, whole_answer
@@ -65,9 +63,6 @@
         self.ledger = InFlightLedger()
         self.releaser = Releaser(engines)
         self.admission = Admission(self.board)
-        groups = GroupPath(
-            self.board, engines, loop, Random(number), self.ledger, self.releaser
-        )
         self.path = ModelPath(
             self.board,
             engines,
@@ -76,7 +71,6 @@
             self.ledger,
             self.releaser,
             TokenEstimator({"compliance": 4.0}),
-            groups,
         )
 
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/group_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/group_path.py
@@ -39,6 +39,8 @@
 EXPIRY_MARGIN_S = 5.0
 RETRY_AFTER_S = 2.0
 SPAN_PRIORITY = 10
+# Other spans may have been processed, but nothing was answered.
+FILLED_OUTCOME = Outcome.FAILED
 
 
 @dataclass(frozen=True)
@@ -206,10 +208,12 @@
                     # new one, and join the same span again if it is still there.
                     await self.engines.drop_connections(hold.config.url)
                     if not await self._still_holds(hold):
-                        return GroupEnded(hold.span.member, AttemptEnded(error, True))
+                        return GroupEnded(
+                            hold.span.member, AttemptEnded(error, FILLED_OUTCOME)
+                        )
                 case Failure(error):
                     died = await self._has_died(hold, error)
-                    ended = AttemptEnded(error, True, died)
+                    ended = AttemptEnded(error, FILLED_OUTCOME, died)
                     return GroupEnded(hold.span.member, ended)
 
     async def _still_holds(self, hold: MemberHold) -> bool:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -24,7 +24,6 @@
 from lagoonhinge_node.clock import SystemClock
 from lagoonhinge_node.config_controller import ConfigController
 from lagoonhinge_node.engine_client import HttpEngineClient
-from lagoonhinge_node.group_path import GroupPath
 from lagoonhinge_node.listener import Listener
 from lagoonhinge_node.logs import PartLogger
 from lagoonhinge_node.membership_controller import MembershipController
@@ -118,9 +117,6 @@
         )
         self.membership.on_heard.append(self.config.follow_digest)
         self.admission = Admission(self.board)
-        groups = GroupPath(
-            self.board, self.engines, clock, self.random, self.ledger, self.releaser
-        )
         models = ModelPath(
             self.board,
             self.engines,
@@ -129,7 +125,6 @@
             self.ledger,
             self.releaser,
             self.estimator,
-            groups,
         )
         plain = PlainPath(self.board, HttpPlainClient(self.session), clock, self.ledger)
         reader = RequestReader(self.board, clock, self.estimator)
