Place by length, queue fairly, hold accounts to shared limits

Cause: the thin path placed by tokens in flight, admitted by a count and held no account to its limit, so short prompts waited behind long ones, one account could take the whole fleet, and late requests were held until their bound.

Ruled out: one router per zone; permits from a home node; an equal static split of limits (a node with all of an account's callers would get a ninth); deficit round robin (start tags also give the predicted start that the deadline check needs).

Change: length-aware placement with a split that follows demand, engine priorities with ageing, memory ledger, prefix index and report correction; a fair queue per service and length class with bounded dispatch to upstreams; refusal when the bound gets out of reach, also in line; shedding of the account with the most in line; limits shared by gossiped demand so that shares never add up to more than the limit.

--- /dev/null
+++ b/features/steps/fairness_steps.py
@@ -0,0 +1,425 @@
+"""Steps on fair queueing, limits, admission and the retry budget."""
+
+from asyncio import run
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from features.support.admitting import AdmittingNode
+from lagoonhinge_core.config import AccountConfig
+from lagoonhinge_core.fair_queue import FairQueue, QueueItem
+from lagoonhinge_core.identity import NodeId
+from lagoonhinge_core.limits import AccountLimits, DemandShares
+from lagoonhinge_core.outcome import Outcome
+from lagoonhinge_core.retry_budget import RetryBudget
+
+FUZZ = {"derandomize": True, "database": None, "deadline": None}
+WEIGHTS = {"a": 1.0, "b": 2.0, "c": 0.5}
+ITEM_TOKENS = 10
+LIMIT = 1000.0
+
+
+class FairQueueMachine(RuleBasedStateMachine):
+    """The queue against start-time fair queueing written over plain dictionaries."""
+
+    def __init__(self):
+        super().__init__()
+        self.queue = FairQueue()
+        self.virtual_time = 0.0
+        self.finish = {}
+        self.line = {}
+        self.number = 0
+
+    @rule(account=st.sampled_from("abc"), tokens=st.integers(1, 9))
+    def push(self, account, tokens):
+        self.number += 1
+        weight = WEIGHTS[account]
+        start = max(self.virtual_time, self.finish.get(account, 0.0))
+        self.finish[account] = start + tokens / weight
+        name = f"r{self.number}"
+        self.line[name] = (start, self.number, account, tokens)
+        self.queue.push(QueueItem(name, account, tokens, weight))
+
+    @precondition(lambda self: self.line)
+    @rule()
+    def pop(self):
+        name = min(self.line, key=lambda item: self.line[item][:2])
+        start, *_ = self.line.pop(name)
+        self.virtual_time = max(self.virtual_time, start)
+        assert self.queue.pop().request_id == name
+
+    @precondition(lambda self: self.line)
+    @rule(data=st.data())
+    def cancel(self, data):
+        name = data.draw(st.sampled_from(sorted(self.line)))
+        _, _, account, tokens = self.line.pop(name)
+        self.finish[account] -= tokens / WEIGHTS[account]
+        self.queue.cancel(name)
+
+    @rule()
+    def forget(self):
+        self.queue.forget_idle()
+
+    @invariant()
+    def counts_agree(self):
+        loads = dict.fromkeys(WEIGHTS, 0.0)
+        for _, _, account, tokens in self.line.values():
+            loads[account] += tokens / WEIGHTS[account]
+        assert len(self.queue) == len(self.line)
+        assert self.queue.tokens == sum(entry[3] for entry in self.line.values())
+        ordered = sorted(self.line, key=lambda item: self.line[item][:2])
+        assert [item.request_id for item in self.queue.in_order()] == ordered
+        heaviest = self.queue.heaviest_account()
+        assert (heaviest is None) == (not self.line)
+        if heaviest is not None:
+            assert self.queue.load(heaviest) == max(loads.values())
+        for account, load in loads.items():
+            assert self.queue.load(account) == load
+
+
+@then("random pushes, pops and cancels match a dictionary oracle of fair queueing")
+def step_queue_machine(context):
+    run_state_machine_as_test(
+        FairQueueMachine, settings=settings(max_examples=150, **FUZZ)
+    )
+
+
+@given("accounts in line with weights and backlogs {accounts}")
+def step_accounts(context, accounts):
+    context.arrivals = []
+    context.weights = {}
+    for text in accounts.split():
+        name, weight, tokens = text.split(":")
+        context.weights[name] = float(weight)
+        for number in range(int(tokens) // ITEM_TOKENS):
+            item = QueueItem(f"{name}{number}", name, ITEM_TOKENS, float(weight))
+            context.arrivals.append(item)
+
+
+@when("{tokens:d} tokens are dispatched in {order} order")
+def step_dispatch(context, tokens, order):
+    context.served = dict.fromkeys(context.weights, 0.0)
+    queue = FairQueue()
+    for item in context.arrivals:
+        queue.push(item)
+    for number in range(tokens // ITEM_TOKENS):
+        item = queue.pop() if order == "fair" else context.arrivals[number]
+        context.served[item.account] += item.tokens / item.weight
+
+
+@then(
+    "the shares of served tokens by weight have a Jain index of {least:f} to {most:f}"
+)
+def step_jain(context, least, most):
+    shares = list(context.served.values())
+    squares = len(shares) * sum(share * share for share in shares)
+    index = sum(shares) ** 2 / squares
+    assert least <= index <= most + 1e-9, (index, context.served)
+
+
+class Site:
+    """Nodes that gossip demand; every message is kept and may come at any time."""
+
+    def __init__(self, count=3):
+        self.names = [f"vm{n}" for n in range(count)]
+        self.incarnations = dict.fromkeys(self.names, 1)
+        self.demand = dict.fromkeys(self.names, 0.0)
+        self.nodes = {name: self._new(name) for name in self.names}
+        self.sent = []
+
+    def _new(self, name):
+        shares = DemandShares(NodeId(name, self.incarnations[name]))
+        shares.expect(len(self.names) - 1)
+        return shares
+
+    def restart(self, name):
+        self.incarnations[name] += 1
+        self.demand[name] = 0.0
+        self.nodes[name] = self._new(name)
+
+    def publish(self, name):
+        shares = self.nodes[name]
+        news = shares.publish({"x": self.demand[name]})
+        self.sent.append((shares.node, news))
+        return self.sent[-1]
+
+    def deliver(self, message, name):
+        node, news = message
+        if node.vm != name:
+            shares = self.nodes[name]
+            shares.observe(node, news)
+            shares.expect(len(self.names) - 1 - len(shares.peers))
+
+    def exchange(self, names, rounds=4):
+        for _ in range(rounds):
+            for message in [self.publish(name) for name in names]:
+                for name in names:
+                    self.deliver(message, name)
+
+    def shares(self):
+        return [self.nodes[name].share("x", LIMIT) for name in self.names]
+
+
+class SharesMachine(RuleBasedStateMachine):
+    """Gossip that is lost, late, doubled and reordered, over demand and restarts."""
+
+    def __init__(self):
+        super().__init__()
+        self.site = Site()
+
+    @rule(data=st.data(), part=st.sampled_from((0.0, 0.1, 0.5, 1.0, 3.0)))
+    def want(self, data, part):
+        self.site.demand[data.draw(st.sampled_from(self.site.names))] = part * LIMIT
+
+    @rule(data=st.data())
+    def publish(self, data):
+        self.site.publish(data.draw(st.sampled_from(self.site.names)))
+
+    @rule(data=st.data())
+    def exchange_between(self, data):
+        names = data.draw(st.sets(st.sampled_from(self.site.names), min_size=2))
+        self.site.exchange(sorted(names), data.draw(st.integers(1, 3)))
+
+    @precondition(lambda self: self.site.sent)
+    @rule(data=st.data())
+    def deliver(self, data):
+        back = data.draw(st.integers(1, min(12, len(self.site.sent))))
+        name = data.draw(st.sampled_from(self.site.names))
+        self.site.deliver(self.site.sent[-back], name)
+
+    @rule(data=st.data())
+    def restart(self, data):
+        self.site.restart(data.draw(st.sampled_from(self.site.names)))
+
+    @invariant()
+    def within_the_limit(self):
+        shares = self.site.shares()
+        assert sum(shares) <= 1.0 + 1e-9, shares
+
+
+@then("random gossip, loss, restarts and demand keep the sum of shares within 1")
+def step_shares_machine(context):
+    run_state_machine_as_test(
+        SharesMachine,
+        settings=settings(max_examples=300, stateful_step_count=60, **FUZZ),
+    )
+
+
+@given("3 nodes that have exchanged demands of {before} of the limit")
+def step_site(context, before):
+    context.site = Site()
+    parts = [float(part) for part in before.split()]
+    for name, part in zip(context.site.names, parts, strict=True):
+        context.site.demand[name] = part * LIMIT
+    context.site.exchange(context.site.names)
+
+
+@when("node 0 wants {part:f} of the limit and {contact}")
+def step_want(context, part, contact):
+    site = context.site
+    if contact == "node 0 is replaced":
+        site.restart(site.names[0])
+    site.demand[site.names[0]] = part * LIMIT
+    if contact == "all keep in contact":
+        site.exchange(site.names)
+    else:
+        site.exchange(site.names[1:])
+        site.publish(site.names[0])
+
+
+@then("node 0 has {least:f} to {most:f} of the limit")
+def step_share(context, least, most):
+    shares = context.site.shares()
+    assert least <= shares[0] <= most, shares
+
+
+@then("the nodes together have at most the whole")
+def step_sum(context):
+    assert sum(context.site.shares()) <= 1.0 + 1e-9
+
+
+@given("an account limited to 1000 tokens per second saved up for 10 s")
+def step_limited(context):
+    context.limits = AccountLimits(DemandShares(NodeId("vm", 1)))
+    context.account = AccountConfig("0" * 64, tokens_per_s=1000.0, burst_s=10.0)
+
+
+@when("it asks for {first:d} tokens, and {second:d} tokens {after:d} s later")
+def step_ask(context, first, second, after):
+    assert context.limits.take("a", context.account, first, 0.0) is None
+    context.wait = context.limits.take("a", context.account, second, float(after))
+
+
+@then("the second is told to wait {wait:d} s")
+def step_wait(context, wait):
+    assert (context.wait or 0.0) == wait, context.wait
+
+
+@then("random outages never see retries above 10 and a tenth of successes")
+def step_budget(context):
+    @settings(max_examples=200, **FUZZ)
+    @for_all(st.lists(st.booleans(), max_size=400))
+    def check(fails):
+        budget = RetryBudget()
+        retries = successes = 0
+        for failed in fails:
+            if not failed:
+                successes += 1
+                budget.earn("s", 0.1)
+            elif budget.can_spend("s"):
+                budget.spend("s")
+                retries += 1
+            assert retries <= 10 + 0.1 * successes + 1e-6
+
+    check()
+
+
+@given("a node before 2 upstreams of 1000 tokens per second and a queue of 6")
+def step_node(context):
+    context.play = None
+
+
+@when("{count:d} request of {tokens:d} tokens arrive")
+@when("{count:d} requests of {tokens:d} tokens arrive")
+def step_arrivals(context, count, tokens):
+    context.arrivals = (count, tokens, 60.0)
+
+
+@when("{count:d} request of {tokens:d} tokens bound {bound:g} s arrive")
+@when("{count:d} requests of {tokens:d} tokens bound {bound:g} s arrive")
+def step_bounded_arrivals(context, count, tokens, bound):
+    context.arrivals = (count, tokens, bound)
+
+
+@then(
+    "{served:d} are granted at once and {refused:d} refused as not run with Retry-After"
+)
+def step_granted(context, served, refused):
+    async def play():
+        node = AdmittingNode()
+        count, tokens, bound = context.arrivals
+        for _ in range(count):
+            node.arrive(tokens, bound)
+            await node.settle()
+        assert len(node.tickets) == served, node.tickets
+        assert_refused(node, refused)
+        await node.end_all()
+        node.assert_empty()
+
+    run(play())
+
+
+@then("nothing is left once all have ended")
+def step_nothing_left(context):
+    # Checked at the end of the same event loop, in the step before.
+    pass
+
+
+def assert_refused(node, count):
+    assert len(node.refusals) == count, node.refusals
+    for failure in node.refusals.values():
+        assert failure.outcome == Outcome.NOT_RUN, failure
+        assert failure.retry_after_s is not None, failure
+        assert failure.retry_after_s > 0, failure
+
+
+@when("account a fills the queue and account b then sends 2 requests")
+def step_fill(context):
+    async def play():
+        node = AdmittingNode()
+        mine = [node.arrive(500, account="a") for _ in range(8)]
+        await node.settle()
+        theirs = [node.arrive(500, account="b") for _ in range(2)]
+        await node.settle()
+        context.refused = {
+            "a": sum(name in node.refusals for name in mine),
+            "b": sum(name in node.refusals for name in theirs),
+        }
+        assert_refused(node, 2)
+        await node.end_all()
+        node.assert_empty()
+
+    run(play())
+
+
+@then("2 requests of a and none of b are refused")
+def step_shed(context):
+    assert context.refused == {"a": 2, "b": 0}, context.refused
+
+
+@when("4 requests of 500 tokens bound 30 s arrive and nothing ends for {time:d} s")
+def step_stuck(context, time):
+    async def play():
+        node = AdmittingNode()
+        for _ in range(4):
+            node.arrive(500, 30.0)
+        await node.settle()
+        for _ in range(time):
+            node.clock.now += 1.0
+            node.admission.refuse_late()
+            await node.settle()
+        context.node = node
+
+    run(play())
+
+
+@then("{refused:d} of those in line are refused as not run with Retry-After")
+def step_refused_in_line(context, refused):
+    assert_refused(context.node, refused)
+
+
+class TicketMachine(RuleBasedStateMachine):
+    """Requests arrive, end, or are given up by their callers at any moment."""
+
+    def __init__(self):
+        super().__init__()
+        self.moves = []
+
+    @rule(tokens=st.sampled_from((50, 500, 40_000)), account=st.sampled_from("ab"))
+    def arrive(self, tokens, account):
+        self.moves.append(("arrive", tokens, account))
+
+    @rule(kind=st.sampled_from(("end", "leave", "settle", "wait")), n=st.integers(0, 9))
+    def move(self, kind, n):
+        self.moves.append((kind, n, ""))
+
+    def teardown(self):
+        run(self._play())
+
+    async def _play(self):
+        node = AdmittingNode()
+        for kind, number, account in self.moves:
+            match kind:
+                case "arrive":
+                    node.arrive(number, account=account)
+                case "end" if node.tickets:
+                    names = sorted(node.tickets)
+                    node.end(names[number % len(names)])
+                case "leave" if node.tasks:
+                    names = sorted(node.tasks)
+                    node.tasks[names[number % len(names)]].cancel()
+                case "settle":
+                    await node.settle()
+                case "wait":
+                    node.clock.now += number
+                    node.admission.tick(1.0)
+                    node.admission.refuse_late()
+        await node.settle()
+        await node.end_all()
+        node.assert_empty()
+
+
+@then("random arrivals, ends and departures leave no ticket, room or queue entry")
+def step_ticket_machine(context):
+    run_state_machine_as_test(
+        TicketMachine, settings=settings(max_examples=200, **FUZZ)
+    )
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/in_flight.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/in_flight.py
@@ -1,5 +1,6 @@
 """Exact counts of this node's own work on each upstream."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 
@@ -12,12 +13,24 @@
         tokens: Their tokens, prompt and output.
         long_requests: Attempts in flight of the long class.
         prefill_tokens: Prompt tokens of attempts without a first token yet.
+        long_prefill_tokens: Part of `prefill_tokens` that is of the long class.
     """
 
     requests: int = 0
     tokens: int = 0
     long_requests: int = 0
     prefill_tokens: int = 0
+    long_prefill_tokens: int = 0
+
+    def plus(self, other: "UpstreamWork") -> "UpstreamWork":
+        """Return the work of both together."""
+        return UpstreamWork(
+            self.requests + other.requests,
+            self.tokens + other.tokens,
+            self.long_requests + other.long_requests,
+            self.prefill_tokens + other.prefill_tokens,
+            self.long_prefill_tokens + other.long_prefill_tokens,
+        )
 
 
 @dataclass(frozen=True)
@@ -47,6 +60,7 @@
         self.by_upstream: dict[str, UpstreamWork] = {}
         self.open_items: dict[str, WorkItem] = {}
         self.prefilling: set[str] = set()
+        self.on_less_work: list[Callable[[], None]] = []
 
     def start(self, attempt: str, item: WorkItem) -> None:
         """Count an attempt from its dispatch."""
@@ -61,12 +75,19 @@
             self.prefilling.remove(attempt)
             item = self.open_items[attempt]
             self._add(item, 0, -item.prompt_tokens)
+            self._tell_less_work()
 
     def finish(self, attempt: str) -> None:
         """Stop counting an attempt."""
-        self.first_token(attempt)
+        self.withdraw(attempt)
+        self._tell_less_work()
+
+    def withdraw(self, attempt: str) -> None:
+        """Stop counting an attempt whose room is taken over by another at once."""
         item = self.open_items.pop(attempt)
-        self._add(item, -1, 0)
+        was_prefilling = attempt in self.prefilling
+        self.prefilling.discard(attempt)
+        self._add(item, -1, -item.prompt_tokens if was_prefilling else 0)
 
     def work(self, upstream: str) -> UpstreamWork:
         """Return the work in flight on one upstream."""
@@ -83,8 +104,15 @@
             tokens=old.tokens + sign * item.total_tokens,
             long_requests=old.long_requests + sign * item.is_long,
             prefill_tokens=old.prefill_tokens + prefill_tokens,
+            long_prefill_tokens=(
+                old.long_prefill_tokens + item.is_long * prefill_tokens
+            ),
         )
         if new == NO_WORK:
             self.by_upstream.pop(item.upstream, None)
         else:
             self.by_upstream[item.upstream] = new
+
+    def _tell_less_work(self) -> None:
+        for listener in self.on_less_work:
+            listener()
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/peer_messages.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/peer_messages.py
@@ -43,6 +43,8 @@
         stopping: Whether the sender is about to stop.
         work: The sender's work in flight by upstream name.
         demand_tokens_per_s: Offered load by client account.
+        demand_number: Raised with each change of that load.
+        demand_heard: Newest such number held of each other node's run.
         strikes: Recent strikes known to the sender.
         quarantines: Quarantines known to the sender.
         leaving: Upstreams that the sender knows to be leaving.
@@ -56,6 +58,8 @@
     stopping: bool = False
     work: dict[str, UpstreamWork] = field(default_factory=dict)
     demand_tokens_per_s: dict[str, float] = field(default_factory=dict)
+    demand_number: int = 0
+    demand_heard: dict[str, int] = field(default_factory=dict)
     strikes: tuple[Strike, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
     leaving: tuple[str, ...] = ()
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/placement.py
@@ -1,6 +1,5 @@
 """Choice of the upstream for one attempt, varied by the configured policy."""
 
-from dataclasses import dataclass
 from typing import assert_never
 
 from lagoonhinge_core.config import (
@@ -9,50 +8,52 @@
     PlacementConfig,
     RoundRobin,
 )
-from lagoonhinge_core.in_flight import UpstreamWork
-
-
-@dataclass(frozen=True)
-class Candidate:
-    """An upstream that may take an attempt.
-
-    Attributes:
-        name: Upstream name.
-        zone: Availability zone.
-        work: This node's and its peers' work on it.
-        free_kv_tokens: Estimated free memory, in tokens.
-        kv_tokens: Memory in all, in tokens.
-        cached_tokens: Part of the prompt that its cache is believed to hold.
-    """
+from lagoonhinge_core.length_aware import (
+    SHORT_PRIORITY,
+    Candidate,
+    PlacementRequest,
+    choose_for_long,
+    choose_for_short,
+    is_long,
+)
+from lagoonhinge_core.length_aware import (
+    engine_priority as length_aware_priority,
+)
+from lagoonhinge_core.length_split import (
+    SplitState,
+    follow_demand,
+    wanted_split,
+    widest_split,
+)
 
-    name: str
-    zone: str
-    work: UpstreamWork
-    free_kv_tokens: int
-    kv_tokens: int
-    cached_tokens: int = 0
+__all__ = ["Candidate", "PlacementRequest", "Placer", "engine_priority"]
 
 
-@dataclass(frozen=True)
-class PlacementRequest:
-    """What placement needs to know of a request.
+def engine_priority(
+    policy: PlacementConfig, prompt_tokens: int, waited_s: float
+) -> int:
+    """Return the engine priority of an attempt; smaller runs earlier.
 
-    Attributes:
+    Args:
+        policy: The service's placement; the baselines know no lengths.
         prompt_tokens: Estimated prompt length, in tokens.
-        output_tokens: Longest answer, in tokens.
-        excluded: Upstreams already tried.
+        waited_s: Time spent in the node's queue, in seconds.
     """
-
-    prompt_tokens: int
-    output_tokens: int
-    excluded: frozenset[str] = frozenset()
+    match policy:
+        case RoundRobin() | LeastInFlight():
+            return SHORT_PRIORITY
+        case LengthAware():
+            return length_aware_priority(policy, prompt_tokens, waited_s)
+        case _:
+            assert_never(policy)
 
 
 class Placer:
-    """Chooses upstreams for one service; keeps only the turn of `round_robin`."""
+    """Chooses upstreams; keeps the turn of `round_robin` and each service's split."""
 
     def __init__(self) -> None:
         self.turn = 0
+        self.splits: dict[str, SplitState] = {}
 
     def choose(
         self,
@@ -64,12 +65,19 @@
 
         Args:
             policy: The service's placement.
-            candidates: Upstreams of the service that may receive new work.
+            candidates: Upstreams of the service that may receive new work, in an
+                order that all nodes share.
             request: The request.
         """
-        usable = tuple(c for c in candidates if c.name not in request.excluded)
+        usable = candidates
+        if request.excluded:
+            usable = tuple(c for c in candidates if c.name not in request.excluded)
         if not usable:
             return None
+        if request.reserved is not None:
+            for candidate in usable:
+                if candidate.name == request.reserved:
+                    return candidate
         match policy:
             case RoundRobin():
                 self.turn += 1
@@ -77,6 +85,39 @@
             case LeastInFlight():
                 return min(usable, key=lambda c: (c.work.requests, c.name))
             case LengthAware():
-                return min(usable, key=lambda c: (c.work.tokens, c.name))
+                split = self.split(policy, request.service, len(usable))
+                if is_long(policy, request.prompt_tokens):
+                    return choose_for_long(policy, usable, split, request)
+                return choose_for_short(policy, usable, split, request)
             case _:
                 assert_never(policy)
+
+    def split(self, policy: LengthAware, service: str, upstreams: int) -> int:
+        """Return how many of the zone's upstreams take long work now."""
+        widest = widest_split(policy, upstreams)
+        state = self.splits.get(service)
+        return widest if state is None else min(state.size, widest)
+
+    def follow(
+        self,
+        policy: LengthAware,
+        service: str,
+        upstreams: int,
+        long_load: float,
+        now_s: float,
+    ) -> None:
+        """Let a service's split follow the offered long work.
+
+        Args:
+            policy: The service's placement.
+            service: Name of the service.
+            upstreams: Upstreams of the service in the zone.
+            long_load: Offered long work, in upstreams that it would keep fully busy.
+            now_s: The time, in seconds.
+        """
+        wanted = wanted_split(policy, upstreams, long_load)
+        state = self.splits.get(service)
+        if state is None:
+            size = widest_split(policy, upstreams)
+            state = SplitState(size, size, now_s)
+        self.splits[service] = follow_demand(state, wanted, now_s)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
@@ -114,9 +114,32 @@
 
 @dataclass(frozen=True)
 class DemandSection:
-    """Load offered to this node by client account; written by admission."""
+    """Load offered to this node by client account; written by admission.
+
+    Attributes:
+        tokens_per_s: Offered load by client account, in tokens per second.
+        number: Raised with each change of it.
+        heard: Newest number held of the demand of each other node's run.
+    """
 
     tokens_per_s: dict[str, float] = field(default_factory=dict)
+    number: int = 0
+    heard: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class UnexplainedLoad:
+    """Load that an upstream reported beyond what the nodes' own counts explain."""
+
+    prefill_tokens: int = 0
+    kv_tokens: int = 0
+
+
+@dataclass(frozen=True)
+class CorrectionsSection:
+    """Unexplained load by upstream name; written by admission."""
+
+    by_upstream: dict[str, UnexplainedLoad] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
@@ -1,14 +1,36 @@
-"""Admission of requests: bounds on what one node serves at once."""
+"""Admission: limits, fair queue, deadline check, and room on an upstream."""
 
-from dataclasses import dataclass
+from asyncio import CancelledError, Future, get_running_loop
+from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
 
+from lagoonhinge_core.admission_policy import (
+    DemandMeter,
+    DrainRate,
+    Prediction,
+    retry_after_s,
+)
 from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.config import (
+    AccountConfig,
+    Config,
+    LengthAware,
+    ModelService,
+    PlacementConfig,
+)
+from lagoonhinge_core.fair_queue import FairQueue, QueueItem
+from lagoonhinge_core.in_flight import InFlightLedger, WorkItem
+from lagoonhinge_core.length_aware import is_long
+from lagoonhinge_core.limits import AccountLimits, DemandShares
 from lagoonhinge_core.outcome import ErrorCode, Outcome
 from lagoonhinge_core.outcome import Failure as RequestFailure
+from lagoonhinge_core.placement import Candidate, PlacementRequest, Placer
+from lagoonhinge_core.ports import Clock
+from lagoonhinge_core.prefix_index import PrefixIndex
 from lagoonhinge_core.request import ModelRequest
-from lagoonhinge_core.sections import ConfigSection
+from lagoonhinge_core.sections import ConfigSection, NodeSection, PeersSection
+from lagoonhinge_node.candidates import find_candidates, read_or
 
 RETRY_AFTER_S = 1.0
 
@@ -20,28 +42,359 @@
     request_id: str
 
 
+@dataclass
+class Admitted:
+    """A request that holds a ticket.
+
+    Attributes:
+        upstream: Upstream set aside for its first attempt, until that is placed.
+        waited_s: Time that it spent in the queue, in seconds.
+    """
+
+    upstream: str | None
+    waited_s: float
+
+
+@dataclass
+class Lane:
+    """The queue of one length class of one service.
+
+    Lanes don't wait for each other: they need different room.
+    """
+
+    queue: FairQueue = field(default_factory=FairQueue)
+    drain: DrainRate = field(default_factory=DrainRate)
+
+
+@dataclass
+class ServiceLanes:
+    """The lanes of one service."""
+
+    short: Lane = field(default_factory=Lane)
+    long: Lane = field(default_factory=Lane)
+
+    def both(self) -> tuple[Lane, Lane]:
+        """Return the lanes, short first."""
+        return self.short, self.long
+
+    def waiting(self) -> int:
+        """Return how many requests are in line."""
+        return len(self.short.queue) + len(self.long.queue)
+
+
+@dataclass(frozen=True)
+class Waiting:
+    """A request in line."""
+
+    request: ModelRequest
+    lane: Lane
+    wanted: PlacementRequest
+    arrived_s: float
+    granted: "Future[Result[Ticket, RequestFailure]]"
+
+
 class Admission:
-    """Admits requests while the node has room."""
+    """Admits requests in fair order while upstreams have room for them."""
 
-    def __init__(self, board: Blackboard):
+    def __init__(self, board: Blackboard, ledger: InFlightLedger, clock: Clock):
         self.board = board
-        self.admitted: set[str] = set()
+        self.ledger = ledger
+        self.clock = clock
+        self.placer = Placer()
+        self.prefixes = PrefixIndex()
+        self.shares = DemandShares(board.read(NodeSection).node)
+        self.limits = AccountLimits(self.shares)
+        self.demand = DemandMeter()
+        self.long_demand = DemandMeter()
+        self.services: dict[str, ServiceLanes] = {}
+        self.waiting: dict[str, Waiting] = {}
+        self.admitted: dict[str, Admitted] = {}
+        ledger.on_less_work.append(self.dispatch)
 
     async def admit(self, request: ModelRequest) -> Result[Ticket, RequestFailure]:
-        """Admit a request, or refuse it at once with when to come back."""
-        limits = self.board.read(ConfigSection).config.limits
-        if len(self.admitted) >= limits.max_in_flight_requests:
-            return Failure(
-                RequestFailure(
-                    ErrorCode.OVERLOADED,
-                    Outcome.NOT_RUN,
-                    f"{len(self.admitted)} requests are in flight on this node",
-                    RETRY_AFTER_S,
-                )
-            )
-        self.admitted.add(request.request_id)
-        return Success(Ticket(request.request_id))
+        """Admit a request once an upstream has room, or refuse it.
+
+        A refusal comes as soon as it is clear that the time bound can't be met.
+        """
+        config = self._config()
+        now_s = self.clock.monotonic_s()
+        tokens = request.estimate.total()
+        self.demand.note(request.account, tokens)
+        held = len(self.admitted) + len(self.waiting)
+        if held >= config.limits.max_in_flight_requests:
+            message = f"{held} requests are in flight on this node"
+            return _overloaded(message, RETRY_AFTER_S)
+        account = config.accounts[request.account]
+        wait_s = self.limits.take(request.account, account, tokens, now_s)
+        if wait_s is not None:
+            return _over_limit(request.account, account, wait_s)
+        try:
+            result = await self._admit_to_upstream(request, account)
+        except CancelledError:
+            self.limits.give_back(request.account, tokens)
+            raise
+        if isinstance(result, Failure):
+            self.limits.give_back(request.account, tokens)
+        return result
 
     def release(self, ticket: Ticket) -> None:
         """Give a ticket back."""
-        self.admitted.remove(ticket.request_id)
+        unused = self.take_reserved(ticket.request_id)
+        del self.admitted[ticket.request_id]
+        if unused is not None:
+            self.dispatch()
+
+    def take_reserved(self, request_id: str) -> str | None:
+        """Return the upstream set aside for a request, for its attempt to use.
+
+        The caller counts the attempt before anything else can run.
+        """
+        admitted = self.admitted[request_id]
+        upstream, admitted.upstream = admitted.upstream, None
+        if upstream is not None:
+            self.ledger.withdraw(_reservation(request_id))
+        return upstream
+
+    def waited_s(self, request_id: str) -> float:
+        """Return how long an admitted request was in line, in seconds."""
+        return self.admitted[request_id].waited_s
+
+    def dispatch(self) -> None:
+        """Grant what the upstreams have room for, in fair order."""
+        for service, lanes in self.services.items():
+            for lane in lanes.both():
+                while lane.queue and self._grant_head(service, lane):
+                    pass
+
+    def refuse_late(self) -> None:
+        """Refuse every request in line that can't meet its time bound any more."""
+        for lanes in self.services.values():
+            for lane in lanes.both():
+                self._refuse_late_in(lane)
+
+    def tick(self, elapsed_s: float) -> None:
+        """Learn rates and demand from the time since the last tick, in seconds."""
+        self.demand.tick(elapsed_s)
+        self.long_demand.tick(elapsed_s)
+        for service, lanes in self.services.items():
+            self._learn_rates(service, lanes, elapsed_s)
+            for lane in lanes.both():
+                lane.queue.forget_idle()
+        self.dispatch()
+
+    async def _admit_to_upstream(
+        self, request: ModelRequest, account: AccountConfig
+    ) -> Result[Ticket, RequestFailure]:
+        candidates = find_candidates(self.board, self.ledger, request.service)
+        if not candidates or _too_large(request, candidates):
+            self.admitted[request.request_id] = Admitted(None, 0.0)
+            return Success(Ticket(request.request_id))
+        waiting = self._waiting(request)
+        late_by_s = self._late_by_s(waiting, account, candidates)
+        if late_by_s > 0:
+            return _overloaded(_late_message(request, late_by_s), late_by_s)
+        if not self._make_place(waiting, account):
+            message = f"the queue of {request.service!r} is full"
+            return _overloaded(message, self._queue_wait_s(waiting.lane))
+        self._enter(waiting, account)
+        try:
+            return await waiting.granted
+        except CancelledError:
+            self._abandon(request.request_id)
+            raise
+
+    def _learn_rates(self, service: str, lanes: ServiceLanes, elapsed_s: float) -> None:
+        policy = self._policy(service)
+        candidates = find_candidates(self.board, self.ledger, service)
+        count = len(candidates)
+        nodes = self._nodes_in_zone()
+        rate = sum(c.prefill_tokens_per_s for c in candidates)
+        long_share = 1.0
+        if isinstance(policy, LengthAware) and count > 0:
+            offered = self.long_demand.tokens_per_s.get(service, 0.0) * nodes
+            now_s = self.clock.monotonic_s()
+            self.placer.follow(policy, service, count, offered * count / rate, now_s)
+            long_share = self.placer.split(policy, service, count) / count
+        short, long = lanes.both()
+        short.drain.tick(elapsed_s, bool(short.queue), rate / nodes)
+        long.drain.tick(elapsed_s, bool(long.queue), rate * long_share / nodes)
+
+    def _lanes(self, service: str) -> ServiceLanes:
+        lanes = self.services.get(service)
+        if lanes is None:
+            lanes = self.services[service] = ServiceLanes()
+            self._learn_rates(service, lanes, 1.0)
+        return lanes
+
+    def _waiting(self, request: ModelRequest) -> Waiting:
+        estimate = request.estimate
+        lanes = self._lanes(request.service)
+        lane = lanes.long if self._is_long(request) else lanes.short
+        wanted = PlacementRequest(
+            estimate.prompt_tokens,
+            estimate.output_tokens,
+            service=request.service,
+            needs_room=True,
+            cached=self.prefixes.cached_tokens(request.prompt, estimate.prompt_tokens),
+        )
+        now_s = self.clock.monotonic_s()
+        future = get_running_loop().create_future()
+        return Waiting(request, lane, wanted, now_s, future)
+
+    def _enter(self, waiting: Waiting, account: AccountConfig) -> None:
+        request = waiting.request
+        tokens = request.estimate.total() - max(
+            waiting.wanted.cached.values(), default=0
+        )
+        if self._is_long(request):
+            self.long_demand.note(request.service, request.estimate.prompt_tokens)
+        self.waiting[request.request_id] = waiting
+        waiting.lane.queue.push(
+            QueueItem(request.request_id, request.account, tokens, account.weight)
+        )
+        self.dispatch()
+
+    def _grant_head(self, service: str, lane: Lane) -> bool:
+        head = lane.queue.head()
+        assert head is not None
+        waiting = self.waiting[head.request_id]
+        candidates = find_candidates(self.board, self.ledger, service)
+        policy = self._policy(service)
+        choice = self.placer.choose(policy, candidates, waiting.wanted)
+        if choice is None and candidates:
+            return False
+        lane.queue.pop()
+        lane.drain.note(head.tokens)
+        self._grant(waiting, choice)
+        return True
+
+    def _grant(self, waiting: Waiting, choice: Candidate | None) -> None:
+        request = waiting.request
+        request_id = request.request_id
+        del self.waiting[request_id]
+        upstream = None if choice is None else choice.name
+        if upstream is not None:
+            estimate = request.estimate
+            item = WorkItem(
+                upstream,
+                estimate.prompt_tokens,
+                estimate.total(),
+                self._is_long(request),
+            )
+            self.ledger.start(_reservation(request_id), item)
+        waited_s = self.clock.monotonic_s() - waiting.arrived_s
+        self.admitted[request_id] = Admitted(upstream, waited_s)
+        if not waiting.granted.done():
+            waiting.granted.set_result(Success(Ticket(request_id)))
+
+    def _abandon(self, request_id: str) -> None:
+        """Undo a request whose caller left while it was in line or just granted."""
+        waiting = self.waiting.pop(request_id, None)
+        if waiting is not None:
+            waiting.lane.queue.cancel(request_id)
+        elif request_id in self.admitted:
+            self.release(Ticket(request_id))
+
+    def _make_place(self, waiting: Waiting, account: AccountConfig) -> bool:
+        """Keep the queue within its bound; sheds the account with the most in line."""
+        request = waiting.request
+        service = self._config().services[request.service]
+        assert isinstance(service, ModelService)
+        lanes = self.services[request.service]
+        if lanes.waiting() < service.max_queued_requests:
+            return True
+        lane = max(lanes.both(), key=lambda lane: len(lane.queue))
+        heaviest = lane.queue.heaviest_account()
+        own = 0.0
+        if lane is waiting.lane:
+            own = lane.queue.load(request.account)
+            own += request.estimate.total() / account.weight
+        if heaviest is None or own >= lane.queue.load(heaviest):
+            return False
+        victim = lane.queue.newest(heaviest)
+        message = f"the queue is full and {heaviest!r} has the most in it"
+        self._refuse(victim.request_id, message, self._queue_wait_s(lane))
+        return True
+
+    def _refuse(self, request_id: str, message: str, late_by_s: float) -> None:
+        waiting = self.waiting.pop(request_id)
+        waiting.lane.queue.cancel(request_id)
+        if not waiting.granted.done():
+            waiting.granted.set_result(_overloaded(message, late_by_s))
+
+    def _late_by_s(
+        self,
+        waiting: Waiting,
+        account: AccountConfig,
+        candidates: tuple[Candidate, ...],
+    ) -> float:
+        request = waiting.request
+        lane = waiting.lane
+        ahead = lane.queue.tokens_ahead(request.account, account.weight)
+        own = request.estimate.prompt_tokens
+        own -= max(waiting.wanted.cached.values(), default=0)
+        rate = max(candidate.prefill_tokens_per_s for candidate in candidates)
+        prediction = Prediction(lane.drain.wait_s(ahead), own / rate)
+        return prediction.late_by_s(request.deadline_s - self.clock.monotonic_s())
+
+    def _refuse_late_in(self, lane: Lane) -> None:
+        now_s = self.clock.monotonic_s()
+        ahead = 0
+        for item in lane.queue.in_order():
+            request = self.waiting[item.request_id].request
+            remaining_s = request.deadline_s - now_s
+            late_by_s = Prediction(lane.drain.wait_s(ahead), 0.0).late_by_s(remaining_s)
+            if late_by_s > 0:
+                message = _late_message(request, late_by_s)
+                self._refuse(item.request_id, message, late_by_s)
+            else:
+                ahead += item.tokens
+
+    def _queue_wait_s(self, lane: Lane) -> float:
+        return lane.drain.wait_s(lane.queue.tokens)
+
+    def _nodes_in_zone(self) -> int:
+        zone = self.board.read(NodeSection).zone
+        digests = read_or(self.board, PeersSection()).digests.values()
+        return 1 + sum(digest.zone == zone for digest in digests)
+
+    def _is_long(self, request: ModelRequest) -> bool:
+        policy = self._policy(request.service)
+        tokens = request.estimate.prompt_tokens
+        return isinstance(policy, LengthAware) and is_long(policy, tokens)
+
+    def _policy(self, service: str) -> PlacementConfig:
+        config = self._config().services.get(service)
+        return config.placement if isinstance(config, ModelService) else LengthAware()
+
+    def _config(self) -> Config:
+        return self.board.read(ConfigSection).config
+
+
+def _reservation(request_id: str) -> str:
+    return f"ticket/{request_id}"
+
+
+def _too_large(request: ModelRequest, candidates: tuple[Candidate, ...]) -> bool:
+    return request.estimate.total() > max(c.kv_tokens for c in candidates)
+
+
+def _late_message(request: ModelRequest, late_by_s: float) -> str:
+    return f"{request.account!r} would miss its time bound by {late_by_s:.1f} s"
+
+
+def _over_limit(
+    name: str, account: AccountConfig, wait_s: float
+) -> Result[Ticket, RequestFailure]:
+    limit = f"{account.tokens_per_s:.0f} tokens per second"
+    message = f"{name!r} is over its limit of {limit}"
+    return Failure(
+        RequestFailure(ErrorCode.OVER_LIMIT, Outcome.NOT_RUN, message, wait_s)
+    )
+
+
+def _overloaded(message: str, late_by_s: float) -> Result[Ticket, RequestFailure]:
+    wait_s = retry_after_s(late_by_s)
+    return Failure(
+        RequestFailure(ErrorCode.OVERLOADED, Outcome.NOT_RUN, message, wait_s)
+    )
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/admission_controller.py
@@ -0,0 +1,114 @@
+"""Controller of admission: ticks it, shares its demand and corrects its counts."""
+
+from mode import Service
+
+from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.identity import parse_node_id
+from lagoonhinge_core.in_flight import UpstreamWork
+from lagoonhinge_core.limits import DemandNews
+from lagoonhinge_core.load_correction import LoadCorrection
+from lagoonhinge_core.ports import Clock
+from lagoonhinge_core.sections import (
+    CorrectionsSection,
+    DemandSection,
+    MembersSection,
+    PeersSection,
+    UpstreamsSection,
+)
+from lagoonhinge_node.admission import Admission
+from lagoonhinge_node.candidates import read_or
+
+DISPATCH_INTERVAL_S = 0.1
+TICKS_PER_PUBLICATION = 10
+
+
+class AdmissionController(Service):
+    """Keeps admission in step with time, peers and reports.
+
+    Args:
+        board: The blackboard.
+        admission: What is kept in step.
+        clock: Source of time.
+        peer_addresses: Control addresses of the configured peers, own one excluded.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        admission: Admission,
+        clock: Clock,
+        peer_addresses: frozenset[str],
+    ):
+        super().__init__()
+        self.board = board
+        self.admission = admission
+        self.clock = clock
+        self.peer_addresses = peer_addresses
+        self.correction = LoadCorrection()
+        self.demand_writer = board.writer(DemandSection(), "admission")
+        self.corrections_writer = board.writer(CorrectionsSection(), "admission")
+        self.ticked_s = clock.monotonic_s()
+
+    @Service.task
+    async def _tick_forever(self) -> None:
+        while not self.should_stop:
+            for _ in range(TICKS_PER_PUBLICATION):
+                self.admission.dispatch()
+                self.admission.refuse_late()
+                await self.sleep(DISPATCH_INTERVAL_S)
+            self.tick()
+
+    def tick(self) -> None:
+        """Learn from the last interval and post what others read."""
+        now_s = self.clock.monotonic_s()
+        elapsed_s = max(DISPATCH_INTERVAL_S, now_s - self.ticked_s)
+        self.ticked_s = now_s
+        self._observe_peers()
+        self.admission.tick(elapsed_s)
+        news = self.admission.shares.publish(self.admission.demand.greatest())
+        self.demand_writer.post(
+            DemandSection(news.tokens_per_s, news.number, news.heard)
+        )
+        self._correct(now_s)
+
+    def _observe_peers(self) -> None:
+        shares = self.admission.shares
+        digests = read_or(self.board, PeersSection()).digests
+        members = read_or(self.board, MembersSection()).members
+        for digest in digests.values():
+            news = DemandNews(
+                digest.demand_number, digest.demand_tokens_per_s, digest.demand_heard
+            )
+            shares.observe(parse_node_id(digest.node), news)
+        if MembersSection in self.board.sections:
+            for vm in shares.peers.keys() - members.keys() - digests.keys():
+                shares.forget(vm)
+        heard = {digest.address for digest in digests.values()}
+        heard |= {member.address for member in members.values()}
+        silent = sum(vm not in shares.peers for vm in members)
+        shares.expect(silent + len(self.peer_addresses - heard))
+
+    def _correct(self, now_s: float) -> None:
+        counts: dict[str, UpstreamWork] = dict(
+            self.admission.ledger.snapshot().by_upstream
+        )
+        for digest in read_or(self.board, PeersSection()).digests.values():
+            for name, work in digest.work.items():
+                counts[name] = counts[name].plus(work) if name in counts else work
+        self.correction.record(now_s, counts)
+        found = {}
+        for name, report in self.board.read(UpstreamsSection).reports.items():
+            if report.load is None or not report.reachable:
+                continue
+            unexplained = self.correction.unexplained(
+                name, report.load, report.received_monotonic_s, now_s
+            )
+            if unexplained is not None:
+                found[name] = unexplained
+        if found != self.board.read(CorrectionsSection).by_upstream:
+            self.corrections_writer.post(CorrectionsSection(found))
+
+
+def peer_addresses(peers: tuple[str, ...], own: str) -> frozenset[str]:
+    """Return the configured peers without the node itself."""
+    return frozenset(peers) - {own}
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
@@ -19,7 +19,7 @@
 from lagoonhinge_core.in_flight import InFlightLedger, WorkItem
 from lagoonhinge_core.outcome import ErrorCode, Outcome
 from lagoonhinge_core.outcome import Failure as RequestFailure
-from lagoonhinge_core.placement import PlacementRequest, Placer
+from lagoonhinge_core.placement import PlacementRequest, engine_priority
 from lagoonhinge_core.ports import Clock, EngineClient, EngineStream
 from lagoonhinge_core.recovery import (
     GiveUp,
@@ -41,8 +41,6 @@
 ACCEPT_TIMEOUT_S = 5.0
 EXPIRY_MARGIN_S = 5.0
 NO_UPSTREAM_RETRY_AFTER_S = 2.0
-SHORT_PRIORITY = 0
-LONG_PRIORITY = 10
 
 
 class AnswerSink(Protocol):
@@ -111,7 +109,7 @@
         self.releaser = releaser
         self.estimator = estimator
         self.budget = RetryBudget()
-        self.placer = Placer()
+        self.placer = admission.placer
         self.numbers = count(1)
 
     async def run(
@@ -159,7 +157,11 @@
     def _place(self, request: ModelRequest, state: RequestState) -> Attempt | None:
         candidates = find_candidates(self.board, self.ledger, request.service)
         wanted = PlacementRequest(
-            request.estimate.prompt_tokens, request.estimate.output_tokens, state.tried
+            request.estimate.prompt_tokens,
+            request.estimate.output_tokens,
+            state.tried,
+            request.service,
+            self.admission.take_reserved(request.request_id),
         )
         policy = self._policy(request.service)
         choice = self.placer.choose(policy, candidates, wanted)
@@ -281,7 +283,11 @@
             prompt=request.prompt,
             max_tokens=request.estimate.output_tokens,
             seed=request.seed,
-            priority=LONG_PRIORITY if self._is_long(request) else SHORT_PRIORITY,
+            priority=engine_priority(
+                self._policy(request.service),
+                request.estimate.prompt_tokens,
+                self.admission.waited_s(request.request_id),
+            ),
             expires_s=self._remaining_s(request) + EXPIRY_MARGIN_S,
             sampling=request.sampling,
             reservation=attempt.reservation,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -18,6 +18,8 @@
 from lagoonhinge_http.platform import HttpPlatform
 from lagoonhinge_http.session import open_session
 from lagoonhinge_node.admission import Admission
+from lagoonhinge_node.admission_controller import AdmissionController, peer_addresses
+from lagoonhinge_node.cache_controller import CacheController
 from lagoonhinge_node.caller_api import CallerApi
 from lagoonhinge_node.caller_requests import RequestReader
 from lagoonhinge_node.clock import SystemClock
@@ -81,7 +83,17 @@
         )
         self.config.on_adopted.append(self._follow_config)
         self.upstreams = UpstreamController(self.board, self.engines, clock)
-        self.admission = Admission(self.board)
+        self.admission = Admission(self.board, self.ledger, clock)
+        self.demand = AdmissionController(
+            self.board,
+            self.admission,
+            clock,
+            peer_addresses(
+                tuple(str(peer) for peer in settings.peers),
+                str(settings.control_listen),
+            ),
+        )
+        self.cache = CacheController(self.board, self.engines, self.admission.prefixes)
         models = ModelPath(
             self.board,
             self.engines,
@@ -104,7 +116,7 @@
             callers.app(MAX_BODY_BYTES), settings.listen, tls
         )
         self.control_listener = Listener(control, settings.control_listen, tls)
-        return [self.releaser, self.config, self.upstreams]
+        return [self.releaser, self.config, self.upstreams, self.demand, self.cache]
 
     async def on_started(self) -> None:
         """Open the listeners once every controller runs."""
@@ -141,6 +153,7 @@
         return {
             "InFlightWork": self.ledger.snapshot(),
             "AdmittedRequests": len(self.admission.admitted),
+            "QueuedRequests": len(self.admission.waiting),
             "PendingReleases": sorted(r.name for r in self.releaser.pending),
         }
 
