--- a/features/support/group_rig.py
+++ b/features/support/group_rig.py
@@ -6,6 +6,7 @@
 from features.support.virtual_time import VirtualLoop
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.config import (
+    AccountConfig,
     Config,
     LeastInFlight,
     ModelConfig,
@@ -62,7 +63,7 @@
         self.board.writer(UpstreamsSection(), "test")
         self.ledger = InFlightLedger()
         self.releaser = Releaser(engines)
-        self.admission = Admission(self.board)
+        self.admission = Admission(self.board, self.ledger, loop)
         self.path = ModelPath(
             self.board,
             engines,
@@ -84,6 +85,7 @@
         self.engines = GroupEngines(self.loop, sizes)
         config = Config(
             models={"compliance": ModelConfig()},
+            accounts={"tube-mills": AccountConfig("0" * 64)},
             services={
                 "assistant": ModelService("compliance", placement=LeastInFlight())
             },
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/group_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/group_path.py
@@ -8,7 +8,6 @@
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.blackboard import Blackboard
-from lagoonhinge_core.config import UpstreamConfig
 from lagoonhinge_core.engine_messages import ReservationRequest, SpanRequest
 from lagoonhinge_core.groups import GroupMember, GroupPlan, plan_group
 from lagoonhinge_core.in_flight import InFlightLedger
@@ -76,9 +75,10 @@
         self.releaser = releaser
 
     def needs_group(self, request: ModelRequest) -> bool:
-        """Return whether no single engine of this zone can hold the request."""
-        sizes = [upstream.kv_tokens for upstream in self._upstreams(request).values()]
-        return bool(sizes) and request.estimate.total() > max(sizes)
+        """Return whether no single engine that takes new work can hold the request."""
+        candidates = find_candidates(self.board, self.ledger, request.service)
+        largest = max((candidate.kv_tokens for candidate in candidates), default=0)
+        return 0 < largest < request.estimate.total()
 
     async def reserve(
         self,
@@ -99,8 +99,7 @@
             zone is too small or had no room for the bounded wait.
         """
         needed = request.estimate.total()
-        upstreams = self._upstreams(request)
-        zone_tokens = sum(upstream.kv_tokens for upstream in upstreams.values())
+        zone_tokens = self._zone_tokens(request)
         if needed > zone_tokens:
             return Failure(_too_long(needed, zone_tokens))
         now_s = self.clock.monotonic_s()
@@ -241,14 +240,14 @@
         expiry_s = request.deadline_s + EXPIRY_MARGIN_S
         return GroupHolds(attempt, self.ledger, self.releaser, expiry_s)
 
-    def _upstreams(self, request: ModelRequest) -> dict[str, UpstreamConfig]:
-        config = self.board.read(ConfigSection).config
+    def _zone_tokens(self, request: ModelRequest) -> int:
+        upstreams = self.board.read(ConfigSection).config.upstreams.values()
         zone = self.board.read(NodeSection).zone
-        return {
-            name: upstream
-            for name, upstream in config.upstreams.items()
+        return sum(
+            upstream.kv_tokens
+            for upstream in upstreams
             if upstream.service == request.service and upstream.zone == zone
-        }
+        )
 
     def _owner(self) -> str:
         return str(self.board.read(NodeSection).node)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
@@ -13,7 +13,11 @@
 from lagoonhinge_core.in_flight import InFlightLedger, WorkItem
 from lagoonhinge_core.outcome import ErrorCode, Outcome
 from lagoonhinge_core.outcome import Failure as RequestFailure
-from lagoonhinge_core.placement import Candidate, PlacementRequest, Placer
+from lagoonhinge_core.placement import (
+    Candidate,
+    PlacementRequest,
+    engine_priority,
+)
 from lagoonhinge_core.ports import Clock, EngineClient
 from lagoonhinge_core.recovery import (
     AttemptEnded,
@@ -40,8 +44,6 @@
 from lagoonhinge_node.request_state import RequestState
 
 NO_UPSTREAM_RETRY_AFTER_S = 2.0
-SHORT_PRIORITY = 0
-LONG_PRIORITY = 10
 
 
 class ModelPath:
@@ -68,7 +70,7 @@
         self.group_attempts = GroupAttempts(board, clock, groups)
         self.attempts = AttemptRunner(engines, clock, ledger, releaser)
         self.budget = RetryBudget()
-        self.placer = Placer()
+        self.placer = admission.placer
         self.numbers = count(1)
 
     async def run(
@@ -170,7 +172,11 @@
     ) -> Candidate | None:
         candidates = find_candidates(self.board, self.ledger, request.service)
         wanted = PlacementRequest(
-            request.estimate.prompt_tokens, request.estimate.output_tokens, excluded
+            request.estimate.prompt_tokens,
+            request.estimate.output_tokens,
+            excluded,
+            request.service,
+            self.admission.take_reserved(request.request_id),
         )
         policy = self._policy(request.service)
         return self.placer.choose(policy, candidates, wanted)
@@ -224,7 +230,11 @@
             prompt=request.prompt if attempt.prompt is None else attempt.prompt,
             max_tokens=request.estimate.output_tokens,
             seed=request.seed,
-            priority=LONG_PRIORITY if self._is_long(request) else SHORT_PRIORITY,
+            priority=engine_priority(
+                self._policy(request.service),
+                request.estimate.prompt_tokens,
+                self.admission.waited_s(request.request_id),
+            ),
             expires_s=self._remaining_s(request) + EXPIRY_MARGIN_S,
             sampling=request.sampling,
             reservation=attempt.reservation,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -19,6 +19,8 @@
 from lagoonhinge_http.platform import HttpPlatform
 from lagoonhinge_http.session import open_session
 from lagoonhinge_node.admission import Admission
+from lagoonhinge_node.admission_controller import AdmissionController, peer_addresses
+from lagoonhinge_node.cache_controller import CacheController
 from lagoonhinge_node.caller_api import CallerApi
 from lagoonhinge_node.caller_requests import RequestReader
 from lagoonhinge_node.clock import SystemClock
@@ -116,7 +118,17 @@
             self.board, self.engines, clock, self.ledger, self.releaser
         )
         self.membership.on_heard.append(self.config.follow_digest)
-        self.admission = Admission(self.board)
+        self.admission = Admission(self.board, self.ledger, clock)
+        self.demand = AdmissionController(
+            self.board,
+            self.admission,
+            clock,
+            peer_addresses(
+                tuple(str(peer) for peer in settings.peers),
+                str(settings.control_listen),
+            ),
+        )
+        self.cache = CacheController(self.board, self.engines, self.admission.prefixes)
         models = ModelPath(
             self.board,
             self.engines,
@@ -153,6 +165,8 @@
             self.membership,
             self.upstreams,
             self.reaper,
+            self.demand,
+            self.cache,
         ]
 
     async def on_started(self) -> None:
@@ -199,6 +213,7 @@
         return {
             "InFlightWork": self.ledger.snapshot(),
             "AdmittedRequests": len(self.admission.admitted),
+            "QueuedRequests": len(self.admission.waiting),
             "PendingReleases": sorted(r.name for r in self.releaser.pending),
         }
 
