--- a/features/support/request_rig.py
+++ b/features/support/request_rig.py
@@ -9,6 +9,7 @@
 from features.support.virtual_time import VirtualLoop
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.config import (
+    AccountConfig,
     Config,
     LeastInFlight,
     ModelConfig,
@@ -78,7 +79,7 @@
         self.board = self._board()
         self.ledger = InFlightLedger()
         self.releaser = Releaser(self.port)
-        self.admission = Admission(self.board)
+        self.admission = Admission(self.board, self.ledger, self.loop)
         self.path = ModelPath(
             self.board,
             self.port,
@@ -171,6 +172,7 @@
         config = Config(
             zones=(zone,),
             models={"compliance": ModelConfig()},
+            accounts={"tube-mills": AccountConfig("0" * 64)},
             services={
                 "assistant": ModelService("compliance", placement=LeastInFlight())
             },
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
@@ -141,9 +141,32 @@
 
 @dataclass(frozen=True)
 class DemandSection:
-    """Load offered to this node by client account; written by admission."""
+    """Load offered to this node by client account; written by admission.
+
+    Attributes:
+        tokens_per_s: Offered load by client account, in tokens per second.
+        number: Raised with each change of it.
+        heard: Newest number held of the demand of each other node's run.
+    """
 
     tokens_per_s: dict[str, float] = field(default_factory=dict)
+    number: int = 0
+    heard: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class UnexplainedLoad:
+    """Load that an upstream reported beyond what the nodes' own counts explain."""
+
+    prefill_tokens: int = 0
+    kv_tokens: int = 0
+
+
+@dataclass(frozen=True)
+class CorrectionsSection:
+    """Unexplained load by upstream name; written by admission."""
+
+    by_upstream: dict[str, UnexplainedLoad] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -152,3 +175,42 @@
 
     strikes: tuple[Strike, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
+
+
+@dataclass(frozen=True)
+class ReaperFinding:
+    """Memory of an engine that was found without a use and is being freed.
+
+    Attributes:
+        upstream: Name of the engine.
+        kind: `stream`, `reservation` or `export`.
+        name: Name under which the engine holds it.
+        owner: Identity of the node that took it.
+        tokens: Size, in tokens.
+        reason: Why it is freed.
+        found_wall_s: When it was found, in seconds since the epoch.
+    """
+
+    upstream: str
+    kind: str
+    name: str
+    owner: str
+    tokens: int
+    reason: str
+    found_wall_s: float
+
+
+@dataclass(frozen=True)
+class ReaperSection:
+    """Leftover memory found on engines; written by the reaper.
+
+    Attributes:
+        findings: The newest findings, oldest first.
+        found_tokens: Memory found since the start, in tokens.
+        swept_wall_s: When each engine last listed its holdings to this node, in
+            seconds since the epoch.
+    """
+
+    findings: tuple[ReaperFinding, ...] = ()
+    found_tokens: int = 0
+    swept_wall_s: dict[str, float] = field(default_factory=dict)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/claimed_calls.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/claimed_calls.py
@@ -110,7 +110,9 @@
     ) -> Answer:
         # The process may have been paused since the claim was written.
         is_late = self.clock.monotonic_s() >= deadline_s
-        result = Failure(deadline_failure(False)) if is_late else await dispatch()
+        result = (
+            Failure(deadline_failure(Outcome.NOT_RUN)) if is_late else await dispatch()
+        )
         storing = self._settle(key, _settled(claim, result), version)
         remaining_s = max(0.0, deadline_s - self.clock.monotonic_s())
         await wait((storing,), timeout=min(STORE_WAIT_S, remaining_s))
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
@@ -1,19 +1,23 @@
 """The way of a model request: admit, place, attempt, rerun, finish or fail in time."""
 
 from asyncio import timeout
-from dataclasses import dataclass, field
 from itertools import count
+from random import Random
 
 from returns.result import Failure, Result, Success
 
-from lagoonhinge_core.answer_text import AnswerDiffers, AnswerText
+from lagoonhinge_core.answer_text import AnswerDiffers
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.config import LengthAware, ModelService, PlacementConfig
 from lagoonhinge_core.engine_messages import EngineCall
 from lagoonhinge_core.in_flight import InFlightLedger, WorkItem
 from lagoonhinge_core.outcome import ErrorCode, Outcome
 from lagoonhinge_core.outcome import Failure as RequestFailure
-from lagoonhinge_core.placement import Candidate, PlacementRequest, Placer
+from lagoonhinge_core.placement import (
+    Candidate,
+    PlacementRequest,
+    engine_priority,
+)
 from lagoonhinge_core.ports import Clock, EngineClient
 from lagoonhinge_core.recovery import (
     AttemptEnded,
@@ -34,32 +38,12 @@
 from lagoonhinge_node.answer_relay import AnswerSink, Finished
 from lagoonhinge_node.attempts import EXPIRY_MARGIN_S, Attempt, AttemptRunner
 from lagoonhinge_node.candidates import find_candidates
+from lagoonhinge_node.group_attempts import GroupAttempts
+from lagoonhinge_node.group_path import GroupPath
 from lagoonhinge_node.releases import Releaser
+from lagoonhinge_node.request_state import RequestState
 
 NO_UPSTREAM_RETRY_AFTER_S = 2.0
-SHORT_PRIORITY = 0
-LONG_PRIORITY = 10
-
-
-@dataclass
-class RequestState:
-    """What the request has been through; changes with each attempt.
-
-    Attributes:
-        text: Text given to the sink.
-        attempts: Attempts made.
-        outcome: What is known about their execution.
-        tried: Upstreams that had one.
-        unusable: Those among them that cannot take another now.
-        failure: Failure to give if no upstream can take another attempt.
-    """
-
-    text: AnswerText = field(default_factory=AnswerText)
-    attempts: int = 0
-    outcome: Outcome = Outcome.NOT_RUN
-    tried: frozenset[str] = frozenset()
-    unusable: frozenset[str] = frozenset()
-    failure: RequestFailure | None = None
 
 
 class ModelPath:
@@ -80,9 +64,13 @@
         self.admission = admission
         self.ledger = ledger
         self.estimator = estimator
+        random = Random(str(board.read(NodeSection).node))
+        groups = GroupPath(board, engines, clock, random, ledger, releaser)
+        self.groups = groups
+        self.group_attempts = GroupAttempts(board, clock, groups)
         self.attempts = AttemptRunner(engines, clock, ledger, releaser)
         self.budget = RetryBudget()
-        self.placer = Placer()
+        self.placer = admission.placer
         self.numbers = count(1)
 
     async def run(
@@ -125,14 +113,12 @@
         while True:
             if self._remaining_s(request) <= 0:
                 return Failure(deadline_failure(state.outcome))
-            attempt = self._place(request, state)
-            if attempt is None:
-                return Failure(state.failure or _no_upstream(request))
-            state.attempts += 1
-            match await self._run_attempt(request, attempt, state, sink):
+            match await self._try_once(request, state, sink):
                 case Success(finished):
                     self._learn(request, finished)
                     return Success(finished)
+                case Failure(RequestFailure() as failure):
+                    return Failure(failure)
                 case Failure(AnswerDiffers(offset)):
                     return Failure(answer_differs_failure(offset))
                 case Failure(AttemptEnded() as ended):
@@ -141,14 +127,35 @@
                 return Failure(step.failure)
             self.budget.spend(request.service)
             state.failure = step.otherwise
-            state.tried |= {attempt.upstream}
-            if not isinstance(ended.error, Gone):
-                state.unusable |= {attempt.upstream}
             if sink.restart():
                 state.text.forget()
             else:
                 state.text.restart()
 
+    async def _try_once(
+        self, request: ModelRequest, state: RequestState, sink: AnswerSink
+    ) -> Result[Finished, RequestFailure | AttemptEnded | AnswerDiffers]:
+        if self.groups.needs_group(request):
+            return await self.group_attempts.run(
+                request,
+                state,
+                self._next_name,
+                lambda attempt: self._run_attempt(request, attempt, state, sink),
+            )
+        attempt = self._place(request, state)
+        if attempt is None:
+            return Failure(state.failure or _no_upstream(request))
+        state.attempts += 1
+        return await self._run_attempt(request, attempt, state, sink)
+
+    def _next_name(self) -> str:
+        node = self.board.read(NodeSection).node
+        return f"{node.vm}-{node.incarnation}-{next(self.numbers)}"
+
+    def _boot(self, upstream: str) -> str:
+        report = self.board.read(UpstreamsSection).reports.get(upstream)
+        return report.load.boot if report is not None and report.load else ""
+
     def _place(self, request: ModelRequest, state: RequestState) -> Attempt | None:
         choice = self._choose(request, state.tried)
         if choice is None:
@@ -156,19 +163,20 @@
             choice = self._choose(request, state.unusable)
         if choice is None:
             return None
-        node = self.board.read(NodeSection).node
-        name = f"{node.vm}-{node.incarnation}-{next(self.numbers)}"
         config = self.board.read(ConfigSection).config.upstreams[choice.name]
-        report = self.board.read(UpstreamsSection).reports.get(choice.name)
-        boot = report.load.boot if report is not None and report.load else ""
-        return Attempt(name, choice.name, config, boot=boot)
+        boot = self._boot(choice.name)
+        return Attempt(self._next_name(), choice.name, config, boot=boot)
 
     def _choose(
         self, request: ModelRequest, excluded: frozenset[str]
     ) -> Candidate | None:
         candidates = find_candidates(self.board, self.ledger, request.service)
         wanted = PlacementRequest(
-            request.estimate.prompt_tokens, request.estimate.output_tokens, excluded
+            request.estimate.prompt_tokens,
+            request.estimate.output_tokens,
+            excluded,
+            request.service,
+            self.admission.take_reserved(request.request_id),
         )
         policy = self._policy(request.service)
         return self.placer.choose(policy, candidates, wanted)
@@ -180,10 +188,11 @@
         state: RequestState,
         sink: AnswerSink,
     ) -> Result[Finished, AttemptEnded | AnswerDiffers]:
+        estimate = attempt.estimate or request.estimate
         item = WorkItem(
             upstream=attempt.upstream,
-            prompt_tokens=request.estimate.prompt_tokens,
-            total_tokens=request.estimate.total(),
+            prompt_tokens=estimate.prompt_tokens,
+            total_tokens=estimate.total(),
             is_long=self._is_long(request),
         )
         call = self._call(request, attempt)
@@ -192,8 +201,11 @@
         state.outcome = Outcome.UNKNOWN
         result = await self.attempts.run(request, attempt, call, item, state.text, sink)
         match result:
-            case Failure(AttemptEnded(outcome=outcome)):
+            case Failure(AttemptEnded(error=error, outcome=outcome)):
                 state.outcome = combined_outcome(earlier, outcome)
+                state.tried |= {attempt.upstream}
+                if not isinstance(error, Gone):
+                    state.unusable |= {attempt.upstream}
         return result
 
     def _decide(
@@ -215,10 +227,14 @@
             attempt=attempt.name,
             owner=str(self.board.read(NodeSection).node),
             model=request.model,
-            prompt=request.prompt,
+            prompt=request.prompt if attempt.prompt is None else attempt.prompt,
             max_tokens=request.estimate.output_tokens,
             seed=request.seed,
-            priority=LONG_PRIORITY if self._is_long(request) else SHORT_PRIORITY,
+            priority=engine_priority(
+                self._policy(request.service),
+                request.estimate.prompt_tokens,
+                self.admission.waited_s(request.request_id),
+            ),
             expires_s=self._remaining_s(request) + EXPIRY_MARGIN_S,
             sampling=request.sampling,
             reservation=attempt.reservation,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -27,6 +27,8 @@
 from lagoonhinge_http.platform import HttpPlatform
 from lagoonhinge_http.session import open_session
 from lagoonhinge_node.admission import Admission
+from lagoonhinge_node.admission_controller import AdmissionController, peer_addresses
+from lagoonhinge_node.cache_controller import CacheController
 from lagoonhinge_node.caller_api import CallerApi
 from lagoonhinge_node.caller_requests import RequestReader
 from lagoonhinge_node.claim_store import ClaimStore
@@ -45,6 +47,7 @@
 from lagoonhinge_node.peer_wire import DIGEST_PATH
 from lagoonhinge_node.plain_client import HttpPlainClient
 from lagoonhinge_node.plain_path import PlainPath
+from lagoonhinge_node.reaper_controller import ReaperController
 from lagoonhinge_node.releases import Releaser
 from lagoonhinge_node.settings import NodeSettings
 from lagoonhinge_node.upstream_controller import UpstreamController
@@ -134,7 +137,20 @@
         self.membership.on_listed.append(self.upstreams.refresh)
         self.upstreams.on_own_marks.append(self.membership.tell_soon)
         self.membership.own_leaving = self.upstreams.marks.own
-        self.admission = Admission(self.board)
+        self.reaper = ReaperController(
+            self.board, self.engines, clock, self.ledger, self.releaser
+        )
+        self.admission = Admission(self.board, self.ledger, clock)
+        self.demand = AdmissionController(
+            self.board,
+            self.admission,
+            clock,
+            peer_addresses(
+                tuple(str(peer) for peer in settings.peers),
+                str(settings.control_listen),
+            ),
+        )
+        self.cache = CacheController(self.board, self.engines, self.admission.prefixes)
         models = ModelPath(
             self.board,
             self.engines,
@@ -183,6 +199,9 @@
             self.membership,
             self.upstreams,
             self.claimed,
+            self.reaper,
+            self.demand,
+            self.cache,
         ]
 
     async def on_started(self) -> None:
@@ -257,6 +276,7 @@
         return {
             "InFlightWork": self.ledger.snapshot(),
             "AdmittedRequests": len(self.admission.admitted),
+            "QueuedRequests": len(self.admission.waiting),
             "PendingReleases": sorted(r.name for r in self.releaser.pending),
         }
 
