--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tools; see README.md."""
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,281 @@
+"""Load experiments on real processes; every figure is a ratio in one run."""
+
+from asyncio import run
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Literal
+
+from cappa import Arg, command, parse
+from hdrh.histogram import HdrHistogram
+from matplotlib import use
+from matplotlib.pyplot import close, subplots
+
+from bench.load_fleet import SCALE, SITES, LoadFleet
+from bench.open_loop import (
+    Answer,
+    OpenLoop,
+    Stream,
+    arrivals,
+    one_by_one,
+)
+
+OUT = Path(__file__).parent / "out"
+MAX_US = 200_000_000
+SHORT = (200, 4_000)
+LONG = (100_000, 300_000)
+LONG_SHARE = 0.05
+POLICIES = ("length_aware", "least_in_flight", "round_robin")
+SHORT_TIMEOUT_S = 90.0
+OVERLOAD_TIMEOUT_S = 6.0
+
+
+@dataclass
+class Block:
+    """All answers of one kind of block, over the rounds."""
+
+    name: str
+    answers: list[Answer] = field(default_factory=list)
+
+    def first_token(self, of: Iterable[Answer]) -> HdrHistogram:
+        """Return the first-token times of whole answers, in microseconds."""
+        histogram = HdrHistogram(1, MAX_US, 3)
+        for answer in of:
+            if answer.is_whole:
+                histogram.record_value(int(answer.first_token_s * 1e6))
+        return histogram
+
+    def shorts(self) -> HdrHistogram:
+        """Return the first-token times of short prompts, in microseconds."""
+        return self.first_token(a for a in self.answers if a.arrival.tokens <= SHORT[1])
+
+    def longs(self) -> HdrHistogram:
+        """Return the first-token times of long prompts, in microseconds."""
+        return self.first_token(a for a in self.answers if a.arrival.tokens >= LONG[0])
+
+    def whole(self) -> int:
+        """Return how many answers were whole."""
+        return sum(answer.is_whole for answer in self.answers)
+
+
+def mixed(site_accounts: tuple[str, ...], tokens_per_s: float) -> tuple[Stream, ...]:
+    """Return short and long prompts that offer `tokens_per_s` together."""
+    short = Stream(site_accounts, 1.0, *SHORT)
+    long = Stream(site_accounts, 1.0, *LONG)
+    mean = (1 - LONG_SHARE) * short.mean_tokens() + LONG_SHARE * long.mean_tokens()
+    per_s = tokens_per_s / mean
+    return (
+        Stream(site_accounts, per_s * (1 - LONG_SHARE), *SHORT),
+        Stream(site_accounts, per_s * LONG_SHARE, *LONG),
+    )
+
+
+def describe(name: str, histogram: HdrHistogram) -> str:
+    """Return the percentiles of first-token times, in milliseconds."""
+    points = (50, 95, 99)
+    values = (histogram.get_value_at_percentile(p) / 1000 for p in points)
+    text = "  ".join(
+        f"p{p} {value:8.1f} ms" for p, value in zip(points, values, strict=True)
+    )
+    return f"{name:28} n {histogram.get_total_count():5}  {text}"
+
+
+def ratio(of: HdrHistogram, to: HdrHistogram, percentile: float) -> float:
+    """Return the ratio of two percentiles."""
+    below = to.get_value_at_percentile(percentile)
+    return of.get_value_at_percentile(percentile) / max(1, below)
+
+
+def jain(values: list[float]) -> float:
+    """Return Jain's index of fairness."""
+    squares = len(values) * sum(value * value for value in values)
+    return sum(values) ** 2 / squares if squares else 0.0
+
+
+@command(name="load")
+@dataclass
+class Load:
+    """Run one experiment against a fleet on loopback."""
+
+    experiment: Annotated[
+        Literal["shorts", "longs", "heavy", "overload"], Arg(help="Which one.")
+    ]
+    site: Annotated[str, Arg(long=True, help="perth or lagos.")] = "perth"
+    nodes: Annotated[int, Arg(long=True, help="Nodes, 1 to 3.")] = 1
+    block_s: Annotated[float, Arg(long=True, help="Length of a block.")] = 20.0
+    rounds: Annotated[int, Arg(long=True, help="Times each block is run.")] = 2
+    seed: Annotated[int, Arg(long=True, help="Seed of the arrivals.")] = 1
+
+    def __call__(self) -> None:
+        """Start the fleet, run the experiment and print the figures."""
+        use("Agg")
+        preset = SITES[self.site]
+        print(f"{self.experiment} at {self.site}, {self.nodes} nodes; scale: {SCALE}")
+        self.preset = preset
+        self.blocks: dict[str, Block] = {}
+        self.fleet = LoadFleet(preset, self.nodes)
+        try:
+            match self.experiment:
+                case "shorts":
+                    run(self.shorts())
+                case "longs":
+                    run(self.longs())
+                case "heavy":
+                    run(self.heavy())
+                case "overload":
+                    run(self.overload())
+        finally:
+            self.fleet.stop()
+
+    async def play(
+        self,
+        name: str,
+        placement: str,
+        streams: tuple[Stream, ...],
+        number: int,
+        timeout_s: float = SHORT_TIMEOUT_S,
+    ) -> list[Answer]:
+        """Run one block and keep its answers under a name."""
+        self.fleet.place_by(placement)
+        loop = OpenLoop(self.fleet.urls(), timeout_s)
+        planned = arrivals(streams, self.block_s, self.seed + number)
+        answers = await loop.run(planned)
+        self.blocks.setdefault(name, Block(name)).answers += answers
+        return answers
+
+    async def shorts(self) -> None:
+        """Short prompts alone and with long ones at 70% load, under each policy."""
+        offered = 0.7 * self.preset.capacity_tokens_per_s()
+        streams = mixed(self.preset.account_names(), offered)
+        for number in range(self.rounds):
+            await self.play("shorts alone", "length_aware", streams[:1], number)
+            for policy in POLICIES:
+                await self.play(policy, policy, streams, number)
+        alone = self.blocks["shorts alone"].shorts()
+        print(describe("shorts alone", alone))
+        for policy in POLICIES:
+            block = self.blocks[policy]
+            print(describe(f"{policy}, shorts", block.shorts()))
+            print(describe(f"{policy}, longs", block.longs()))
+            print(
+                f"{policy}: shorts' p99 {ratio(block.shorts(), alone, 99):.2f} times "
+                f"alone; {block.whole()} of {len(block.answers)} whole"
+            )
+        self.plot({block.name: block.shorts() for block in self.blocks.values()})
+
+    async def longs(self) -> None:
+        """Long prompts on an empty fleet and at 50% load."""
+        offered = 0.5 * self.preset.capacity_tokens_per_s()
+        streams = mixed(self.preset.account_names(), offered)
+        empty = Block("empty fleet")
+        for number in range(self.rounds):
+            self.fleet.place_by("length_aware")
+            loop = OpenLoop(self.fleet.urls(), SHORT_TIMEOUT_S)
+            planned = one_by_one(streams[1], 8, self.seed + number)
+            empty.answers += await loop.run_one_by_one(planned)
+            for policy in POLICIES[:2]:
+                await self.play(policy, policy, streams, number)
+        print(describe("empty fleet, longs", empty.longs()))
+        for policy in POLICIES[:2]:
+            longs = self.blocks[policy].longs()
+            print(describe(f"{policy}, longs", longs))
+            # Lengths differ between blocks, so each time is set against its length.
+            print(
+                f"{policy}: longs' p95 {ratio(longs, empty.longs(), 95):.2f} times "
+                f"empty; slowdown p95 "
+                f"{self.slowdown(self.blocks[policy]) / self.slowdown(empty):.2f} times"
+            )
+        self.plot({b.name: b.longs() for b in (empty, *self.blocks.values())})
+
+    def slowdown(self, block: Block) -> float:
+        """Return the p95 of first-token time over the prompt's processing time."""
+        rate = self.preset.prefill_tokens_per_s
+        factors = sorted(
+            answer.first_token_s / (answer.arrival.tokens / rate)
+            for answer in block.answers
+            if answer.is_whole and answer.arrival.tokens >= LONG[0]
+        )
+        return factors[int(0.95 * (len(factors) - 1))]
+
+    async def heavy(self) -> None:
+        """Equal accounts at 60% load, without and with one at ten times its share."""
+        names = self.preset.account_names()
+        capacity = self.preset.capacity_tokens_per_s()
+        mean = Stream(names, 1.0, *SHORT).mean_tokens()
+        per_account = 0.6 * capacity / len(names) / mean
+        others = Stream(names[1:], per_account * (len(names) - 1), *SHORT)
+        usual = Stream(names[:1], per_account, *SHORT)
+        tenfold = Stream(names[:1], 10 * per_account, *SHORT)
+        for number in range(self.rounds):
+            await self.play("usual", "length_aware", (others, usual), number)
+            await self.play(
+                "tenfold", "length_aware", (others, tenfold), number, OVERLOAD_TIMEOUT_S
+            )
+            every = Stream(names, 1.5 * capacity / mean, *SHORT)
+            await self.play(
+                "all over", "length_aware", (every,), number, OVERLOAD_TIMEOUT_S
+            )
+        histograms = {}
+        for name in ("usual", "tenfold"):
+            block = self.blocks[name]
+            histograms[name] = block.first_token(
+                a for a in block.answers if a.arrival.account != names[0]
+            )
+            print(describe(f"{name}, other accounts", histograms[name]))
+        p99 = ratio(histograms["tenfold"], histograms["usual"], 99)
+        print(f"one account tenfold: others' p99 {p99:.2f} times without it")
+        served = dict.fromkeys(names, 0.0)
+        for answer in self.blocks["all over"].answers:
+            if answer.is_whole and answer.ended_s <= self.block_s:
+                served[answer.arrival.account] += answer.arrival.tokens
+        print(f"equal accounts at 1.5 times capacity: Jain {jain(list(served.values())):.4f}")
+        self.plot(histograms)
+
+    async def overload(self) -> None:
+        """Mixed prompts at capacity and at twice that."""
+        names = self.preset.account_names()
+        capacity = self.preset.capacity_tokens_per_s()
+        served = {}
+        for number in range(self.rounds):
+            for times in (1.0, 2.0):
+                stream = Stream(names, times * capacity / 2_100.0, *SHORT)
+                await self.play(
+                    f"{times:.0f}x", "length_aware", (stream,), number, OVERLOAD_TIMEOUT_S
+                )
+        for name, block in self.blocks.items():
+            served[name] = sum(
+                answer.arrival.tokens
+                for answer in block.answers
+                if answer.is_whole and answer.ended_s <= self.block_s
+            )
+            used = served[name] / (self.rounds * self.block_s * capacity)
+            print(describe(name, block.shorts()) + f"  served {used:.2f} of capacity")
+        print(f"served at twice over at capacity: {served['2x'] / served['1x']:.2f}")
+        refused = [a for a in self.blocks["2x"].answers if not a.is_whole]
+        honest = sum(a.outcome == "not-run" and a.has_retry_after for a in refused)
+        late = sum(a.took_s > OVERLOAD_TIMEOUT_S + 0.05 for a in refused)
+        print(
+            f"refused at twice: {len(refused)}, as not-run with Retry-After: {honest}, "
+            f"after their bound: {late}"
+        )
+        self.plot({block.name: block.shorts() for block in self.blocks.values()})
+
+    def plot(self, histograms: dict[str, HdrHistogram]) -> None:
+        """Write the distributions of first-token times as a picture."""
+        OUT.mkdir(exist_ok=True)
+        figure, axes = subplots(figsize=(6, 4))
+        points = [50, 75, 90, 95, 98, 99, 99.5]
+        for name, histogram in histograms.items():
+            values = [histogram.get_value_at_percentile(p) / 1000 for p in points]
+            axes.plot([str(p) for p in points], values, marker="o", label=name)
+        axes.set_yscale("log")
+        axes.set_xlabel("percentile")
+        axes.set_ylabel("time to first token, ms")
+        axes.legend()
+        figure.tight_layout()
+        figure.savefig(OUT / f"{self.experiment}-{self.site}.svg")
+        close(figure)
+
+
+if __name__ == "__main__":
+    parse(Load)()
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/in_flight.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/in_flight.py
@@ -1,10 +1,11 @@
 """Exact counts of this node's own work on each upstream."""
 
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class UpstreamWork:
     """Work in flight on one upstream.
 
@@ -50,6 +51,7 @@
     is_long: bool
 
 
+RECENT_CHANGES = 32
 NO_WORK = UpstreamWork()
 
 
@@ -61,6 +63,8 @@
         self.open_items: dict[str, WorkItem] = {}
         self.prefilling: set[str] = set()
         self.on_less_work: list[Callable[[], None]] = []
+        self.changes = 0
+        self.recently_changed: deque[str] = deque(maxlen=RECENT_CHANGES)
 
     def start(self, attempt: str, item: WorkItem) -> None:
         """Count an attempt from its dispatch."""
@@ -93,11 +97,21 @@
         """Return the work in flight on one upstream."""
         return self.by_upstream.get(upstream, NO_WORK)
 
+    def changed_since(self, changes: int) -> Iterable[str] | None:
+        """Return the upstreams changed since a value of `changes`; `None` if many."""
+        count = self.changes - changes
+        if count > len(self.recently_changed):
+            return None
+        recent = self.recently_changed
+        return [recent[-n] for n in range(1, count + 1)]
+
     def snapshot(self) -> InFlightWork:
         """Return all counts, for the blackboard."""
         return InFlightWork(dict(self.by_upstream))
 
     def _add(self, item: WorkItem, sign: int, prefill_tokens: int) -> None:
+        self.changes += 1
+        self.recently_changed.append(item.upstream)
         old = self.work(item.upstream)
         new = UpstreamWork(
             requests=old.requests + sign,
@@ -116,3 +130,25 @@
     def _tell_less_work(self) -> None:
         for listener in self.on_less_work:
             listener()
+
+
+def add_up(
+    parts: Iterable[Mapping[str, UpstreamWork]], known: Mapping[str, UpstreamWork]
+) -> dict[str, UpstreamWork]:
+    """Return the sum of several counts by upstream name.
+
+    Args:
+        parts: The counts.
+        known: An earlier sum; its values are used again where nothing changed, so
+            that readers can tell by identity what did.
+    """
+    sums: dict[str, UpstreamWork] = {}
+    for part in parts:
+        for name, work in part.items():
+            old = sums.get(name)
+            sums[name] = work if old is None else old.plus(work)
+    for name, work in sums.items():
+        before = known.get(name)
+        if before == work:
+            sums[name] = before
+    return sums
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/length_aware.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/length_aware.py
@@ -16,7 +16,7 @@
 OPEN_TO_LONG_COST = 0.1
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Candidate:
     """An upstream that may take an attempt.
 
@@ -121,29 +121,32 @@
     """
     best: Candidate | None = None
     best_cost = float("inf")
-    sharing = LEAST_SHARING_COST + policy.long_preference
-    total = request.prompt_tokens + request.output_tokens
+    own = request.prompt_tokens
+    total = own + request.output_tokens
+    sharing = (LEAST_SHARING_COST + policy.long_preference) * own
+    open_to_long = split if split < len(usable) else 0
+    needs_room = request.needs_room
+    has_cached = bool(request.cached)
     for index, candidate in enumerate(usable):
         work = candidate.work
         rate = candidate.prefill_tokens_per_s
         ahead = work.prefill_tokens - work.long_prefill_tokens
-        if request.needs_room and ahead > SHORT_WINDOW_S * rate:
-            continue
         fits = candidate.free_kv_tokens >= total
-        if request.needs_room and not fits:
+        if needs_room and not (fits and ahead <= SHORT_WINDOW_S * rate):
             continue
-        own = request.prompt_tokens
-        cost = ahead + own - _credit(policy, candidate, request)
+        # Decoding streams slow each other a little; this also breaks ties.
+        cost: float = ahead + own + work.requests
+        if has_cached:
+            cost -= _credit(policy, candidate, request)
         if work.long_requests:
-            cost += sharing * own
-        elif index < split < len(usable):
+            cost += sharing
+        elif index < open_to_long:
             cost += OPEN_TO_LONG_COST * own
         if not fits:
             cost += work.prefill_tokens + candidate.kv_tokens
-        # Decoding streams slow each other a little; this also breaks ties.
-        cost += work.requests
-        if cost / rate < best_cost:
-            best, best_cost = candidate, cost / rate
+        cost /= rate
+        if cost < best_cost:
+            best, best_cost = candidate, cost
     return best
 
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/load_correction.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/load_correction.py
@@ -10,7 +10,6 @@
 
 from lagoonhinge_core.engine_messages import LoadReport
 from lagoonhinge_core.in_flight import NO_WORK, UpstreamWork
-from lagoonhinge_core.sections import UnexplainedLoad
 
 HISTORY_S = 10.0
 REPORT_TOLERANCE_S = 1.5
@@ -39,7 +38,7 @@
 
     def unexplained(
         self, upstream: str, report: LoadReport, received_s: float, now_s: float
-    ) -> UnexplainedLoad | None:
+    ) -> UpstreamWork | None:
         """Return what a report shows beyond the counts, or `None` for nothing."""
         made_s = received_s - report.age_s
         if now_s - made_s > MAX_REPORT_AGE_S:
@@ -55,4 +54,4 @@
         kv = report.kv_used_tokens - max(work.tokens for work in near)
         if prefill <= 0 and kv <= 0:
             return None
-        return UnexplainedLoad(max(0, prefill), max(0, kv))
+        return UpstreamWork(tokens=max(0, kv), prefill_tokens=max(0, prefill))
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
@@ -6,6 +6,7 @@
 from lagoonhinge_core.config import Config
 from lagoonhinge_core.engine_messages import LoadReport
 from lagoonhinge_core.identity import NodeId
+from lagoonhinge_core.in_flight import UpstreamWork
 from lagoonhinge_core.peer_messages import PeerDigest, Quarantine, Strike
 
 
@@ -128,18 +129,13 @@
 
 
 @dataclass(frozen=True)
-class UnexplainedLoad:
-    """Load that an upstream reported beyond what the nodes' own counts explain."""
+class OthersWorkSection:
+    """Work by upstream name that isn't this node's own; written by admission.
 
-    prefill_tokens: int = 0
-    kv_tokens: int = 0
-
-
-@dataclass(frozen=True)
-class CorrectionsSection:
-    """Unexplained load by upstream name; written by admission."""
+    It adds up the peers' counts and what load reports show beyond all counts.
+    """
 
-    by_upstream: dict[str, UnexplainedLoad] = field(default_factory=dict)
+    by_upstream: dict[str, UpstreamWork] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
@@ -30,7 +30,12 @@
 from lagoonhinge_core.prefix_index import PrefixIndex
 from lagoonhinge_core.request import ModelRequest
 from lagoonhinge_core.sections import ConfigSection, NodeSection, PeersSection
-from lagoonhinge_node.candidates import find_candidates, read_or
+from lagoonhinge_node.candidates import (
+    Capacity,
+    find_candidates,
+    find_capacity,
+    read_or,
+)
 
 RETRY_AFTER_S = 1.0
 
@@ -185,12 +190,13 @@
     async def _admit_to_upstream(
         self, request: ModelRequest, account: AccountConfig
     ) -> Result[Ticket, RequestFailure]:
-        candidates = find_candidates(self.board, self.ledger, request.service)
-        if not candidates or _too_large(request, candidates):
+        capacity = find_capacity(self.board, request.service)
+        # One that no upstream can hold is for a group, which reserves for itself.
+        if request.estimate.total() > capacity.kv_tokens:
             self.admitted[request.request_id] = Admitted(None, 0.0)
             return Success(Ticket(request.request_id))
         waiting = self._waiting(request)
-        late_by_s = self._late_by_s(waiting, account, candidates)
+        late_by_s = self._late_by_s(waiting, account, capacity)
         if late_by_s > 0:
             return _overloaded(_late_message(request, late_by_s), late_by_s)
         if not self._make_place(waiting, account):
@@ -326,15 +332,15 @@
         self,
         waiting: Waiting,
         account: AccountConfig,
-        candidates: tuple[Candidate, ...],
+        capacity: Capacity,
     ) -> float:
         request = waiting.request
         lane = waiting.lane
         ahead = lane.queue.tokens_ahead(request.account, account.weight)
         own = request.estimate.prompt_tokens
         own -= max(waiting.wanted.cached.values(), default=0)
-        rate = max(candidate.prefill_tokens_per_s for candidate in candidates)
-        prediction = Prediction(lane.drain.wait_s(ahead), own / rate)
+        prefill_s = own / capacity.prefill_tokens_per_s
+        prediction = Prediction(lane.drain.wait_s(ahead), prefill_s)
         return prediction.late_by_s(request.deadline_s - self.clock.monotonic_s())
 
     def _refuse_late_in(self, lane: Lane) -> None:
@@ -375,10 +381,6 @@
     return f"ticket/{request_id}"
 
 
-def _too_large(request: ModelRequest, candidates: tuple[Candidate, ...]) -> bool:
-    return request.estimate.total() > max(c.kv_tokens for c in candidates)
-
-
 def _late_message(request: ModelRequest, late_by_s: float) -> str:
     return f"{request.account!r} would miss its time bound by {late_by_s:.1f} s"
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/admission_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/admission_controller.py
@@ -4,22 +4,22 @@
 
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.identity import parse_node_id
-from lagoonhinge_core.in_flight import UpstreamWork
+from lagoonhinge_core.in_flight import UpstreamWork, add_up
 from lagoonhinge_core.limits import DemandNews
 from lagoonhinge_core.load_correction import LoadCorrection
 from lagoonhinge_core.ports import Clock
 from lagoonhinge_core.sections import (
-    CorrectionsSection,
     DemandSection,
     MembersSection,
+    OthersWorkSection,
     PeersSection,
     UpstreamsSection,
 )
 from lagoonhinge_node.admission import Admission
 from lagoonhinge_node.candidates import read_or
 
-DISPATCH_INTERVAL_S = 0.1
-TICKS_PER_PUBLICATION = 10
+DISPATCH_INTERVAL_S = 0.2
+TICKS_PER_PUBLICATION = 5
 
 
 class AdmissionController(Service):
@@ -46,13 +46,15 @@
         self.peer_addresses = peer_addresses
         self.correction = LoadCorrection()
         self.demand_writer = board.writer(DemandSection(), "admission")
-        self.corrections_writer = board.writer(CorrectionsSection(), "admission")
+        self.others_writer = board.writer(OthersWorkSection(), "admission")
+        self.unexplained: dict[str, UpstreamWork] = {}
         self.ticked_s = clock.monotonic_s()
 
     @Service.task
     async def _tick_forever(self) -> None:
         while not self.should_stop:
             for _ in range(TICKS_PER_PUBLICATION):
+                self.add_up_others()
                 self.admission.dispatch()
                 self.admission.refuse_late()
                 await self.sleep(DISPATCH_INTERVAL_S)
@@ -89,14 +91,11 @@
         shares.expect(silent + len(self.peer_addresses - heard))
 
     def _correct(self, now_s: float) -> None:
-        counts: dict[str, UpstreamWork] = dict(
-            self.admission.ledger.snapshot().by_upstream
-        )
-        for digest in read_or(self.board, PeersSection()).digests.values():
-            for name, work in digest.work.items():
-                counts[name] = counts[name].plus(work) if name in counts else work
-        self.correction.record(now_s, counts)
-        found = {}
+        """Record all counts and compare them with the reports of their time."""
+        own = self.admission.ledger.snapshot().by_upstream
+        peers = self._peers_work()
+        self.correction.record(now_s, add_up((own, *peers), {}))
+        found: dict[str, UpstreamWork] = {}
         for name, report in self.board.read(UpstreamsSection).reports.items():
             if report.load is None or not report.reachable:
                 continue
@@ -105,8 +104,18 @@
             )
             if unexplained is not None:
                 found[name] = unexplained
-        if found != self.board.read(CorrectionsSection).by_upstream:
-            self.corrections_writer.post(CorrectionsSection(found))
+        self.unexplained = found
+
+    def add_up_others(self) -> None:
+        """Post the work of others; a decision must not add it up itself."""
+        known = self.board.read(OthersWorkSection).by_upstream
+        others = add_up((*self._peers_work(), self.unexplained), known)
+        if others != known:
+            self.others_writer.post(OthersWorkSection(others))
+
+    def _peers_work(self) -> list[dict[str, UpstreamWork]]:
+        digests = read_or(self.board, PeersSection()).digests.values()
+        return [digest.work for digest in digests]
 
 
 def peer_addresses(peers: tuple[str, ...], own: str) -> frozenset[str]:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/candidates.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/candidates.py
@@ -1,6 +1,7 @@
 """The upstreams that may take an attempt now, read off the blackboard."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from operator import itemgetter
 from typing import TypeVar
 from weakref import WeakKeyDictionary
 
@@ -10,14 +11,11 @@
 from lagoonhinge_core.placement import Candidate
 from lagoonhinge_core.sections import (
     ConfigSection,
-    CorrectionsSection,
     NodeSection,
-    PeersSection,
-    UnexplainedLoad,
+    OthersWorkSection,
     UpstreamsSection,
 )
 
-NOTHING_UNEXPLAINED = UnexplainedLoad()
 SectionT = TypeVar("SectionT")
 
 
@@ -28,8 +26,7 @@
     config: ConfigSection
     node: NodeSection
     upstreams: UpstreamsSection
-    peers: PeersSection
-    corrections: CorrectionsSection
+    others: OthersWorkSection
 
     def same_as(self, other: "Sources") -> bool:
         """Return whether no section was posted anew."""
@@ -37,8 +34,7 @@
             self.config is other.config
             and self.node is other.node
             and self.upstreams is other.upstreams
-            and self.peers is other.peers
-            and self.corrections is other.corrections
+            and self.others is other.others
         )
 
 
@@ -61,15 +57,45 @@
     candidate: Candidate
 
 
+@dataclass(frozen=True)
+class Capacity:
+    """What the best upstream of a service can do.
+
+    Attributes:
+        kv_tokens: Most memory of one upstream, in tokens.
+        prefill_tokens_per_s: Fastest prompt processing, in tokens per second.
+    """
+
+    kv_tokens: int
+    prefill_tokens_per_s: float
+
+
+STALE = -1
+NO_CAPACITY = Capacity(0, 1.0)
+
+
 @dataclass
 class ServiceEntries:
-    """The entries of one service and the sections that they were made from."""
+    """The entries of one service and what they were made from.
+
+    Attributes:
+        sources: The sections that were read.
+        in_zone: The service's upstreams of this zone, in the order of their names.
+        entries: Those that may receive new work.
+        changes: State of the ledger that `candidates` shows.
+        candidates: The candidates of the last decision.
+        capacity: Greatest memory and speed among them.
+    """
 
     sources: Sources
-    entries: list[Entry]
+    in_zone: list[tuple[str, UpstreamConfig]]
+    entries: dict[str, Entry] = field(default_factory=dict)
+    changes: int = STALE
+    candidates: tuple[Candidate, ...] = ()
+    capacity: Capacity = NO_CAPACITY
 
 
-# A decision must not copy every peer's counts, so they are added up once per change.
+# A decision must not copy what has not changed since the one before.
 _CACHE: WeakKeyDictionary[Blackboard, dict[str, ServiceEntries]] = WeakKeyDictionary()
 
 
@@ -80,14 +106,22 @@
 
     They are in the order of their names, which all nodes share.
     """
-    entries = _entries(board, service)
-    work = ledger.work
-    for entry in entries:
-        own = work(entry.name)
-        if own is not entry.own:
-            entry.own = own
-            entry.candidate = _candidate(entry.name, entry.config, own, entry.others)
-    return tuple([entry.candidate for entry in entries])
+    known = _entries(board, service)
+    if known.changes == ledger.changes:
+        return known.candidates
+    changed = ledger.changed_since(known.changes) if known.changes != STALE else None
+    for name in known.entries if changed is None else changed:
+        entry = known.entries.get(name)
+        if entry is not None:
+            _follow_own_work(entry, ledger)
+    known.changes = ledger.changes
+    known.candidates = tuple([entry.candidate for entry in known.entries.values()])
+    return known.candidates
+
+
+def find_capacity(board: Blackboard, service: str) -> Capacity:
+    """Return what the best upstream of a service in this zone can do."""
+    return _entries(board, service).capacity
 
 
 def read_or(board: Blackboard, default: SectionT) -> SectionT:
@@ -97,51 +131,69 @@
     return section
 
 
-def _entries(board: Blackboard, service: str) -> list[Entry]:
+def _entries(board: Blackboard, service: str) -> ServiceEntries:
     sources = Sources(
         board.read(ConfigSection),
         board.read(NodeSection),
         board.read(UpstreamsSection),
-        read_or(board, _NO_PEERS),
-        read_or(board, _NO_CORRECTIONS),
+        read_or(board, _NOTHING_FROM_OTHERS),
     )
     by_service = _CACHE.setdefault(board, {})
     known = by_service.get(service)
-    if known is None or not known.sources.same_as(sources):
-        known = ServiceEntries(sources, _build(sources, service))
+    if known is None:
+        known = ServiceEntries(sources, _in_zone(sources, service))
+        _rebuild(known, sources)
         by_service[service] = known
-    return known.entries
+    elif not known.sources.same_as(sources):
+        old = known.sources
+        if old.config is not sources.config or old.node.zone != sources.node.zone:
+            known.in_zone = _in_zone(sources, service)
+        _rebuild(known, sources)
+    return known
+
+
+def _follow_own_work(entry: Entry, ledger: InFlightLedger) -> None:
+    own = ledger.work(entry.name)
+    if own is not entry.own:
+        entry.own = own
+        entry.candidate = _candidate(entry.name, entry.config, own, entry.others)
 
 
-def _build(sources: Sources, service: str) -> list[Entry]:
+def _in_zone(sources: Sources, service: str) -> list[tuple[str, UpstreamConfig]]:
     zone = sources.node.zone
+    return sorted(
+        (
+            (name, upstream)
+            for name, upstream in sources.config.config.upstreams.items()
+            if upstream.service == service
+            and upstream.zone == zone
+            and upstream.mode == UpstreamMode.ACTIVE
+        ),
+        key=itemgetter(0),
+    )
+
+
+def _rebuild(known: ServiceEntries, sources: Sources) -> None:
     reports = sources.upstreams.reports
-    digests = tuple(sources.peers.digests.values())
-    entries: list[Entry] = []
-    for name, upstream in sources.config.config.upstreams.items():
-        if upstream.service != service or upstream.zone != zone:
-            continue
-        if upstream.mode != UpstreamMode.ACTIVE:
-            continue
+    by_upstream = sources.others.by_upstream
+    entries: dict[str, Entry] = {}
+    for name, upstream in known.in_zone:
         report = reports.get(name)
         if report is not None and report.leaving:
             continue
-        others = NO_WORK
-        for digest in digests:
-            work = digest.work.get(name)
-            if work is not None:
-                others = others.plus(work)
-        unexplained = sources.corrections.by_upstream.get(name)
-        if unexplained is not None:
-            others = others.plus(_as_work(unexplained))
-        candidate = _candidate(name, upstream, NO_WORK, others)
-        entries.append(Entry(name, upstream, others, NO_WORK, candidate))
-    return sorted(entries, key=lambda entry: entry.name)
-
-
-def _as_work(unexplained: UnexplainedLoad) -> UpstreamWork:
-    return UpstreamWork(
-        tokens=unexplained.kv_tokens, prefill_tokens=unexplained.prefill_tokens
+        others = by_upstream.get(name, NO_WORK)
+        entry = known.entries.get(name)
+        if entry is None or entry.others is not others or entry.config is not upstream:
+            candidate = _candidate(name, upstream, NO_WORK, others)
+            entry = Entry(name, upstream, others, NO_WORK, candidate)
+        entries[name] = entry
+    known.sources = sources
+    known.entries = entries
+    known.changes = STALE
+    configs = [entry.config for entry in entries.values()]
+    known.capacity = Capacity(
+        max((config.kv_tokens for config in configs), default=0),
+        max((config.prefill_tokens_per_s for config in configs), default=1.0),
     )
 
 
@@ -159,5 +211,4 @@
     )
 
 
-_NO_PEERS = PeersSection()
-_NO_CORRECTIONS = CorrectionsSection()
+_NOTHING_FROM_OTHERS = OthersWorkSection()
