--- a/bench/load.py
+++ b/bench/load.py
@@ -228,7 +228,8 @@
         for answer in self.blocks["all over"].answers:
             if answer.is_whole and answer.ended_s <= self.block_s:
                 served[answer.arrival.account] += answer.arrival.tokens
-        print(f"equal accounts at 1.5 times capacity: Jain {jain(list(served.values())):.4f}")
+        index = jain(list(served.values()))
+        print(f"equal accounts at 1.5 times capacity: Jain {index:.4f}")
         self.plot(histograms)
 
     async def overload(self) -> None:
@@ -240,7 +241,11 @@
             for times in (1.0, 2.0):
                 stream = Stream(names, times * capacity / 2_100.0, *SHORT)
                 await self.play(
-                    f"{times:.0f}x", "length_aware", (stream,), number, OVERLOAD_TIMEOUT_S
+                    f"{times:.0f}x",
+                    "length_aware",
+                    (stream,),
+                    number,
+                    OVERLOAD_TIMEOUT_S,
                 )
         for name, block in self.blocks.items():
             served[name] = sum(
