--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_api.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_api.py
@@ -1,13 +1,14 @@
 """The callers' interface: completions, chat completions and plain services."""
 
 from aiohttp import web
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.outcome import ErrorCode, Outcome
 from lagoonhinge_core.outcome import Failure as RequestFailure
 from lagoonhinge_core.request import ModelRequest
 from lagoonhinge_core.sections import ConfigSection
+from lagoonhinge_node.answer_relay import AnswerSink, Finished
 from lagoonhinge_node.caller_answers import (
     JSON_TYPE,
     LAST_WRITE_TIMEOUT_S,
@@ -22,12 +23,15 @@
 )
 from lagoonhinge_node.caller_messages import ChatBody, CompletionBody
 from lagoonhinge_node.caller_requests import RequestReader, request_id_of
+from lagoonhinge_node.candidates import find_capacity
 from lagoonhinge_node.logs import PartLogger
 from lagoonhinge_node.metrics import Metrics
 from lagoonhinge_node.model_path import ModelPath
+from lagoonhinge_node.observed_sink import ObservedSink
 from lagoonhinge_node.plain_path import PlainPath
 
 NOT_READY_RETRY_AFTER_S = 2.0
+MIN_NOMINAL_S = 0.01
 HOP_HEADERS = frozenset(
     ("connection", "content-length", "date", "server", "transfer-encoding")
 )
@@ -98,6 +102,7 @@
                     body=answer.body, status=answer.status, headers=headers
                 )
                 response.headers[REQUEST_ID] = request_id
+                self.metrics.answers.labels("plain").inc()
                 return response
         raise AssertionError("not a result")
 
@@ -122,7 +127,7 @@
         self, request: web.Request, checked: ModelRequest, answer_format: AnswerFormat
     ) -> web.StreamResponse:
         sink = WholeSink()
-        match await self.models.run(checked, sink):
+        match await self._run(checked, sink):
             case Failure(failure):
                 return self._fail(failure, checked.request_id)
             case Success(finished):
@@ -138,7 +143,7 @@
         self, request: web.Request, checked: ModelRequest, answer_format: AnswerFormat
     ) -> web.StreamResponse:
         sink = EventSink(request, answer_format)
-        match await self.models.run(checked, sink):
+        match await self._run(checked, sink):
             case Failure(failure) if sink.response is None:
                 return self._fail(failure, checked.request_id)
             case Failure(failure):
@@ -157,6 +162,27 @@
                 return await send_last(request, response, self._write_s(checked), end)
         raise AssertionError("not a result")
 
+    async def _run(
+        self, checked: ModelRequest, sink: AnswerSink
+    ) -> Result[Finished, RequestFailure]:
+        """Serve a request and count what came of it."""
+        clock = self.models.clock
+        arrived_s = clock.monotonic_s()
+
+        def note_first_part() -> None:
+            waited_s = clock.monotonic_s() - arrived_s
+            self.metrics.observe_first_token(checked, waited_s, self._nominal(checked))
+
+        result = await self.models.run(checked, ObservedSink(sink, note_first_part))
+        if isinstance(result, Success):
+            self.metrics.observe_answer(result.unwrap().usage)
+        return result
+
+    def _nominal(self, checked: ModelRequest) -> float:
+        """Return the time that an idle upstream needs for the prompt, in seconds."""
+        rate = find_capacity(self.board, checked.service).prefill_tokens_per_s
+        return max(MIN_NOMINAL_S, checked.estimate.prompt_tokens / rate)
+
     def _write_s(self, checked: ModelRequest) -> float:
         remaining_s = checked.deadline_s - self.models.clock.monotonic_s()
         return max(LAST_WRITE_TIMEOUT_S, remaining_s)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
@@ -9,6 +9,7 @@
     generate_latest,
 )
 
+from lagoonhinge_core.engine_messages import Usage
 from lagoonhinge_core.length_class import length_class
 from lagoonhinge_core.outcome import Failure
 from lagoonhinge_core.request import ModelRequest
@@ -98,6 +99,13 @@
         self.first_token.labels(length).observe(waited_s)
         self.slowdown.labels(length).observe(waited_s / nominal_s)
 
+    def observe_answer(self, usage: Usage) -> None:
+        """Count a whole answer of a model."""
+        self.answers.labels("model").inc()
+        self.tokens.labels("prompt").inc(usage.prompt_tokens)
+        self.tokens.labels("cached").inc(usage.cached_tokens)
+        self.tokens.labels("completion").inc(usage.completion_tokens)
+
     def observe_failure(self, failure: Failure) -> None:
         """Count a failure."""
         self.failures.labels(failure.code, failure.outcome).inc()
