--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGTERM
 from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
+from ssl import create_default_context
 from subprocess import DEVNULL, Popen, run
 from sys import executable
 from tempfile import TemporaryDirectory
@@ -39,11 +40,14 @@
         return json.decode(self.body)
 
 
-def http(method, url, body=None, headers=None, timeout_s=30.0) -> HttpAnswer:
+def http(
+    method, url, body=None, headers=None, timeout_s=30.0, tls_ca=None
+) -> HttpAnswer:
     """Send one request and return its answer, whatever its status."""
     request = Request(url, data=body, method=method, headers=headers or {})
+    trust = None if tls_ca is None else create_default_context(cafile=tls_ca)
     try:
-        with urlopen(request, timeout=timeout_s) as answer:
+        with urlopen(request, timeout=timeout_s, context=trust) as answer:
             return HttpAnswer(answer.status, dict(answer.headers), answer.read())
     except HTTPError as error:
         return HttpAnswer(error.code, dict(error.headers), error.read())
@@ -124,6 +128,7 @@
 
     def __post_init__(self):
         self.config_folder = None
+        self.tls_ca = None
         self.folder = TemporaryDirectory(prefix="lagoonhinge-")
         self.path = Path(self.folder.name)
         self.platform = None
@@ -180,7 +185,8 @@
         )
         process.control_port = control
         self.nodes.append(process)
-        self.starting.append(f"http://{process.control}/healthz")
+        scheme = "http" if self.tls_ca is None else "https"
+        self.starting.append(f"{scheme}://{process.control}/healthz")
         return process
 
     def write_config(self, base: str, overlay: str) -> Path:
@@ -223,7 +229,7 @@
         until = monotonic() + timeout_s
         while monotonic() < until:
             try:
-                if http("GET", url, timeout_s=2.0).status == 200:
+                if http("GET", url, timeout_s=2.0, tls_ca=self.tls_ca).status == 200:
                     return
             except (URLError, OSError):
                 pass
