Send the next short prompt just before the engine runs out of work

Change: progress on an engine is forecast from its rate between first tokens, and the next prompt is sent when 0.03 s of work is left; the prediction counts the prompt's own time and a learned time for the answer, also at dispatch.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -39,7 +39,7 @@
 from lagoonhinge_core.tokens import TokenEstimate
 from lagoonhinge_node.admission import Admission
 from lagoonhinge_node.admission_controller import AdmissionController
-from lagoonhinge_node.candidates import find_candidates, find_capacity
+from lagoonhinge_node.candidates import find_candidates
 from lagoonhinge_node.clock import SystemClock
 
 MAX_NS = 1_000_000_000
@@ -160,12 +160,11 @@
         lane = self.admission._lanes("s").short
         account = AccountConfig("0" * 64)
         tokens = request.estimate.total()
-        capacity = find_capacity(self.board, "s")
         started = perf_counter_ns()
         now_s = self.admission.clock.monotonic_s()
         self.admission.limits.take(request.account, account, tokens, now_s)
         waiting = self.admission._waiting(request)
-        self.admission._late_by_s(waiting, account, capacity)
+        self.admission._late_by_s(waiting, account)
         item = QueueItem(request.request_id, request.account, tokens)
         lane.queue.push(item)
         lane.queue.heaviest_account()
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -72,7 +72,7 @@
         "a to c have longs": [(name, LONG_TOKENS) for name in "abc"],
         "a to c have longs, d few shorts": [
             *((name, LONG_TOKENS) for name in "abc"),
-            ("d", 1000),
+            ("d", 550),
         ],
         "d is full": [("d", 399_000)],
         "all are full": [(name, 399_000) for name in "abcd"],
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/admission_policy.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/admission_policy.py
@@ -5,6 +5,8 @@
 
 DRAIN_MEMORY_S = 10.0
 DEMAND_MEMORY_S = 5.0
+FINISH_GAIN = 0.05
+FINISH_DEVIATIONS = 2.0
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 120.0
 NEGLIGIBLE_TOKENS_PER_S = 1.0
@@ -13,19 +15,21 @@
 
 @dataclass(frozen=True)
 class Prediction:
-    """When a request would get its first token.
+    """When a request would be answered.
 
     Attributes:
         start_s: Time until it is dispatched, in seconds.
         prefill_s: Time that its own prompt takes, in seconds.
+        finish_s: Time that its answer takes after that, in seconds.
     """
 
     start_s: float
     prefill_s: float
+    finish_s: float = 0.0
 
     def late_by_s(self, remaining_s: float) -> float:
         """Return by how much the bound is missed, in seconds; negative if met."""
-        return self.start_s + self.prefill_s - remaining_s
+        return self.start_s + self.prefill_s + self.finish_s - remaining_s
 
 
 def retry_after_s(late_by_s: float) -> float:
@@ -69,6 +73,28 @@
         return tokens_ahead / max(NEGLIGIBLE_TOKENS_PER_S, self.tokens_per_s)
 
 
+class FinishTime:
+    """Time that answers take after dispatch beyond their prompts, learned.
+
+    The mean and deviation are averaged as for a retransmission timeout.
+    """
+
+    def __init__(self) -> None:
+        self.mean_s = 0.0
+        self.deviation_s = 0.0
+
+    def note(self, seconds_per_token: float) -> None:
+        """Take in one answer's time for each output token, in seconds."""
+        error = seconds_per_token - self.mean_s
+        self.mean_s += FINISH_GAIN * error
+        self.deviation_s += FINISH_GAIN * (abs(error) - self.deviation_s)
+
+    def after_prompt_s(self, output_tokens: int) -> float:
+        """Return how long an answer may take after its prompt, in seconds."""
+        per_token_s = self.mean_s + FINISH_DEVIATIONS * self.deviation_s
+        return per_token_s * output_tokens
+
+
 class DemandMeter:
     """Offered load by key, as an exponential average in tokens per second."""
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/length_aware.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/length_aware.py
@@ -5,7 +5,8 @@
 from lagoonhinge_core.config import LengthAware
 from lagoonhinge_core.in_flight import UpstreamWork
 
-SHORT_WINDOW_S = 0.25  # enough to keep an engine busy for one answer's round trip
+HAND_OVER_S = 0.03  # work left on an engine when the next prompt is sent to it
+SHORT_WINDOW_S = 0.25  # bound where an engine is slower than its nominal rate
 LONG_WINDOW_S = 0.25
 SHORT_PRIORITY = 0
 LONG_PRIORITY = 10
@@ -49,6 +50,7 @@
         reserved: Upstream that admission set aside for the request, if any.
         needs_room: Whether only an upstream with room to start it now will do.
         cached: Part of the prompt believed cached, in tokens by upstream name.
+        done: Part of the work ahead believed done, in tokens by upstream name.
     """
 
     prompt_tokens: int
@@ -58,6 +60,7 @@
     reserved: str | None = None
     needs_room: bool = False
     cached: dict[str, int] = field(default_factory=dict)
+    done: dict[str, float] = field(default_factory=dict)
 
 
 def is_long(policy: LengthAware, prompt_tokens: int) -> bool:
@@ -127,15 +130,19 @@
     open_to_long = split if split < len(usable) else 0
     needs_room = request.needs_room
     has_cached = bool(request.cached)
+    done = request.done
     for index, candidate in enumerate(usable):
         work = candidate.work
         rate = candidate.prefill_tokens_per_s
         ahead = work.prefill_tokens - work.long_prefill_tokens
+        left = ahead - done.get(candidate.name, 0.0) if done else ahead
         fits = candidate.free_kv_tokens >= total
-        if needs_room and not (fits and ahead <= SHORT_WINDOW_S * rate):
+        if needs_room and not (
+            fits and left <= HAND_OVER_S * rate and ahead <= SHORT_WINDOW_S * rate
+        ):
             continue
         # Decoding streams slow each other a little; this also breaks ties.
-        cost: float = ahead + own + work.requests
+        cost: float = left + own + work.requests
         if has_cached:
             cost -= _credit(policy, candidate, request)
         if work.long_requests:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
@@ -1,13 +1,14 @@
 """Admission: limits, fair queue, deadline check, and room on an upstream."""
 
-from asyncio import CancelledError, Future, get_running_loop
-from dataclasses import dataclass, field
+from asyncio import CancelledError, Future, TimerHandle, get_running_loop
+from dataclasses import dataclass, field, replace
 
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.admission_policy import (
     DemandMeter,
     DrainRate,
+    FinishTime,
     Prediction,
     retry_after_s,
 )
@@ -27,17 +28,18 @@
 from lagoonhinge_core.outcome import Failure as RequestFailure
 from lagoonhinge_core.placement import Candidate, PlacementRequest, Placer
 from lagoonhinge_core.ports import Clock
+from lagoonhinge_core.prefill_forecast import PrefillForecast
 from lagoonhinge_core.prefix_index import PrefixIndex
 from lagoonhinge_core.request import ModelRequest
 from lagoonhinge_core.sections import ConfigSection, NodeSection, PeersSection
 from lagoonhinge_node.candidates import (
-    Capacity,
     find_candidates,
     find_capacity,
     read_or,
 )
 
 RETRY_AFTER_S = 1.0
+LOOK_AGAIN_S = 0.01
 
 
 @dataclass(frozen=True)
@@ -54,10 +56,14 @@
     Attributes:
         upstream: Upstream set aside for its first attempt, until that is placed.
         waited_s: Time that it spent in the queue, in seconds.
+        waiting: How it was in line, unless it passed by.
+        granted_s: When it got the ticket.
     """
 
     upstream: str | None
     waited_s: float
+    waiting: "Waiting | None" = None
+    granted_s: float = 0.0
 
 
 @dataclass
@@ -69,6 +75,7 @@
 
     queue: FairQueue = field(default_factory=FairQueue)
     drain: DrainRate = field(default_factory=DrainRate)
+    finish: FinishTime = field(default_factory=FinishTime)
 
 
 @dataclass
@@ -114,6 +121,9 @@
         self.services: dict[str, ServiceLanes] = {}
         self.waiting: dict[str, Waiting] = {}
         self.admitted: dict[str, Admitted] = {}
+        self.forecast = PrefillForecast()
+        self.changes = 0
+        self.timer: TimerHandle | None = None
         ledger.on_less_work.append(self.dispatch)
 
     async def admit(self, request: ModelRequest) -> Result[Ticket, RequestFailure]:
@@ -145,7 +155,9 @@
     def release(self, ticket: Ticket) -> None:
         """Give a ticket back."""
         unused = self.take_reserved(ticket.request_id)
-        del self.admitted[ticket.request_id]
+        admitted = self.admitted.pop(ticket.request_id)
+        if admitted.waiting is not None and unused is None:
+            self._learn_finish(admitted.waiting, admitted.granted_s)
         if unused is not None:
             self.dispatch()
 
@@ -196,7 +208,7 @@
             self.admitted[request.request_id] = Admitted(None, 0.0)
             return Success(Ticket(request.request_id))
         waiting = self._waiting(request)
-        late_by_s = self._late_by_s(waiting, account, capacity)
+        late_by_s = self._late_by_s(waiting, account)
         if late_by_s > 0:
             return _overloaded(_late_message(request, late_by_s), late_by_s)
         if not self._make_place(waiting, account):
@@ -264,16 +276,50 @@
         head = lane.queue.head()
         assert head is not None
         waiting = self.waiting[head.request_id]
+        now_s = self.clock.monotonic_s()
+        remaining_s = waiting.request.deadline_s - now_s
+        late_by_s = self._predict(waiting, 0.0).late_by_s(remaining_s)
+        if late_by_s > 0:
+            message = _late_message(waiting.request, late_by_s)
+            self._refuse(head.request_id, message, late_by_s)
+            return True
+        self._follow_progress(now_s)
         candidates = find_candidates(self.board, self.ledger, service)
-        policy = self._policy(service)
-        choice = self.placer.choose(policy, candidates, waiting.wanted)
+        wanted = replace(waiting.wanted, done=self.forecast.done(now_s))
+        choice = self.placer.choose(self._policy(service), candidates, wanted)
         if choice is None and candidates:
+            if not self._is_long(waiting.request):
+                self._dispatch_later()
             return False
         lane.queue.pop()
         lane.drain.note(head.tokens)
         self._grant(waiting, choice)
         return True
 
+    def _follow_progress(self, now_s: float) -> None:
+        """Let the forecast follow the prompts that began or were done."""
+        changed = self.ledger.changed_since(self.changes)
+        if changed is None:
+            changed = self.forecast.anchors.keys() | self.ledger.by_upstream.keys()
+        upstreams = self._config().upstreams
+        for name in changed:
+            config = upstreams.get(name)
+            if config is None:
+                continue
+            work = self.ledger.work(name)
+            shorts = work.prefill_tokens - work.long_prefill_tokens
+            self.forecast.observe(name, shorts, config.prefill_tokens_per_s, now_s)
+        self.changes = self.ledger.changes
+
+    def _dispatch_later(self) -> None:
+        """Look again when an engine may have come far enough for the next prompt."""
+        if self.timer is None:
+            self.timer = get_running_loop().call_later(LOOK_AGAIN_S, self._look_again)
+
+    def _look_again(self) -> None:
+        self.timer = None
+        self.dispatch()
+
     def _grant(self, waiting: Waiting, choice: Candidate | None) -> None:
         request = waiting.request
         request_id = request.request_id
@@ -289,10 +335,34 @@
             )
             self.ledger.start(_reservation(request_id), item)
         waited_s = self.clock.monotonic_s() - waiting.arrived_s
-        self.admitted[request_id] = Admitted(upstream, waited_s)
+        now_s = waiting.arrived_s + waited_s
+        self.admitted[request_id] = Admitted(upstream, waited_s, waiting, now_s)
         if not waiting.granted.done():
             waiting.granted.set_result(Success(Ticket(request_id)))
 
+    def _learn_finish(self, waiting: Waiting, granted_s: float) -> None:
+        request = waiting.request
+        prefill_s = self._prefill_s(waiting)
+        took_s = self.clock.monotonic_s() - granted_s
+        output_tokens = max(1, request.estimate.output_tokens)
+        waiting.lane.finish.note(max(0.0, took_s - prefill_s) / output_tokens)
+
+    def _prefill_s(self, waiting: Waiting) -> float:
+        request = waiting.request
+        own = request.estimate.prompt_tokens
+        own -= max(waiting.wanted.cached.values(), default=0)
+        capacity = find_capacity(self.board, request.service)
+        return own / capacity.prefill_tokens_per_s
+
+    def _predict(self, waiting: Waiting, tokens_ahead: float) -> Prediction:
+        lane = waiting.lane
+        output_tokens = waiting.request.estimate.output_tokens
+        return Prediction(
+            lane.drain.wait_s(tokens_ahead),
+            self._prefill_s(waiting),
+            lane.finish.after_prompt_s(output_tokens),
+        )
+
     def _abandon(self, request_id: str) -> None:
         """Undo a request whose caller left while it was in line or just granted."""
         waiting = self.waiting.pop(request_id, None)
@@ -328,30 +398,21 @@
         if not waiting.granted.done():
             waiting.granted.set_result(_overloaded(message, late_by_s))
 
-    def _late_by_s(
-        self,
-        waiting: Waiting,
-        account: AccountConfig,
-        capacity: Capacity,
-    ) -> float:
+    def _late_by_s(self, waiting: Waiting, account: AccountConfig) -> float:
         request = waiting.request
-        lane = waiting.lane
-        ahead = lane.queue.tokens_ahead(request.account, account.weight)
-        own = request.estimate.prompt_tokens
-        own -= max(waiting.wanted.cached.values(), default=0)
-        prefill_s = own / capacity.prefill_tokens_per_s
-        prediction = Prediction(lane.drain.wait_s(ahead), prefill_s)
-        return prediction.late_by_s(request.deadline_s - self.clock.monotonic_s())
+        ahead = waiting.lane.queue.tokens_ahead(request.account, account.weight)
+        remaining_s = request.deadline_s - self.clock.monotonic_s()
+        return self._predict(waiting, ahead).late_by_s(remaining_s)
 
     def _refuse_late_in(self, lane: Lane) -> None:
         now_s = self.clock.monotonic_s()
         ahead = 0
         for item in lane.queue.in_order():
-            request = self.waiting[item.request_id].request
-            remaining_s = request.deadline_s - now_s
-            late_by_s = Prediction(lane.drain.wait_s(ahead), 0.0).late_by_s(remaining_s)
+            waiting = self.waiting[item.request_id]
+            remaining_s = waiting.request.deadline_s - now_s
+            late_by_s = self._predict(waiting, ahead).late_by_s(remaining_s)
             if late_by_s > 0:
-                message = _late_message(request, late_by_s)
+                message = _late_message(waiting.request, late_by_s)
                 self._refuse(item.request_id, message, late_by_s)
             else:
                 ahead += item.tokens
