--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Load and experiment tools; see README.md."""
+"""Load and cost measurements; each prints figures of one run."""
--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -90,5 +90,18 @@
       | 1    | 0       |
       | 31   | 2       |
 
+  Scenario Outline: What answers take is learned without refusing for ever
+    Given answers of <tokens> tokens that took <took> s after their prompts
+    When <idle> s pass without another
+    Then an answer of 100 tokens is expected to take <least> to <most> s
+
+    Examples:
+      | tokens | took  | idle | least | most |
+      | 100    | 3     | 0    | 3.0   | 3.2  |
+      | 10     | 0.3   | 0    | 3.0   | 3.2  |
+      | 100    | 3     | 600  | 0.1   | 0.2  |
+      | 1      | 600   | 0    | 0.1   | 21   |
+      | 1      | 600   | 600  | 0.1   | 0.2  |
+
   Scenario: Tickets under random arrivals, ends and departures
     Then random arrivals, ends and departures leave no ticket, room or queue entry
--- a/features/steps/fairness_steps.py
+++ b/features/steps/fairness_steps.py
@@ -15,6 +15,7 @@
 )
 
 from features.support.admitting import AdmittingNode
+from lagoonhinge_core.admission_policy import FinishTime
 from lagoonhinge_core.config import AccountConfig
 from lagoonhinge_core.fair_queue import FairQueue, QueueItem
 from lagoonhinge_core.identity import NodeId
@@ -400,6 +401,25 @@
     assert_refused(context.node, refused)
 
 
+@given("answers of {tokens:d} tokens that took {took:g} s after their prompts")
+def step_answers(context, tokens, took):
+    context.finish = FinishTime()
+    for _ in range(50):
+        context.finish.note(took, tokens)
+
+
+@when("{idle:d} s pass without another")
+def step_idle(context, idle):
+    for _ in range(idle):
+        context.finish.tick(1.0)
+
+
+@then("an answer of 100 tokens is expected to take {least:g} to {most:g} s")
+def step_expected(context, least, most):
+    expected = context.finish.after_prompt_s(100)
+    assert least <= expected <= most, expected
+
+
 class TicketMachine(RuleBasedStateMachine):
     """Requests arrive, end, or are given up by their callers at any moment."""
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/admission_policy.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/admission_policy.py
@@ -6,7 +6,9 @@
 DRAIN_MEMORY_S = 10.0
 DEMAND_MEMORY_S = 5.0
 FINISH_GAIN = 0.05
-FINISH_DEVIATIONS = 2.0
+FINISH_MEMORY_S = 60.0
+FINISH_MARGIN_S = 0.1
+SLOWEST_TOKEN_S = 0.2
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 120.0
 NEGLIGIBLE_TOKENS_PER_S = 1.0
@@ -74,25 +76,31 @@
 
 
 class FinishTime:
-    """Time that answers take after dispatch beyond their prompts, learned.
+    """Time that answers take after their prompts for each output token, learned.
 
-    The mean and deviation are averaged as for a retransmission timeout.
+    Long answers weigh more than short ones. One that hung counts as at most a slow
+    one, and what was learned fades, so that refusals never keep themselves up.
     """
 
     def __init__(self) -> None:
-        self.mean_s = 0.0
-        self.deviation_s = 0.0
+        self.seconds = 0.0
+        self.tokens = 0.0
 
-    def note(self, seconds_per_token: float) -> None:
-        """Take in one answer's time for each output token, in seconds."""
-        error = seconds_per_token - self.mean_s
-        self.mean_s += FINISH_GAIN * error
-        self.deviation_s += FINISH_GAIN * (abs(error) - self.deviation_s)
+    def note(self, after_prompt_s: float, output_tokens: int) -> None:
+        """Take in one answer."""
+        seconds = min(after_prompt_s, SLOWEST_TOKEN_S * output_tokens)
+        self.seconds += FINISH_GAIN * (seconds - self.seconds)
+        self.tokens += FINISH_GAIN * (output_tokens - self.tokens)
+
+    def tick(self, elapsed_s: float) -> None:
+        """Let what was learned fade, given the time since the last tick."""
+        self.seconds *= exp(-elapsed_s / FINISH_MEMORY_S)
 
     def after_prompt_s(self, output_tokens: int) -> float:
-        """Return how long an answer may take after its prompt, in seconds."""
-        per_token_s = self.mean_s + FINISH_DEVIATIONS * self.deviation_s
-        return per_token_s * output_tokens
+        """Return how long an answer takes after its prompt, in seconds."""
+        if self.tokens <= 0:
+            return FINISH_MARGIN_S
+        return FINISH_MARGIN_S + output_tokens * self.seconds / self.tokens
 
 
 class DemandMeter:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/candidates.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/candidates.py
@@ -13,6 +13,7 @@
     ConfigSection,
     NodeSection,
     OthersWorkSection,
+    UpstreamReport,
     UpstreamsSection,
 )
 
@@ -104,7 +105,8 @@
 ) -> tuple[Candidate, ...]:
     """Return the upstreams of a service in this zone that may receive new work.
 
-    They are in the order of their names, which all nodes share.
+    They are in the order of their names, which all nodes share. Those that did not
+    answer the last time are left out while others did.
     """
     known = _entries(board, service)
     if known.changes == ledger.changes:
@@ -177,16 +179,21 @@
     reports = sources.upstreams.reports
     by_upstream = sources.others.by_upstream
     entries: dict[str, Entry] = {}
+    unreachable: set[str] = set()
     for name, upstream in known.in_zone:
-        report = reports.get(name)
-        if report is not None and report.leaving:
+        report = reports.get(name, _NO_REPORT)
+        if report.leaving:
             continue
+        if not report.reachable:
+            unreachable.add(name)
         others = by_upstream.get(name, NO_WORK)
         entry = known.entries.get(name)
         if entry is None or entry.others is not others or entry.config is not upstream:
             candidate = _candidate(name, upstream, NO_WORK, others)
             entry = Entry(name, upstream, others, NO_WORK, candidate)
         entries[name] = entry
+    reachable = {name: entries[name] for name in entries if name not in unreachable}
+    entries = reachable or entries
     known.sources = sources
     known.entries = entries
     known.changes = STALE
@@ -211,4 +218,5 @@
     )
 
 
+_NO_REPORT = UpstreamReport()
 _NOTHING_FROM_OTHERS = OthersWorkSection()
