--- a/packages/lagoonhinge-node/src/lagoonhinge_node/candidates.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/candidates.py
@@ -71,7 +71,6 @@
     prefill_tokens_per_s: float
 
 
-UNREPORTED = UpstreamReport()
 STALE = -1
 NO_CAPACITY = Capacity(0, 1.0)
 
@@ -182,7 +181,7 @@
     entries: dict[str, Entry] = {}
     unreachable: set[str] = set()
     for name, upstream in known.in_zone:
-        report = reports.get(name, UNREPORTED)
+        report = reports.get(name, _NO_REPORT)
         if report.leaving:
             continue
         if not report.reachable:
@@ -193,8 +192,8 @@
             candidate = _candidate(name, upstream, NO_WORK, others)
             entry = Entry(name, upstream, others, NO_WORK, candidate)
         entries[name] = entry
-    if len(unreachable) < len(entries):
-        entries = {n: entry for n, entry in entries.items() if n not in unreachable}
+    reachable = {name: entries[name] for name in entries if name not in unreachable}
+    entries = reachable or entries
     known.sources = sources
     known.entries = entries
     known.changes = STALE
@@ -219,4 +218,5 @@
     )
 
 
+_NO_REPORT = UpstreamReport()
 _NOTHING_FROM_OTHERS = OthersWorkSection()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/membership_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/membership_controller.py
@@ -154,6 +154,7 @@
         """Return this node's digest, whole for the cell and short for the others."""
         self.seq += 1
         poison = self.board.find(PoisonSection())
+        demand = self.board.find(DemandSection())
         node = self.board.read(NodeSection)
         whole = PeerDigest(
             node=str(node.node),
@@ -163,7 +164,9 @@
             config_version=self.board.read(ConfigSection).version,
             stopping=node.readiness == Readiness.STOPPING,
             work=self.ledger.snapshot().by_upstream,
-            demand_tokens_per_s=self.board.find(DemandSection()).tokens_per_s,
+            demand_tokens_per_s=demand.tokens_per_s,
+            demand_number=demand.number,
+            demand_heard=demand.heard,
             strikes=poison.strikes,
             quarantines=poison.quarantines,
             leaving=self.own_leaving(),
