--- a/packages/lagoonhinge-core/src/lagoonhinge_core/chunk_sequence.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/chunk_sequence.py
@@ -41,6 +41,10 @@
             return ()
         if self.finished or chunk.seq < self.next_seq or chunk.seq in self.held:
             return ()
+        if chunk.seq == self.next_seq and not self.held:
+            self.next_seq += 1
+            self.finished = chunk.finish is not None
+            return (chunk,)
         self.held[chunk.seq] = chunk
         if len(self.held) > MAX_HELD_CHUNKS:
             return SequenceBroken(f"chunk {self.next_seq} of {self.attempt} is missing")
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_answers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_answers.py
@@ -40,6 +40,7 @@
     ErrorCode.OUTCOME_UNKNOWN: 502,
 }
 REQUEST_ID = "X-Request-Id"
+TEXT_MARK = "(text)"
 LAST_WRITE_TIMEOUT_S = 2.0
 FLUSH_POLL_S = 0.05
 JSON_TYPE = "application/json"
@@ -71,6 +72,8 @@
         self.request_id = request_id
         self.model = model
         self.is_chat = is_chat
+        event = self._event(self._part_choice(TEXT_MARK, None), None)
+        self.before_text, self.after_text = event.split(encode(TEXT_MARK))
 
     def whole(self, text: str, finished: Finished) -> bytes:
         """Return the body of a whole answer."""
@@ -83,7 +86,7 @@
 
     def part(self, text: str) -> bytes:
         """Return the event for one part."""
-        return self._event(self._part_choice(text, None), None)
+        return self.before_text + encode(text) + self.after_text
 
     def end(self, finished: Finished) -> bytes:
         """Return the last events of a whole answer."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/engine_stream.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/engine_stream.py
@@ -1,6 +1,6 @@
 """An engine's answer, read as server-sent events."""
 
-from asyncio import timeout
+from asyncio import TimerHandle, get_running_loop
 
 from aiohttp import ClientError, ClientResponse
 from msgspec import DecodeError, ValidationError
@@ -34,6 +34,10 @@
         self.pools = pools
         self.rest = b""
         self.closed = False
+        self.loop = get_running_loop()
+        self.timer: TimerHandle | None = None
+        self.waits_until_s: float | None = None
+        self.reads = 0
 
     async def next_chunks(
         self, timeout_s: float
@@ -56,6 +60,8 @@
         if self.closed:
             return
         self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
         if self.response.content.at_eof():
             self.response.release()
         else:
@@ -67,15 +73,36 @@
         arrived = content.read_nowait()
         if arrived:
             return arrived
+        self._start_timer(timeout_s)
         try:
-            async with timeout(timeout_s):
-                return await content.readany()
-        except TimeoutError:
-            # A process that was paused finds its timer due beside what has arrived.
-            arrived = content.read_nowait()
-            if arrived:
-                return arrived
-            raise
+            return await content.readany()
+        finally:
+            self.waits_until_s = None
+            self.reads += 1
+
+    def _start_timer(self, timeout_s: float) -> None:
+        # One timer outlives many reads, since arming one for each costs more than
+        # the rest of a read.
+        self.waits_until_s = self.loop.time() + timeout_s
+        if self.timer is not None and self.timer.when() > self.waits_until_s:
+            self.timer.cancel()
+            self.timer = None
+        if self.timer is None:
+            self.timer = self.loop.call_at(self.waits_until_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self.timer = None
+        if self.waits_until_s is None:
+            return
+        if self.loop.time() < self.waits_until_s:
+            self.timer = self.loop.call_at(self.waits_until_s, self._on_timer)
+            return
+        # After a pause of this process, what has arrived is read first.
+        self.loop.call_soon(self._end_wait, self.reads)
+
+    def _end_wait(self, reads: int) -> None:
+        if self.reads == reads:
+            self.response.content.set_exception(TimeoutError())
 
 
 def _decode_events(
