Poison prompts: strikes, isolation of suspects, quarantine

Cause: a prompt that kills each upstream that runs it was rerun and resent without end. Ruled out: quarantine at any second death, since a bystander of two deaths would be refused; a strike judged as it arrives, since its neighbours' strikes come later. Change: an attempt whose upstream died strikes its prompt; suspects wait for gossip and run apart; PoisonController writes PoisonSection and merges the digests of peers.

--- a/features/support/request_faults.py
+++ b/features/support/request_faults.py
@@ -57,6 +57,7 @@
             case "engine restart":
                 engine.crash()
                 engine.restart()
+                self.rig.report()
             case "connection cut" if stream is None:
                 engine.listens = False
             case "connection cut":
--- a/features/support/request_rig.py
+++ b/features/support/request_rig.py
@@ -29,6 +29,7 @@
 from lagoonhinge_core.tokens import TokenEstimate, TokenEstimator
 from lagoonhinge_node.admission import Admission
 from lagoonhinge_node.model_path import ModelPath
+from lagoonhinge_node.poison_controller import PoisonController
 from lagoonhinge_node.releases import Releaser
 from stand_ins.answers import whole_answer
 
@@ -68,17 +69,25 @@
 class RequestRig:
     """One node's request path with its engines."""
 
-    def __init__(self, engines=2, **engine_settings):
-        self.loop = VirtualLoop()
-        set_event_loop(self.loop)
-        self.engines = [
-            FakeEngine(f"http://engine-{n}", **engine_settings) for n in range(engines)
-        ]
-        self.port = FakeEngines(self.loop, self.engines)
+    def __init__(self, engines=2, shared=None):
+        if shared is None:
+            self.loop = VirtualLoop()
+            set_event_loop(self.loop)
+            self.engines = [FakeEngine(f"http://engine-{n}") for n in range(engines)]
+            self.port = FakeEngines(self.loop, self.engines)
+            self.vm = "vm"
+        else:
+            self.loop, self.engines, self.port = (
+                shared.loop,
+                shared.engines,
+                shared.port,
+            )
+            self.vm = f"vm{id(self)}"
         self.board = self._board()
         self.ledger = InFlightLedger()
         self.releaser = Releaser(self.port)
         self.admission = Admission(self.board)
+        self.poison = PoisonController(self.board, self.loop)
         self.path = ModelPath(
             self.board,
             self.port,
@@ -87,6 +96,7 @@
             self.ledger,
             self.releaser,
             TokenEstimator({"compliance": 4.0}),
+            self.poison,
         )
         self.started = 0
 
@@ -160,7 +170,7 @@
     def _board(self):
         board = Blackboard()
         zone = "perth-north"
-        node = NodeId("vm", 1)
+        node = NodeId(self.vm, 1)
         board.writer(NodeSection(node, "perth", zone, Readiness.READY, 0.0), "node")
         upstreams = {
             engine.url.removeprefix("http://"): UpstreamConfig(
@@ -177,16 +187,22 @@
             upstreams=upstreams,
         )
         self.config = board.writer(ConfigSection(1, "digest", config), "config")
-        self.reports = board.writer(self._reports(upstreams), "upstreams")
+        self.reports = board.writer(self._reports(), "upstreams")
         return board
 
-    def _reports(self, upstreams):
+    def report(self):
+        """Post the reports of the engines that answer, as the node does."""
+        self.reports.post(self._reports())
+
+    def _reports(self):
         return UpstreamsSection(
             {
-                name: UpstreamReport(
-                    LoadReport(0.0, 0, 0, 0, 0, 400_000, False, engine.boot)
+                engine.url.removeprefix("http://"): UpstreamReport(
+                    LoadReport(0.0, 0, 0, 0, 0, 400_000, False, engine.boot),
+                    self.loop.time(),
                 )
-                for name, engine in zip(upstreams, self.engines, strict=True)
+                for engine in self.engines
+                if engine.alive
             }
         )
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/recovery.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/recovery.py
@@ -198,3 +198,14 @@
     return Failure(
         ErrorCode.DEADLINE, outcome, "the time bound has passed", RETRY_AFTER_S
     )
+
+
+def quarantined_failure(outcome: Outcome, remaining_s: float) -> Failure:
+    """Return the failure of a prompt that is refused because it kills upstreams.
+
+    Args:
+        outcome: What is known about the execution of its attempts.
+        remaining_s: How much longer it is refused, in seconds.
+    """
+    message = f"the prompt ended upstreams and is refused for {remaining_s:.0f} s"
+    return Failure(ErrorCode.QUARANTINED, outcome, message, remaining_s)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
@@ -1,6 +1,6 @@
 """The way of a model request: admit, place, attempt, rerun, finish or fail in time."""
 
-from asyncio import timeout
+from asyncio import sleep, timeout
 from dataclasses import dataclass, field
 from itertools import count
 
@@ -14,6 +14,7 @@
 from lagoonhinge_core.outcome import ErrorCode, Outcome
 from lagoonhinge_core.outcome import Failure as RequestFailure
 from lagoonhinge_core.placement import Candidate, PlacementRequest, Placer
+from lagoonhinge_core.poison import Clear, Quarantined, Suspect
 from lagoonhinge_core.ports import Clock, EngineClient
 from lagoonhinge_core.recovery import (
     AttemptEnded,
@@ -24,6 +25,7 @@
     answer_differs_failure,
     combined_outcome,
     deadline_failure,
+    quarantined_failure,
 )
 from lagoonhinge_core.request import ModelRequest
 from lagoonhinge_core.retry_budget import RetryBudget
@@ -34,9 +36,12 @@
 from lagoonhinge_node.answer_relay import AnswerSink, Finished
 from lagoonhinge_node.attempts import EXPIRY_MARGIN_S, Attempt, AttemptRunner
 from lagoonhinge_node.candidates import find_candidates
+from lagoonhinge_node.poison_controller import PoisonController
 from lagoonhinge_node.releases import Releaser
 
 NO_UPSTREAM_RETRY_AFTER_S = 2.0
+ISOLATION_WAIT_S = 15.0
+ISOLATION_POLL_S = 0.1
 SHORT_PRIORITY = 0
 LONG_PRIORITY = 10
 
@@ -74,12 +79,14 @@
         ledger: InFlightLedger,
         releaser: Releaser,
         estimator: TokenEstimator,
+        poison: PoisonController,
     ):
         self.board = board
         self.clock = clock
         self.admission = admission
         self.ledger = ledger
         self.estimator = estimator
+        self.poison = poison
         self.attempts = AttemptRunner(engines, clock, ledger, releaser)
         self.budget = RetryBudget()
         self.placer = Placer()
@@ -109,6 +116,8 @@
     async def _run_admitted(
         self, request: ModelRequest, state: RequestState, sink: AnswerSink
     ) -> Result[Finished, RequestFailure]:
+        if isinstance(standing := self.poison.standing(request), Quarantined):
+            return Failure(quarantined_failure(state.outcome, standing.remaining_s))
         match await self.admission.admit(request):
             case Failure(failure):
                 return Failure(failure)
@@ -123,19 +132,22 @@
         self, request: ModelRequest, state: RequestState, sink: AnswerSink
     ) -> Result[Finished, RequestFailure]:
         while True:
-            if self._remaining_s(request) <= 0:
-                return Failure(deadline_failure(state.outcome))
-            attempt = self._place(request, state)
-            if attempt is None:
-                return Failure(state.failure or _no_upstream(request))
+            attempt = await self._next_attempt(request, state)
+            if isinstance(attempt, RequestFailure):
+                return Failure(attempt)
             state.attempts += 1
-            match await self._run_attempt(request, attempt, state, sink):
+            with self.poison.running(request, attempt.upstream):
+                result = await self._run_attempt(request, attempt, state, sink)
+            match result:
                 case Success(finished):
+                    self.poison.complete(request)
                     self._learn(request, finished)
                     return Success(finished)
                 case Failure(AnswerDiffers(offset)):
                     return Failure(answer_differs_failure(offset))
                 case Failure(AttemptEnded() as ended):
+                    if ended.upstream_died:
+                        self.poison.strike(request, attempt.upstream, attempt.boot)
                     step = self._decide(request, state, ended)
             if isinstance(step, GiveUp):
                 return Failure(step.failure)
@@ -149,11 +161,40 @@
             else:
                 state.text.restart()
 
-    def _place(self, request: ModelRequest, state: RequestState) -> Attempt | None:
-        choice = self._choose(request, state.tried)
-        if choice is None:
-            # One that answers but lost the attempt is better than none.
-            choice = self._choose(request, state.unusable)
+    async def _next_attempt(
+        self, request: ModelRequest, state: RequestState
+    ) -> Attempt | RequestFailure:
+        """Place the next attempt; a suspect waits until it may run apart."""
+        until_s = self.clock.monotonic_s() + ISOLATION_WAIT_S
+        while True:
+            if self._remaining_s(request) <= 0:
+                return deadline_failure(state.outcome)
+            standing = self.poison.standing(request)
+            if isinstance(standing, Quarantined):
+                return quarantined_failure(state.outcome, standing.remaining_s)
+            pause_s = ISOLATION_POLL_S
+            if isinstance(standing, Suspect):
+                pause_s = max(pause_s, self.poison.spread_s(standing))
+            if pause_s == ISOLATION_POLL_S:
+                attempt = self._place(request, state, isinstance(standing, Suspect))
+                if attempt is not None:
+                    return attempt
+                is_free = isinstance(standing, Clear) or not self.poison.suspects
+                if is_free or self.clock.monotonic_s() > until_s:
+                    return state.failure or _no_upstream(request)
+            await sleep(pause_s)
+
+    def _place(
+        self, request: ModelRequest, state: RequestState, is_suspect: bool
+    ) -> Attempt | None:
+        dead = self.poison.dead_upstreams()
+        apart = dead | self.poison.suspect_upstreams(request)
+        # One that answers but lost the attempt is better than none; so is, for a
+        # prompt that is no suspect, one on which a suspect runs.
+        choice = self._choose(request, state.tried | apart)
+        choice = choice or self._choose(request, state.unusable | apart)
+        if not is_suspect:
+            choice = choice or self._choose(request, state.unusable | dead)
         if choice is None:
             return None
         node = self.board.read(NodeSection).node
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -30,6 +30,7 @@
 from lagoonhinge_node.operator_api import OperatorApi
 from lagoonhinge_node.plain_client import HttpPlainClient
 from lagoonhinge_node.plain_path import PlainPath
+from lagoonhinge_node.poison_controller import PoisonController
 from lagoonhinge_node.releases import Releaser
 from lagoonhinge_node.settings import NodeSettings
 from lagoonhinge_node.upstream_controller import UpstreamController
@@ -82,6 +83,7 @@
         self.config.on_adopted.append(self._follow_config)
         self.upstreams = UpstreamController(self.board, self.engines, clock)
         self.admission = Admission(self.board)
+        self.poison = PoisonController(self.board, clock)
         models = ModelPath(
             self.board,
             self.engines,
@@ -90,6 +92,7 @@
             self.ledger,
             self.releaser,
             self.estimator,
+            self.poison,
         )
         plain = PlainPath(self.board, HttpPlainClient(self.session), clock, self.ledger)
         reader = RequestReader(self.board, clock, self.estimator)
@@ -104,7 +107,7 @@
             callers.app(MAX_BODY_BYTES), settings.listen, tls
         )
         self.control_listener = Listener(control, settings.control_listen, tls)
-        return [self.releaser, self.config, self.upstreams]
+        return [self.releaser, self.config, self.upstreams, self.poison]
 
     async def on_started(self) -> None:
         """Open the listeners once every controller runs."""
