--- a/features/support/group_rig.py
+++ b/features/support/group_rig.py
@@ -26,6 +26,7 @@
 from lagoonhinge_core.tokens import TokenEstimate, TokenEstimator
 from lagoonhinge_node.admission import Admission
 from lagoonhinge_node.model_path import ModelPath
+from lagoonhinge_node.poison_controller import PoisonController
 from lagoonhinge_node.releases import Releaser
 from stand_ins.answers import BYTES_PER_TOKEN, whole_answer
 
@@ -72,6 +73,7 @@
             self.ledger,
             self.releaser,
             TokenEstimator({"compliance": 4.0}),
+            PoisonController(self.board, loop),
         )
 
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
@@ -1,6 +1,6 @@
 """The way of a model request: admit, place, attempt, rerun, finish or fail in time."""
 
-from asyncio import timeout
+from asyncio import sleep, timeout
 from itertools import count
 from random import Random
 
@@ -18,6 +18,7 @@
     PlacementRequest,
     engine_priority,
 )
+from lagoonhinge_core.poison import Clear, Quarantined, Suspect
 from lagoonhinge_core.ports import Clock, EngineClient
 from lagoonhinge_core.recovery import (
     AttemptEnded,
@@ -28,6 +29,7 @@
     answer_differs_failure,
     combined_outcome,
     deadline_failure,
+    quarantined_failure,
 )
 from lagoonhinge_core.request import ModelRequest
 from lagoonhinge_core.retry_budget import RetryBudget
@@ -40,10 +42,13 @@
 from lagoonhinge_node.candidates import find_candidates
 from lagoonhinge_node.group_attempts import GroupAttempts
 from lagoonhinge_node.group_path import GroupPath
+from lagoonhinge_node.poison_controller import PoisonController
 from lagoonhinge_node.releases import Releaser
 from lagoonhinge_node.request_state import RequestState
 
 NO_UPSTREAM_RETRY_AFTER_S = 2.0
+ISOLATION_WAIT_S = 15.0
+ISOLATION_POLL_S = 0.1
 
 
 class ModelPath:
@@ -58,6 +63,7 @@
         ledger: InFlightLedger,
         releaser: Releaser,
         estimator: TokenEstimator,
+        poison: PoisonController,
     ):
         self.board = board
         self.clock = clock
@@ -68,6 +74,7 @@
         groups = GroupPath(board, engines, clock, random, ledger, releaser)
         self.groups = groups
         self.group_attempts = GroupAttempts(board, clock, groups)
+        self.poison = poison
         self.attempts = AttemptRunner(engines, clock, ledger, releaser)
         self.budget = RetryBudget()
         self.placer = admission.placer
@@ -97,6 +104,8 @@
     async def _run_admitted(
         self, request: ModelRequest, state: RequestState, sink: AnswerSink
     ) -> Result[Finished, RequestFailure]:
+        if isinstance(standing := self.poison.standing(request), Quarantined):
+            return Failure(quarantined_failure(state.outcome, standing.remaining_s))
         match await self.admission.admit(request):
             case Failure(failure):
                 return Failure(failure)
@@ -111,10 +120,9 @@
         self, request: ModelRequest, state: RequestState, sink: AnswerSink
     ) -> Result[Finished, RequestFailure]:
         while True:
-            if self._remaining_s(request) <= 0:
-                return Failure(deadline_failure(state.outcome))
             match await self._try_once(request, state, sink):
                 case Success(finished):
+                    self.poison.complete(request)
                     self._learn(request, finished)
                     return Success(finished)
                 case Failure(RequestFailure() as failure):
@@ -142,9 +150,9 @@
                 self._next_name,
                 lambda attempt: self._run_attempt(request, attempt, state, sink),
             )
-        attempt = self._place(request, state)
-        if attempt is None:
-            return Failure(state.failure or _no_upstream(request))
+        attempt = await self._next_attempt(request, state)
+        if isinstance(attempt, RequestFailure):
+            return Failure(attempt)
         state.attempts += 1
         return await self._run_attempt(request, attempt, state, sink)
 
@@ -156,11 +164,40 @@
         report = self.board.read(UpstreamsSection).reports.get(upstream)
         return report.load.boot if report is not None and report.load else ""
 
-    def _place(self, request: ModelRequest, state: RequestState) -> Attempt | None:
-        choice = self._choose(request, state.tried)
-        if choice is None:
-            # One that answers but lost the attempt is better than none.
-            choice = self._choose(request, state.unusable)
+    async def _next_attempt(
+        self, request: ModelRequest, state: RequestState
+    ) -> Attempt | RequestFailure:
+        """Place the next attempt; a suspect waits until it may run apart."""
+        until_s = self.clock.monotonic_s() + ISOLATION_WAIT_S
+        while True:
+            if self._remaining_s(request) <= 0:
+                return deadline_failure(state.outcome)
+            standing = self.poison.standing(request)
+            if isinstance(standing, Quarantined):
+                return quarantined_failure(state.outcome, standing.remaining_s)
+            pause_s = ISOLATION_POLL_S
+            if isinstance(standing, Suspect):
+                pause_s = max(pause_s, self.poison.spread_s(standing))
+            if pause_s == ISOLATION_POLL_S:
+                attempt = self._place(request, state, isinstance(standing, Suspect))
+                if attempt is not None:
+                    return attempt
+                is_free = isinstance(standing, Clear) or not self.poison.suspects
+                if is_free or self.clock.monotonic_s() > until_s:
+                    return state.failure or _no_upstream(request)
+            await sleep(pause_s)
+
+    def _place(
+        self, request: ModelRequest, state: RequestState, is_suspect: bool
+    ) -> Attempt | None:
+        dead = self.poison.dead_upstreams()
+        apart = dead | self.poison.suspect_upstreams(request)
+        # One that answers but lost the attempt is better than none; so is, for a
+        # prompt that is no suspect, one on which a suspect runs.
+        choice = self._choose(request, state.tried | apart)
+        choice = choice or self._choose(request, state.unusable | apart)
+        if not is_suspect:
+            choice = choice or self._choose(request, state.unusable | dead)
         if choice is None:
             return None
         config = self.board.read(ConfigSection).config.upstreams[choice.name]
@@ -199,9 +236,14 @@
         earlier = state.outcome
         # If the time bound ends this attempt, what it did is not known.
         state.outcome = Outcome.UNKNOWN
-        result = await self.attempts.run(request, attempt, call, item, state.text, sink)
+        with self.poison.running(request, attempt.upstream):
+            result = await self.attempts.run(
+                request, attempt, call, item, state.text, sink
+            )
         match result:
-            case Failure(AttemptEnded(error=error, outcome=outcome)):
+            case Failure(AttemptEnded(error=error, outcome=outcome) as ended):
+                if ended.upstream_died:
+                    self.poison.strike(request, attempt.upstream, attempt.boot)
                 state.outcome = combined_outcome(earlier, outcome)
                 state.tried |= {attempt.upstream}
                 if not isinstance(error, Gone):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -47,6 +47,7 @@
 from lagoonhinge_node.peer_wire import DIGEST_PATH
 from lagoonhinge_node.plain_client import HttpPlainClient
 from lagoonhinge_node.plain_path import PlainPath
+from lagoonhinge_node.poison_controller import PoisonController
 from lagoonhinge_node.reaper_controller import ReaperController
 from lagoonhinge_node.releases import Releaser
 from lagoonhinge_node.settings import NodeSettings
@@ -151,6 +152,7 @@
             ),
         )
         self.cache = CacheController(self.board, self.engines, self.admission.prefixes)
+        self.poison = PoisonController(self.board, clock)
         models = ModelPath(
             self.board,
             self.engines,
@@ -159,6 +161,7 @@
             self.ledger,
             self.releaser,
             self.estimator,
+            self.poison,
         )
         self.plain_client = HttpPlainClient(self.session)
         self.claimed = ClaimedCalls(
@@ -202,6 +205,7 @@
             self.reaper,
             self.demand,
             self.cache,
+            self.poison,
         ]
 
     async def on_started(self) -> None:
