Orders to upstreams by one lease holder of each zone

Cause: the configuration's desired models, adapters, versions and roles were read by nobody, and two nodes must not give orders that contradict each other.

Ruled out: comparing wall clocks between nodes; a fencing number of its own beside the row's version; verifying by sending the order again and again, which could start a load without a ticket (engines are asked for their state instead); polling the lease while nothing is desired.

Change: a sans-IO lease (row, token of each write, holder stops a margin before its end counted from before its write was sent, others wait the lease and the margin from when they first saw the row); orders that state the whole desired state, at most a tenth of a service's upstreams of the zone at once, each with a weight store's ticket and the lease checked after it. A stopping node finishes the order it is sending and gives the lease back. The stand-in engine takes a time to load and reports that it is busy.

The claim tests got two sharper faults: slow writes outlive the wait for them, and a frozen node finds the answer and its timers due at once.

--- /dev/null
+++ b/features/steps/orders_steps.py
@@ -0,0 +1,240 @@
+"""Steps of the lease and of orders to upstreams."""
+
+from asyncio import Event, create_task, sleep
+from time import monotonic
+from time import sleep as pause
+
+from behave import given, then, when
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from features.support.fleet import ZONES, Fleet, base_text, http, overlay_text
+from features.support.lease_machine import LeaseMachine
+from features.support.orders import TIMES, OrdersWorld
+from lagoonhinge_core.lease import Lease
+
+SETTLE_S = 60.0
+
+
+def run(context, work):
+    return context.orders.loop.run_until_complete(work)
+
+
+def loads(world) -> list[float]:
+    return sorted(at for each in world.engines.values() for at in each.loads_s)
+
+
+@given(
+    "2 nodes that desire {first} and {second}, "
+    "and 1 engine that checks fencing: {checks}"
+)
+def step_two(context, first, second, checks):
+    context.orders = OrdersWorld(1, checks == "yes")
+    context.orders.add_node(first)
+    context.orders.add_node(second)
+
+
+@when("the first holds the lease and is paused at its {step} past the lease")
+def step_paused(context, step):
+    world = context.orders
+    context.gate = Event()
+
+    async def work():
+        first = world.controllers[0]
+        await first.keep_lease()
+        world.gates[step] = context.gate
+        context.paused = create_task(first.reconcile())
+        await sleep(0.1)
+        await world.run(20, 1)
+
+    run(context, work())
+    assert world.holders() == [1]
+
+
+@when("the second has taken over and brought the engine to {version}")
+def step_taken_over(context, version):
+    assert context.orders.versions() == {version}
+
+
+@when("the first wakes")
+def step_wakes(context):
+    context.gate.set()
+    run(context, context.paused)
+
+
+@then("the engine took {count:d} loads and has {version} after {seconds:d} seconds")
+def step_loads(context, count, version, seconds):
+    world = context.orders
+    run(context, world.run(seconds, 0, 1))
+    assert world.versions() == {version}, world.versions()
+    assert len(loads(world)) == count, loads(world)
+
+
+@when("the platform has the fault {fault} while both nodes run for {seconds:d} seconds")
+def step_fault(context, fault, seconds):
+    context.orders.fault = fault
+    run(context, context.orders.run(seconds, 0, 1))
+
+
+@then("{count:d} node holds the lease, and the engine has {version}")
+def step_holders(context, count, version):
+    assert len(context.orders.holders()) == count, context.orders.holders()
+    assert context.orders.versions() == {"" if version == "nothing" else version}
+
+
+@when(
+    "both run for {seconds:d} seconds, "
+    "then the platform is down and {version} is desired"
+)
+def step_down_under_holder(context, seconds, version):
+    world = context.orders
+    run(context, world.run(seconds, 0, 1))
+    world.fault = "down"
+    for number in range(2):
+        world.desire(number, version)
+
+
+@then(
+    "no order is sent in {seconds:d} seconds, and {version} is reached after the outage"
+)
+def step_no_order(context, seconds, version):
+    world = context.orders
+    before = loads(world)
+    run(context, world.run(seconds, 0, 1))
+    assert loads(world) == before
+    assert world.holders() == []
+    world.fault = ""
+    run(context, world.run(20, 0, 1))
+    assert world.versions() == {version}
+
+
+@when("the first holds the lease and stops")
+def step_stops(context):
+    async def work():
+        first = context.orders.controllers[0]
+        await first.keep_lease()
+        context.fencing = first.lease.held.fencing
+        await context.orders.controllers[1].keep_lease()
+        await first.on_stop()
+
+    run(context, work())
+
+
+@then("the second holds it after {seconds:d} seconds with a greater fencing number")
+def step_handed_over(context, seconds):
+    run(context, context.orders.run(seconds, 1))
+    assert context.orders.holders() == [1]
+    assert context.orders.controllers[1].lease.held.fencing > context.fencing
+
+
+@when("the reply to the first node's lease write comes {seconds:d} seconds late")
+def step_late_reply(context, seconds):
+    context.leases = first, second = Lease("first", TIMES), Lease("second", TIMES)
+    first.observe(0, None, 0.0)
+    write = first.next_write(0.0)
+    second.observe(1, write.row, 0.0)
+    first.observe(1, write.row, float(seconds))
+
+
+@then(
+    "it may send for {seconds:d} second more, "
+    "and the second takes over {wait:d} seconds after"
+)
+def step_late_reply_held(context, seconds, wait):
+    first, second = context.leases
+    end_s = TIMES.duration_s - TIMES.margin_s
+    assert first.may_send(end_s - seconds + 0.01, 0.0)
+    assert not first.may_send(end_s, 0.0)
+    assert second.next_write(wait - 0.01) is None
+    assert second.next_write(wait) is not None
+
+
+@given("{count:d} engines that take {seconds:d} seconds to load, and 1 ticket a second")
+def step_many(context, count, seconds):
+    context.orders = OrdersWorld(count, True, load_s=seconds)
+    context.orders.tickets_per_s = 1
+
+
+@when("one node desires a new version")
+def step_new_version(context):
+    context.orders.add_node("v9")
+
+
+@then(
+    "all have it within {seconds:d} seconds, "
+    "at most {most:d} at once and {rate:d} load a second"
+)
+def step_rolled_out(context, seconds, most, rate):
+    world = context.orders
+    for _ in range(seconds):
+        run(context, world.run(1, 0))
+        assert world.busy() <= most, world.busy()
+    assert world.versions() == {"v9"}
+    times = loads(world)
+    assert len(times) == len(world.engines)
+    apart = [later - early for early, later in zip(times, times[rate:], strict=False)]
+    assert min(apart) >= 1.0, apart
+
+
+@then("at most one node may send over {examples:d} random runs of {steps:d} steps")
+def step_lease_machine(context, examples, steps):
+    run_state_machine_as_test(
+        LeaseMachine,
+        settings=settings(
+            derandomize=True,
+            database=None,
+            deadline=None,
+            max_examples=examples,
+            stateful_step_count=steps,
+        ),
+    )
+
+
+@given("a fleet of 2 nodes and 2 engines that take 1 second to load")
+def step_fleet(context):
+    context.fleet = fleet = Fleet()
+    fleet.start_platform()
+    for _ in range(2):
+        fleet.start_engine()
+    fleet.start_nodes([ZONES[0]] * 2)
+    for engine in fleet.engines:
+        engine.put_faults(load_s=1.0)
+
+
+@when("an operator desires version {version} of the model")
+def step_desire(context, version):
+    fleet = context.fleet
+    desired = f'[desired.assistant]\nversion = "{version}"\nadapters = ["tubes"]\n'
+    folder = fleet.write_config(base_text(), overlay_text(fleet) + desired)
+    applied = fleet.ctl("config", "apply", str(folder))
+    assert applied.returncode == 0, applied.stderr
+    context.version = version
+
+
+@when("the holder is stopped and an operator desires version {version} of the model")
+def step_holder_stopped(context, version):
+    assert context.holder.terminate() == 0
+    context.fleet.nodes.remove(context.holder)
+    step_desire(context, version)
+
+
+@then("the holder reports both engines as reached")
+def step_reached(context):
+    fleet = context.fleet
+    until = monotonic() + SETTLE_S
+    while True:
+        for node in fleet.nodes:
+            section = fleet.state(node)["OrdersSection"]
+            states = list(section["upstreams"].values())
+            if section["is_holder"] and states == ["reached"] * 2:
+                held = [
+                    http("GET", f"{engine.url}/v1/orders").json()["version"]
+                    for engine in fleet.engines
+                ]
+                if held == [context.version] * 2:
+                    context.holder = node
+                    return
+        assert monotonic() < until, [
+            fleet.state(n)["OrdersSection"] for n in fleet.nodes
+        ]
+        pause(0.2)
--- a/features/support/claims.py
+++ b/features/support/claims.py
@@ -1,6 +1,6 @@
 """Nodes, a table and an upstream in one process, with faults at each step of a call."""
 
-from asyncio import create_task, sleep
+from asyncio import create_task, shield, sleep
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -83,7 +83,8 @@
                 return Failure(DOWN)
             case "table slow":
                 # The write is applied late even if nobody waits for it any more.
-                return await create_task(self._apply_late(apply))
+                self.world.late.append(create_task(self._apply_late(apply)))
+                return await shield(self.world.late[-1])
             case "reply lost" if is_write:
                 self.world.table_fault = ""
                 apply()
--- a/features/support/claims_machine.py
+++ b/features/support/claims_machine.py
@@ -159,8 +159,9 @@
     @rule(
         data=st.data(),
         how=st.sampled_from(("ok", "ok", "ok", "down", "lost", "late")),
+        frozen_s=st.sampled_from((0.0, 0.0, 0.0, 1.0, 2 * BOUND_S)),
     )
-    def answer_store(self, data, how):
+    def answer_store(self, data, how, frozen_s):
         held = self.pending.pop(data.draw(st.integers(0, len(self.pending) - 1)))
         match how:
             case "ok":
@@ -175,6 +176,8 @@
                 answer = Failure(LOST)
         if not held.future.done():
             held.future.set_result(answer)
+        # A node that was frozen meanwhile finds the answer and its timers due.
+        self.loop.pause(frozen_s)
         self.turn()
 
     @precondition(lambda self: self.late)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/ports.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/ports.py
@@ -97,6 +97,11 @@
     ) -> Result[OrderReport, UpstreamError]:
         """State the desired state; returns what the engine has reached."""
 
+    async def order_state(
+        self, url: str, timeout_s: float
+    ) -> Result[OrderReport, UpstreamError]:
+        """Return what the engine has reached, without an order."""
+
     async def drop_connections(self, url: str) -> None:
         """Forget pooled connections to one upstream, which may be silently dead."""
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
@@ -125,3 +125,27 @@
 
     strikes: tuple[Strike, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
+
+
+class OrderState(StrEnum):
+    """How an upstream stands to its desired state."""
+
+    REACHED = "reached"
+    BUSY = "busy"
+    DIFFERS = "differs"
+    SILENT = "silent"
+
+
+@dataclass(frozen=True)
+class OrdersSection:
+    """Orders to the upstreams of this zone; written by the orders controller.
+
+    Attributes:
+        is_holder: Whether this node holds the zone's lease.
+        fencing: Fencing number of the lease; 0 if it is not held.
+        upstreams: State of each upstream by name, as the holder sees it.
+    """
+
+    is_holder: bool = False
+    fencing: int = 0
+    upstreams: dict[str, OrderState] = field(default_factory=dict)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/engine_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/engine_client.py
@@ -190,6 +190,12 @@
         answer = await self._call("POST", url, "/v1/orders", order, timeout_s)
         return answer.bind(lambda body: _decoded(body, OrderReport))
 
+    async def order_state(
+        self, url: str, timeout_s: float
+    ) -> Result[OrderReport, UpstreamError]:
+        """Return what the engine has reached, without an order."""
+        return await self._get(url, "/v1/orders", OrderReport, timeout_s)
+
     async def drop_connections(self, url: str) -> None:
         """Use new connections to one upstream from now on.
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -30,6 +30,7 @@
 from lagoonhinge_node.metrics import Metrics
 from lagoonhinge_node.model_path import ModelPath
 from lagoonhinge_node.operator_api import OperatorApi
+from lagoonhinge_node.orders_controller import OrdersController
 from lagoonhinge_node.plain_client import HttpPlainClient
 from lagoonhinge_node.plain_path import PlainPath
 from lagoonhinge_node.releases import Releaser
@@ -83,6 +84,9 @@
         )
         self.config.on_adopted.append(self._follow_config)
         self.upstreams = UpstreamController(self.board, self.engines, clock)
+        self.orders = OrdersController(
+            self.board, self.engines, platform, platform, clock, self.random
+        )
         self.admission = Admission(self.board)
         models = ModelPath(
             self.board,
@@ -117,7 +121,13 @@
             callers.app(MAX_BODY_BYTES), settings.listen, tls
         )
         self.control_listener = Listener(control, settings.control_listen, tls)
-        return [self.releaser, self.config, self.upstreams, self.claimed]
+        return [
+            self.releaser,
+            self.config,
+            self.upstreams,
+            self.orders,
+            self.claimed,
+        ]
 
     async def on_started(self) -> None:
         """Open the listeners once every controller runs."""
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -115,6 +115,10 @@
     return _refuse(answer) if isinstance(answer, Refusal) else _json(answer)
 
 
+async def _order_state(request: web.Request) -> web.Response:
+    return _json(request.app[STATE].order_state())
+
+
 async def _set_faults(request: web.Request) -> web.Response:
     request.app[STATE].faults = decode(await request.read(), EngineFaults)
     return _json("set")
@@ -157,6 +161,7 @@
             web.get("/v1/holdings", _holdings),
             web.get("/v1/load", _load),
             web.post("/v1/orders", _order),
+            web.get("/v1/orders", _order_state),
             web.get("/healthz", _healthz),
             web.put("/control/faults", _set_faults),
             web.get("/control/ledger", _ledger),
--- a/stand_ins/engine_state.py
+++ b/stand_ins/engine_state.py
@@ -1,7 +1,7 @@
 """Model of an engine: continuous batching by token steps over a memory ledger."""
 
 from asyncio import Event
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from time import monotonic
 
 from lagoonhinge_core.engine_messages import (
@@ -49,12 +49,14 @@
         leaving: Whether load reports say that the engine is about to stop.
         crash_marker: A prompt that contains this text kills the process.
         corrupt: How answers are damaged: `""`, `cut`, `double`, `reorder`, `foreign`.
+        load_s: Time that a load of weights takes, in seconds.
     """
 
     refuse: bool = False
     leaving: bool = False
     crash_marker: str = ""
     corrupt: str = ""
+    load_s: float = 0.0
 
 
 class StreamRun:
@@ -131,6 +133,8 @@
     reports: list[tuple[float, LoadReport]] = field(default_factory=list)
     fencing: int = 0
     loaded: OrderReport = NOTHING_LOADED
+    loading: OrderReport | None = None
+    loaded_at: float = 0.0
     orders: list[Order] = field(default_factory=list)
 
     def accept(self, call: EngineCall) -> StreamRun | Refusal:
@@ -254,5 +258,13 @@
             return Refusal(412, f"fencing {order.fencing} is below {self.fencing}")
         self.fencing = max(self.fencing, order.fencing)
         self.orders.append(order)
-        self.loaded = OrderReport(order.version, order.adapters, order.role, False)
-        return self.loaded
+        self.loading = OrderReport(order.version, order.adapters, order.role, False)
+        self.loaded_at = monotonic() + self.faults.load_s
+        return self.order_state()
+
+    def order_state(self) -> OrderReport:
+        """Return what is loaded, and whether a load is under way."""
+        if self.loading is not None and monotonic() >= self.loaded_at:
+            self.loaded = self.loading
+            self.loading = None
+        return replace(self.loaded, busy=self.loading is not None)
