--- a/features/support/claims_machine.py
+++ b/features/support/claims_machine.py
@@ -177,7 +177,7 @@
         if not held.future.done():
             held.future.set_result(answer)
         # A node that was frozen meanwhile finds the answer and its timers due.
-        self.loop.pause(frozen_s)
+        self.loop.freeze(frozen_s)
         self.turn()
 
     @precondition(lambda self: self.late)
@@ -223,7 +223,7 @@
             case "leave" if self.arrivals:
                 data.draw(st.sampled_from(self.arrivals)).task.cancel()
             case "pause":
-                self.loop.pause(seconds)
+                self.loop.freeze(seconds)
             case "pass":
                 self.turn(seconds)
         self.turn()
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/peer_messages.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/peer_messages.py
@@ -30,6 +30,29 @@
     until_wall_s: float
 
 
+@dataclass(frozen=True)
+class PeerContact:
+    """Where a node is reached, for peers that do not know it yet.
+
+    Attributes:
+        vm: Name of its VM.
+        address: Host and port of its control listener.
+        zone: Availability zone.
+    """
+
+    vm: str
+    address: str
+    zone: str
+
+
+@dataclass(frozen=True)
+class PeerUnreachable:
+    """A peer that gave no usable answer."""
+
+    address: str
+    reason: str
+
+
 @dataclass(frozen=True)
 class PeerDigest:
     """What a node tells its peers about itself, about once a second.
@@ -43,9 +66,12 @@
         stopping: Whether the sender is about to stop.
         work: The sender's work in flight by upstream name.
         demand_tokens_per_s: Offered load by client account.
+        demand_number: Raised with each change of that load.
+        demand_heard: Newest such number held of each other node's run.
         strikes: Recent strikes known to the sender.
         quarantines: Quarantines known to the sender.
-        leaving: Upstreams that the sender knows to be leaving.
+        leaving: Upstreams that the sender itself found to be leaving, each as written
+            by `leaving_mark`.
     """
 
     node: str
@@ -56,6 +82,13 @@
     stopping: bool = False
     work: dict[str, UpstreamWork] = field(default_factory=dict)
     demand_tokens_per_s: dict[str, float] = field(default_factory=dict)
+    demand_number: int = 0
+    demand_heard: dict[str, int] = field(default_factory=dict)
     strikes: tuple[Strike, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
     leaving: tuple[str, ...] = ()
+
+
+def leaving_mark(upstream: str, generation: int) -> str:
+    """Return the form in which a leaving upstream is named to peers."""
+    return f"{upstream}@{generation}"
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
@@ -65,14 +65,19 @@
         )
         self.control_bytes = self._counter(
             "lagoonhinge_control_bytes",
-            "Bytes exchanged with peers and the platform.",
-            ("direction",),
+            "Bytes of calls between nodes, sent and received, by path.",
+            ("path",),
         )
         self.config_version = Gauge(
             "lagoonhinge_config_version",
             "Version of the configuration in force.",
             registry=self.registry,
         )
+        self.config_refused = Gauge(
+            "lagoonhinge_config_refused",
+            "Whether a newer configuration is known but not in force.",
+            registry=self.registry,
+        )
         self.members_alive = Gauge(
             "lagoonhinge_members_alive",
             "Other nodes heard from within the heartbeat timeout.",
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/plain_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/plain_path.py
@@ -82,7 +82,8 @@
             if upstream is None:
                 return Failure(_no_upstream(request, state))
             if self._remaining_s(request) <= 0:
-                return Failure(deadline_failure(state.maybe_run))
+                outcome = Outcome.UNKNOWN if state.maybe_run else Outcome.NOT_RUN
+                return Failure(deadline_failure(outcome))
             state.attempts += 1
             state.tried.add(upstream)
             match await self._send(request, state, upstream):
