Completions with an idempotency key run at most once, and are replayed

Cause: the key of a completion was ignored, so a resend ran again, and an attempt that may have run was followed by another.

Ruled out: refusing such keys (callers do mark completions); streaming the first answer while it is stored (what was streamed and then lost can't be replayed).

Change: a wrapper of the model path claims the key, takes the whole answer, and stores its text with finish and usage; a later arrival gets it as JSON or SSE, whichever it asks for. The model path makes no further attempt for such a request unless all before surely weren't run. Text of a keyed request reaches a streaming caller in one part.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/request.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/request.py
@@ -23,6 +23,8 @@
         sampling: How tokens are drawn.
         deadline_s: End of the time bound on the monotonic clock.
         stall_timeout_s: Silence on a stream before it is probed, in seconds.
+        idempotency_key: The caller's key, if any; such a request is not idempotent.
+        call_digest: Digest of a request with a key.
     """
 
     request_id: str
@@ -36,6 +38,8 @@
     sampling: Sampling
     deadline_s: float
     stall_timeout_s: float
+    idempotency_key: str | None = None
+    call_digest: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_api.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_api.py
@@ -22,9 +22,9 @@
 )
 from lagoonhinge_node.caller_messages import ChatBody, CompletionBody
 from lagoonhinge_node.caller_requests import RequestReader
+from lagoonhinge_node.keyed_completions import ModelServer
 from lagoonhinge_node.logs import PartLogger
 from lagoonhinge_node.metrics import Metrics
-from lagoonhinge_node.model_path import ModelPath
 from lagoonhinge_node.plain_path import PlainPath
 
 NO_ID = "-"
@@ -41,7 +41,7 @@
         self,
         board: Blackboard,
         reader: RequestReader,
-        models: ModelPath,
+        models: ModelServer,
         plain: PlainPath,
         metrics: Metrics,
     ):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_requests.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_requests.py
@@ -18,6 +18,7 @@
 from lagoonhinge_http.wire import BadMessage, decode
 from lagoonhinge_node.caller_auth import find_account
 from lagoonhinge_node.caller_messages import ChatBody, CompletionBody
+from lagoonhinge_node.keyed_completions import digest_completion
 
 TIMEOUT_HEADER = "X-Timeout-Seconds"
 KEY_HEADER = "Idempotency-Key"
@@ -69,10 +70,11 @@
                 return Failure(failure)
             case Success(timeout_s):
                 deadline_s = self.clock.monotonic_s() + timeout_s
-        key = request.headers.get(KEY_HEADER)
-        if key is not None and not 0 < len(key) <= MAX_KEY_CHARACTERS:
-            message = f"{KEY_HEADER} must have 1 to {MAX_KEY_CHARACTERS} characters"
-            return Failure(refusal(ErrorCode.BAD_REQUEST, message))
+        match _read_key(request):
+            case Failure(failure):
+                return Failure(failure)
+            case Success(key):
+                pass
         body = await self._read_bytes(request)
         if isinstance(body, RequestFailure):
             return Failure(body)
@@ -151,6 +153,11 @@
                 return Failure(failure)
             case Success(timeout_s):
                 deadline_s = self.clock.monotonic_s() + timeout_s
+        match _read_key(request):
+            case Failure(failure):
+                return Failure(failure)
+            case Success(key):
+                digest = "" if key is None else digest_completion(request.path, body)
         request_id = uuid4().hex
         checked = ModelRequest(
             request_id=request_id,
@@ -164,6 +171,8 @@
             sampling=body.sampling(),
             deadline_s=deadline_s,
             stall_timeout_s=service.stall_timeout_s,
+            idempotency_key=key,
+            call_digest=digest,
         )
         return Success((checked, body.stream))
 
@@ -187,6 +196,14 @@
     return None
 
 
+def _read_key(request: web.Request) -> Result[str | None, RequestFailure]:
+    key = request.headers.get(KEY_HEADER)
+    if key is not None and not 0 < len(key) <= MAX_KEY_CHARACTERS:
+        message = f"{KEY_HEADER} must have 1 to {MAX_KEY_CHARACTERS} characters"
+        return Failure(refusal(ErrorCode.BAD_REQUEST, message))
+    return Success(key)
+
+
 def _read_timeout_s(
     request: web.Request, bound: TimeBound, tokens: int
 ) -> Result[float, RequestFailure]:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
@@ -215,6 +215,8 @@
         may_retry = state.attempts < retries.max_attempts and self.budget.can_spend(
             request.service
         )
+        if request.idempotency_key is not None:
+            may_retry = may_retry and state.outcome == Outcome.NOT_RUN
         progress = RequestProgress(
             outcome=state.outcome,
             may_retry=may_retry,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -36,6 +36,7 @@
 from lagoonhinge_node.clock import SystemClock
 from lagoonhinge_node.config_controller import ConfigController
 from lagoonhinge_node.engine_client import HttpEngineClient
+from lagoonhinge_node.keyed_completions import KeyedCompletions
 from lagoonhinge_node.listener import MAX_STOP_S, Listener
 from lagoonhinge_node.logs import PartLogger
 from lagoonhinge_node.membership_controller import MembershipController
@@ -177,7 +178,13 @@
             models.budget,
         )
         reader = RequestReader(self.board, clock, self.estimator)
-        callers = CallerApi(self.board, reader, models, plain, self.metrics)
+        callers = CallerApi(
+            self.board,
+            reader,
+            KeyedCompletions(models, self.claimed),
+            plain,
+            self.metrics,
+        )
         operators = OperatorApi(
             self.board, self.metrics, settings.operator_token, self._live_state
         )
