Engine stand-in: orders in a module of their own, which the features share

A repeated order starts no second load now. Both state machines are run by tools.fuzz as well, and the state dump counts tasks of claims.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -102,6 +102,7 @@
     When a keyed call meets every pair of faults, each fault at every step
     Then no call of 4095 pairs ran twice or ran after it was refused as not run
 
+  @fuzz
   Scenario: Random interleavings of three nodes over a faulty store
     Then claims hold over 100 random runs of 40 steps
 
--- a/features/orders.feature
+++ b/features/orders.feature
@@ -41,10 +41,11 @@
     Then it may send for 1 second more, and the second takes over 12 seconds after
 
   Scenario: A new version is rolled out a few at a time within the weight store's rate
-    Given 40 engines that take 3 seconds to load, and 1 ticket a second
+    Given 40 engines that take 5 seconds to load, and 2 tickets a second
     When one node desires a new version
-    Then all have it within 120 seconds, at most 4 at once and 1 load a second
+    Then all have it within 120 seconds, at most 4 at once and 2 loads a second
 
+  @fuzz
   Scenario: Random interleavings of three nodes over one lease row
     Then at most one node may send over 200 random runs of 50 steps
 
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -4,11 +4,10 @@
 from itertools import combinations
 
 from behave import given, then, when
-from hypothesis import settings
-from hypothesis.stateful import run_state_machine_as_test
 
 from features.support.claims import World
 from features.support.claims_machine import ClaimMachine
+from features.support.fuzz import run_machine
 from lagoonhinge_node.claim_store import MAX_ROW_BODY_BYTES
 
 STEPS = (
@@ -193,13 +192,4 @@
 
 @then("claims hold over {examples:d} random runs of {steps:d} steps")
 def step_machine(context, examples, steps):
-    run_state_machine_as_test(
-        ClaimMachine,
-        settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=steps,
-        ),
-    )
+    run_machine(ClaimMachine, examples, steps)
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -5,10 +5,9 @@
 from time import sleep as pause
 
 from behave import given, then, when
-from hypothesis import settings
-from hypothesis.stateful import run_state_machine_as_test
 
 from features.support.fleet import ZONES, Fleet, base_text, http, overlay_text
+from features.support.fuzz import run_machine
 from features.support.lease_machine import LeaseMachine
 from features.support.orders import TIMES, OrdersWorld
 from lagoonhinge_core.lease import Lease
@@ -149,10 +148,13 @@
     assert second.next_write(wait) is not None
 
 
-@given("{count:d} engines that take {seconds:d} seconds to load, and 1 ticket a second")
-def step_many(context, count, seconds):
+@given(
+    "{count:d} engines that take {seconds:d} seconds to load, "
+    "and {rate:d} tickets a second"
+)
+def step_many(context, count, seconds, rate):
     context.orders = OrdersWorld(count, True, load_s=seconds)
-    context.orders.tickets_per_s = 1
+    context.orders.tickets_per_s = rate
 
 
 @when("one node desires a new version")
@@ -162,7 +164,7 @@
 
 @then(
     "all have it within {seconds:d} seconds, "
-    "at most {most:d} at once and {rate:d} load a second"
+    "at most {most:d} at once and {rate:d} loads a second"
 )
 def step_rolled_out(context, seconds, most, rate):
     world = context.orders
@@ -178,16 +180,7 @@
 
 @then("at most one node may send over {examples:d} random runs of {steps:d} steps")
 def step_lease_machine(context, examples, steps):
-    run_state_machine_as_test(
-        LeaseMachine,
-        settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=steps,
-        ),
-    )
+    run_machine(LeaseMachine, examples, steps)
 
 
 @given("a fleet of 2 nodes and 2 engines that take 1 second to load")
--- a/features/support/orders.py
+++ b/features/support/orders.py
@@ -10,48 +10,18 @@
 from features.support.virtual_time import VirtualLoop
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.config import Config, DesiredModel, ModelService, UpstreamConfig
-from lagoonhinge_core.engine_messages import Order, OrderReport
 from lagoonhinge_core.identity import NodeId
 from lagoonhinge_core.lease import LeaseTimes
 from lagoonhinge_core.sections import ConfigSection, NodeSection, Readiness
 from lagoonhinge_core.store_messages import Row, TicketRefused
 from lagoonhinge_core.upstream_errors import Rejected
 from lagoonhinge_node.orders_controller import OrdersController
+from stand_ins.engine_orders import OldFencing, OrderedState
 
 TIMES = LeaseTimes(duration_s=10.0, margin_s=2.0)
 KEEP_EVERY_S = 3
 
 
-class OrderedEngine:
-    """An engine that takes a time to load."""
-
-    def __init__(self, world: "OrdersWorld", checks_fencing: bool):
-        self.world = world
-        self.checks_fencing = checks_fencing
-        self.fencing = 0
-        self.state = OrderReport("", (), "mixed", False)
-        self.ready_s = 0.0
-        self.loads_s: list[float] = []
-
-    def take(self, order: Order):
-        if self.checks_fencing and order.fencing < self.fencing:
-            return Failure(Rejected(412, "old fencing number"))
-        self.fencing = max(self.fencing, order.fencing)
-        wanted = OrderReport(order.version, order.adapters, order.role, False)
-        if wanted != self.state:
-            self.state = wanted
-            self.ready_s = self.world.loop.time() + self.world.load_s
-            self.loads_s.append(self.world.loop.time())
-        return Success(self.report())
-
-    def report(self) -> OrderReport:
-        busy = self.world.loop.time() < self.ready_s
-        return OrderReport(*self.state.__dict__.values()) if not busy else _loading
-
-
-_loading = OrderReport("", (), "mixed", True)
-
-
 class OrdersWorld:
     """The ports of several controllers; `gates` hold a controller back at a step."""
 
@@ -64,7 +34,7 @@
         self.tickets_s: deque[float] = deque()
         self.gates: dict[str, Event] = {}
         self.engines = {
-            f"http://engine-{n}:1": OrderedEngine(self, checks_fencing)
+            f"http://engine-{n}:1": OrderedState(checks_fencing, self.loop.time)
             for n in range(engines)
         }
         self.checks_fencing = checks_fencing
@@ -110,7 +80,7 @@
         ]
 
     def versions(self) -> set[str]:
-        return {engine.state.version for engine in self.engines.values()}
+        return {engine.report().version for engine in self.engines.values()}
 
     def busy(self) -> int:
         return sum(engine.report().busy for engine in self.engines.values())
@@ -152,7 +122,11 @@
 
     async def order(self, url, order, timeout_s):
         await self._pass_gate("order")
-        return self.engines[url].take(order)
+        match self.engines[url].obey(order, self.load_s):
+            case OldFencing(newest):
+                return Failure(Rejected(412, f"fencing is at {newest}"))
+            case report:
+                return Success(report)
 
     async def order_state(self, url, timeout_s):
         return Success(self.engines[url].report())
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -289,6 +289,7 @@
             "InFlightWork": self.ledger.snapshot(),
             "AdmittedRequests": len(self.admission.admitted),
             "QueuedRequests": len(self.admission.waiting),
+            "ClaimTasks": len(self.claimed.tasks),
             "PendingReleases": sorted(r.name for r in self.releaser.pending),
         }
 
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -21,6 +21,7 @@
 )
 from lagoonhinge_http.wire import BadMessage, decode, encode
 from stand_ins.engine_batch import StreamRun
+from stand_ins.engine_orders import OldFencing
 from stand_ins.engine_state import EngineFaults, EngineRates, EngineState, Refusal
 from stand_ins.serving import cut_connection, start
 
@@ -166,12 +167,17 @@
 
 
 async def _order(request: web.Request) -> web.Response:
-    answer = request.app[STATE].obey(decode(await request.read(), Order))
-    return _refuse(answer) if isinstance(answer, Refusal) else _json(answer)
+    state = request.app[STATE]
+    order = decode(await request.read(), Order)
+    match state.ordered.obey(order, state.faults.load_s):
+        case OldFencing(newest):
+            return _refuse(Refusal(412, f"fencing {order.fencing} is below {newest}"))
+        case report:
+            return _json(report)
 
 
 async def _order_state(request: web.Request) -> web.Response:
-    return _json(request.app[STATE].order_state())
+    return _json(request.app[STATE].ordered.report())
 
 
 async def _set_faults(request: web.Request) -> web.Response:
--- a/stand_ins/engine_state.py
+++ b/stand_ins/engine_state.py
@@ -1,7 +1,7 @@
 """Model of an engine: continuous batching by token steps over a memory ledger."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from time import monotonic
 
 from lagoonhinge_core.engine_messages import (
@@ -10,8 +10,6 @@
     Holding,
     Holdings,
     LoadReport,
-    Order,
-    OrderReport,
     ReservationRequest,
     SpanRequest,
 )
@@ -20,8 +18,8 @@
 from stand_ins.engine_cache import PrefixCache
 from stand_ins.engine_memory import EXPORT, RESERVATION, STREAM, HoldingKey
 from stand_ins.engine_memory import MemoryLedger as Memory
+from stand_ins.engine_orders import OrderedState
 
-NOTHING_LOADED = OrderReport("", (), "mixed", False)
 CACHE_SHARE = 0.1
 
 
@@ -98,14 +96,10 @@
     accepted: int = 0
     spans: dict[str, SpanRun] = field(default_factory=dict)
     reports: list[tuple[float, LoadReport]] = field(default_factory=list)
-    fencing: int = 0
-    loaded: OrderReport = NOTHING_LOADED
-    loading: OrderReport | None = None
-    loaded_at: float = 0.0
-    orders: list[Order] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        """Start with empty memory and an empty cache."""
+        """Start with empty memory, an empty cache and nothing loaded."""
+        self.ordered = OrderedState(self.checks_fencing, self.clock)
         self.memory = Memory(self.rates.kv_tokens, self.clock)
         cache_tokens = int(self.rates.kv_tokens * CACHE_SHARE)
         self.cache = PrefixCache(cache_tokens, self.rates.event_lag_s, self.clock)
@@ -239,23 +233,6 @@
         read = self.cache.published(from_seq)
         return CacheEvents(self.boot, read.events, read.next_seq)
 
-    def obey(self, order: Order) -> OrderReport | Refusal:
-        """Take an order, unless its fencing number is old and checked."""
-        if self.checks_fencing and order.fencing < self.fencing:
-            return Refusal(412, f"fencing {order.fencing} is below {self.fencing}")
-        self.fencing = max(self.fencing, order.fencing)
-        self.orders.append(order)
-        self.loading = OrderReport(order.version, order.adapters, order.role, False)
-        self.loaded_at = monotonic() + self.faults.load_s
-        return self.order_state()
-
-    def order_state(self) -> OrderReport:
-        """Return what is loaded, and whether a load is under way."""
-        if self.loading is not None and monotonic() >= self.loaded_at:
-            self.loaded = self.loading
-            self.loading = None
-        return replace(self.loaded, busy=self.loading is not None)
-
     def _end_prefill(self, run: StreamRun | SpanRun) -> None:
         if isinstance(run, SpanRun):
             run.progress.wake()
