--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_api.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_api.py
@@ -24,9 +24,9 @@
 from lagoonhinge_node.caller_messages import ChatBody, CompletionBody
 from lagoonhinge_node.caller_requests import RequestReader, request_id_of
 from lagoonhinge_node.candidates import find_capacity
+from lagoonhinge_node.keyed_completions import ModelServer
 from lagoonhinge_node.logs import PartLogger
 from lagoonhinge_node.metrics import Metrics
-from lagoonhinge_node.model_path import ModelPath
 from lagoonhinge_node.observed_sink import ObservedSink
 from lagoonhinge_node.plain_path import PlainPath
 
@@ -44,7 +44,7 @@
         self,
         board: Blackboard,
         reader: RequestReader,
-        models: ModelPath,
+        models: ModelServer,
         plain: PlainPath,
         metrics: Metrics,
     ):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -36,12 +36,14 @@
 from lagoonhinge_node.clock import SystemClock
 from lagoonhinge_node.config_controller import ConfigController
 from lagoonhinge_node.engine_client import HttpEngineClient
+from lagoonhinge_node.keyed_completions import KeyedCompletions
 from lagoonhinge_node.listener import MAX_STOP_S, Listener
 from lagoonhinge_node.logs import PartLogger
 from lagoonhinge_node.membership_controller import MembershipController
 from lagoonhinge_node.metrics import Metrics
 from lagoonhinge_node.model_path import ModelPath
 from lagoonhinge_node.operator_api import OperatorApi
+from lagoonhinge_node.orders_controller import OrdersController
 from lagoonhinge_node.peer_api import PeerApi
 from lagoonhinge_node.peer_client import HttpPeerClient
 from lagoonhinge_node.peer_wire import DIGEST_PATH
@@ -141,6 +143,9 @@
         self.reaper = ReaperController(
             self.board, self.engines, clock, self.ledger, self.releaser
         )
+        self.orders = OrdersController(
+            self.board, self.engines, platform, platform, clock, self.random
+        )
         self.admission = Admission(self.board, self.ledger, clock)
         self.demand = AdmissionController(
             self.board,
@@ -176,7 +181,13 @@
             models.budget,
         )
         reader = RequestReader(self.board, clock, self.estimator)
-        callers = CallerApi(self.board, reader, models, plain, self.metrics)
+        callers = CallerApi(
+            self.board,
+            reader,
+            KeyedCompletions(models, self.claimed),
+            plain,
+            self.metrics,
+        )
         operators = OperatorApi(
             self.board, self.metrics, settings.operator_token, self._live_state
         )
@@ -201,6 +212,7 @@
             self.config,
             self.membership,
             self.upstreams,
+            self.orders,
             self.claimed,
             self.reaper,
             self.demand,
@@ -281,6 +293,7 @@
             "InFlightWork": self.ledger.snapshot(),
             "AdmittedRequests": len(self.admission.admitted),
             "QueuedRequests": len(self.admission.waiting),
+            "ClaimTasks": len(self.claimed.tasks),
             "PendingReleases": sorted(r.name for r in self.releaser.pending),
         }
 
