Reaper with two real nodes: a frozen one keeps its stream, one that is gone does not

Cause: that a silent peer keeps its streams was shown without processes only. Change: a scenario with two nodes: the first is frozen for 25 s with a stream running and then answers whole; then it is killed, its VM leaves the list, and the second node frees what it held. Conclusion: membership and reaper agree about who is gone.

--- a/features/steps/memory_processes_steps.py
+++ b/features/steps/memory_processes_steps.py
@@ -1,12 +1,19 @@
 """Steps that leave work behind on engines, with real processes."""
 
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import closing
+from signal import SIGCONT, SIGSTOP
 from socket import create_connection
 from time import monotonic, sleep
 
 from behave import given, then, when
 
-from features.support.callers import Completion
+from features.support.callers import (
+    SEED,
+    Completion,
+    completion_text,
+    post_completion,
+)
 from features.support.fleet import (
     ZONES,
     Fleet,
@@ -15,20 +22,46 @@
     http,
     overlay_text,
 )
+from lagoonhinge_core.store_messages import VmEntry, VmState
+from lagoonhinge_http.wire import encode
+from stand_ins.answers import whole_answer
 
+FAST_GOSSIP = "--gossip-interval-s=0.3"
 SLOW = "--decode-tokens-per-s=5"
 LONG_BOUND = base_text().replace("base_s = 30.0", "base_s = 600.0")
 COMPLETION = Completion("Season audit. " * 50, max_tokens=1500, is_streamed=True)
+WHOLE = Completion("Batch dossier. " * 50, max_tokens=150)
 START_TIMEOUT_S = 20.0
 
 
 @given("a running node and 2 engines that answer slowly")
 def step_fleet(context):
+    _start(context, 1)
+
+
+@given("two nodes that the platform lists and 2 engines that answer slowly")
+def step_listed_fleet(context):
+    _start(context, 2)
+    _list_vms(context.fleet, context.fleet.nodes)
+    context.pool = ThreadPoolExecutor(1)
+    context.add_cleanup(context.pool.shutdown)
+
+
+def _list_vms(fleet, nodes):
+    entries = [
+        VmEntry(node.name, ZONES[0], node.control, "entry", VmState.LIVE)
+        for node in nodes
+    ]
+    answer = http("PUT", f"{fleet.platform.url}/control/vms", encode(entries))
+    assert answer.status == 200, answer
+
+
+def _start(context, nodes):
     fleet = context.fleet = Fleet()
     fleet.start_platform()
     fleet.start_engine(SLOW)
     fleet.start_engine(SLOW)
-    fleet.start_nodes(ZONES[:1])
+    fleet.start_nodes(ZONES[:1] * nodes, FAST_GOSSIP)
     folder = fleet.write_config(LONG_BOUND, overlay_text(fleet))
     applied = fleet.ctl("config", "apply", str(folder))
     assert applied.returncode == 0, applied.stderr
@@ -46,6 +79,9 @@
                 context.fleet.nodes = []
                 context.fleet.start_node(*again)
                 context.fleet.wait_started()
+            case "the first node is killed and its VM leaves the list":
+                node.kill()
+                _list_vms(context.fleet, context.fleet.nodes[1:])
             case "the caller goes away while engines lose 2 release replies":
                 for engine in context.fleet.engines:
                     engine.put_faults(lose_release_replies=2)
@@ -53,6 +89,37 @@
         context.exit_status = node.terminate()
 
 
+@when("a caller reads a whole answer of 30 s from the first node, which is frozen")
+def step_freeze(context):
+    node = context.fleet.nodes[0]
+    context.answer = context.pool.submit(post_completion, node, WHOLE, timeout_s=120.0)
+    until = monotonic() + START_TIMEOUT_S
+    while _held(context.fleet) == 0:
+        assert monotonic() < until
+        sleep(0.05)
+    node.popen.send_signal(SIGSTOP)
+
+
+@then(
+    "after {wait:d} s the engines still hold the stream,"
+    " though the second node takes the first as silent"
+)
+def step_still_held(context, wait):
+    sleep(wait)
+    first, second = context.fleet.nodes
+    members = context.fleet.state(second)["MembersSection"]["members"]
+    assert not members[first.name]["alive"], members
+    assert _held(context.fleet) > 0
+
+
+@then("when the first node wakes the caller gets its whole answer")
+def step_wakes(context):
+    context.fleet.nodes[0].popen.send_signal(SIGCONT)
+    answer = context.answer.result(120.0)
+    expected = whole_answer(WHOLE.prompt, WHOLE.max_tokens, SEED)
+    assert completion_text(WHOLE, answer) == expected, answer
+
+
 def _begin(fleet, caller):
     body = COMPLETION.body()
     head = (
