Groups cut the prompt up once, and never forget an unknown outcome

A failure while spans were processed replaced what an earlier attempt had left unknown. Change: a plan has shares only; the text is cut after all members are reserved, without encoding if it is ASCII. Outcomes of all attempts are combined. Members too full for a few characters are left out by their share.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -123,6 +123,13 @@
       | open    | refuse      | upstream_failed, failed  | 11    |
       | open    | crash       | upstream_failed, unknown | 60    |
 
+  Scenario: What an earlier attempt left unknown stays unknown
+    Given a zone of engines with 1000, 1000, 1000 tokens
+    And at call 1 of open the fault crash
+    And from call 3 of prefill on the fault refuse
+    When a prompt of 2500 tokens is sent to the zone
+    Then the request to the zone is refused: upstream_failed, unknown
+
   Scenario Outline: Nodes that form groups at once neither deadlock nor starve
     Given a zone of engines with <memory> tokens and <nodes> nodes
     When each node sends a prompt of <prompt> tokens to the zone at once
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/groups.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/groups.py
@@ -14,6 +14,7 @@
 from lagoonhinge_core.tokens import TokenEstimate
 
 RESERVE_SLACK = 0.05  # estimates of single spans scatter
+MIN_SPAN_TOKENS = 16  # more bytes than one character, at any bytes per token
 UTF8_CONTINUATION_MASK = 0xC0
 UTF8_CONTINUATION = 0x80
 
@@ -37,13 +38,13 @@
 
     Attributes:
         member: Upstream name.
-        text: The span's text.
+        share: Its part of the prompt, relative to those of the other spans.
         estimate: Its work; only the last span has output.
         reserve_tokens: Memory to set aside, in tokens.
     """
 
     member: str
-    text: str
+    share: int
     estimate: TokenEstimate
     reserve_tokens: int
 
@@ -70,15 +71,12 @@
 PlanResult: TypeAlias = GroupPlan | NoRoomNow
 
 
-def plan_group(
-    members: Iterable[GroupMember], prompt: str, estimate: TokenEstimate
-) -> PlanResult:
+def plan_group(members: Iterable[GroupMember], estimate: TokenEstimate) -> PlanResult:
     """Spread a prompt over as few members as hold it, by their free memory.
 
     Args:
         members: Engines that may hold a span.
-        prompt: Text of the prompt.
-        estimate: Its estimated work.
+        estimate: Estimated work of the prompt.
     """
     needed = estimate.total()
     chosen = _choose_members(members, needed)
@@ -89,24 +87,29 @@
     ordered = (*sorted(chosen[1:], key=lambda member: member.name), chosen[0])
     shares = [member.free_tokens for member in ordered]
     shares[-1] -= estimate.output_tokens
-    texts = split_prompt(prompt, shares)
-    outputs = (*(0 for _ in chosen[1:]), estimate.output_tokens)
     tokens = [share * estimate.prompt_tokens / sum(shares) for share in shares]
-    parts = zip(ordered, texts, tokens, outputs, strict=True)
-    # A member too full for a single character is left out.
-    return GroupPlan(tuple(_span(*part) for part in parts if part[1]))
+    outputs = (*(0 for _ in chosen[1:]), estimate.output_tokens)
+    parts = zip(ordered, shares, tokens, outputs, strict=True)
+    # A member too full for a few characters is left out.
+    spans = [_span(*part) for part in parts if part[2] >= MIN_SPAN_TOKENS or part[3]]
+    if sum(span.reserve_tokens for span in spans) < needed:
+        return NoRoomNow(needed, free)
+    return GroupPlan(tuple(spans))
 
 
-def split_prompt(prompt: str, shares: list[int]) -> list[str]:
-    """Split a text by bytes in proportion to shares, never inside a character."""
-    raw = prompt.encode()
-    total = sum(shares)
+def split_prompt(prompt: str, plan: GroupPlan) -> tuple[str, ...]:
+    """Split a prompt by bytes in proportion to the shares, never inside a character."""
+    # Cutting up several MB of mixed widths takes tens of milliseconds.
+    raw = prompt if prompt.isascii() else prompt.encode()
+    total = sum(span.share for span in plan.spans)
     cuts = [0]
     taken = 0
-    for share in shares:
-        taken += share
-        cuts.append(_character_start(raw, len(raw) * taken // total))
-    return [raw[start:end].decode() for start, end in pairwise(cuts)]
+    for span in plan.spans:
+        taken += span.share
+        cut = len(raw) * taken // total
+        cuts.append(cut if isinstance(raw, str) else _character_start(raw, cut))
+    parts = [raw[start:end] for start, end in pairwise(cuts)]
+    return tuple(part if isinstance(part, str) else part.decode() for part in parts)
 
 
 def _choose_members(
@@ -124,12 +127,12 @@
 
 
 def _span(
-    member: GroupMember, text: str, prompt_tokens: float, output_tokens: int
+    member: GroupMember, share: int, prompt_tokens: float, output_tokens: int
 ) -> GroupSpan:
     wanted = ceil(prompt_tokens * (1 + RESERVE_SLACK)) + output_tokens + 1
     return GroupSpan(
         member=member.name,
-        text=text,
+        share=share,
         estimate=TokenEstimate(max(1, round(prompt_tokens)), output_tokens),
         reserve_tokens=min(member.free_tokens, wanted),
     )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/group_attempts.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/group_attempts.py
@@ -9,13 +9,13 @@
 from lagoonhinge_core.outcome import Failure as RequestFailure
 from lagoonhinge_core.outcome import Outcome
 from lagoonhinge_core.ports import Clock
-from lagoonhinge_core.recovery import AttemptEnded, deadline_failure
+from lagoonhinge_core.recovery import AttemptEnded, combined_outcome, deadline_failure
 from lagoonhinge_core.request import ModelRequest
 from lagoonhinge_core.sections import UpstreamsSection
 from lagoonhinge_node.answer_relay import Finished
 from lagoonhinge_node.attempts import Attempt
 from lagoonhinge_node.group_holds import GroupHolds
-from lagoonhinge_node.group_path import GroupPath
+from lagoonhinge_node.group_path import FILLED_OUTCOME, GroupPath
 from lagoonhinge_node.request_state import RequestState
 
 RunAttempt = Callable[
@@ -60,14 +60,15 @@
                 # The process may have been paused; nothing begins past the bound.
                 return Failure(deadline_failure(state.outcome))
             state.attempts += 1
+            earlier = state.outcome
             # If the time bound ends this attempt, what it did is not known.
             state.outcome = Outcome.UNKNOWN
             failed = await self.groups.fill(holds)
             if failed is not None:
-                state.outcome = failed.ended.outcome
+                state.outcome = combined_outcome(earlier, failed.ended.outcome)
                 state.tried |= {failed.upstream}
                 return Failure(failed.ended)
-            state.outcome = Outcome.FAILED
+            state.outcome = combined_outcome(earlier, FILLED_OUTCOME)
             attempt = self._answering_attempt(holds)
             holds.hand_over()
             return await run_attempt(attempt)
@@ -83,7 +84,7 @@
             config=last.config,
             reservation=last.name,
             spans=tuple(hold.as_export() for hold in holds.exporting()),
-            prompt=last.span.text,
+            prompt=last.text,
             estimate=last.span.estimate,
             boot=report.load.boot if report is not None and report.load else "",
         )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/group_holds.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/group_holds.py
@@ -1,6 +1,6 @@
 """Everything that one group holds on its members, and its release."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from lagoonhinge_core.config import UpstreamConfig
 from lagoonhinge_core.engine_messages import SpanRef
@@ -20,11 +20,13 @@
         span: The member's span.
         config: Configuration of the member.
         name: Name of the reservation, and of the export.
+        text: Text of the span, once all members are reserved.
     """
 
     span: GroupSpan
     config: UpstreamConfig
     name: str
+    text: str = ""
 
     def as_export(self) -> SpanRef:
         """Return the span as the answering member imports it."""
@@ -73,6 +75,11 @@
         self.ledger.start(name, item)
         return hold
 
+    def set_texts(self, texts: tuple[str, ...]) -> None:
+        """Give each member its part of the prompt, in the order of the spans."""
+        for position, hold in self.members.items():
+            self.members[position] = replace(hold, text=texts[position])
+
     def forget(self, position: int) -> None:
         """Drop a hold that was surely not taken."""
         hold = self.members.pop(position)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/group_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/group_path.py
@@ -9,7 +9,7 @@
 
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.engine_messages import ReservationRequest, SpanRequest
-from lagoonhinge_core.groups import GroupMember, GroupPlan, plan_group
+from lagoonhinge_core.groups import GroupMember, GroupPlan, plan_group, split_prompt
 from lagoonhinge_core.in_flight import InFlightLedger
 from lagoonhinge_core.outcome import ErrorCode, Outcome
 from lagoonhinge_core.outcome import Failure as RequestFailure
@@ -110,6 +110,8 @@
                 holds = self._new_holds(request, next_name())
                 failed = await self._reserve_all(plan, holds)
                 if failed is None:
+                    # Only now, since cutting up several MB takes its time.
+                    holds.set_texts(split_prompt(request.prompt, plan))
                     return Success(holds)
                 # Look elsewhere first; when no others are left, begin anew.
                 busy = frozenset((failed,)) if failed in busy else busy | {failed}
@@ -141,7 +143,7 @@
         ]
         untried = [member for member in members if member.name not in tried]
         for allowed in (untried, members):
-            plan = plan_group(allowed, request.prompt, request.estimate)
+            plan = plan_group(allowed, request.estimate)
             if isinstance(plan, GroupPlan):
                 return plan
         return None
@@ -189,7 +191,7 @@
             export=hold.name,
             owner=self._owner(),
             reservation=hold.name,
-            prompt=hold.span.text,
+            prompt=hold.text,
             priority=SPAN_PRIORITY,
             expires_s=self._expires_s(holds),
         )
