--- a/features/support/config_world.py
+++ b/features/support/config_world.py
@@ -14,7 +14,7 @@
 from lagoonhinge_core.peer_messages import PeerDigest, PeerUnreachable
 from lagoonhinge_core.sections import ConfigSection
 from lagoonhinge_core.store_messages import Conflict, NotStored, Row, Unavailable
-from lagoonhinge_ctl.accept import accept_config
+from lagoonhinge_ctl.accept import NotAccepted, accept_config
 from lagoonhinge_http.wire import decode
 from lagoonhinge_node.config_controller import COLLECT_S, ConfigController
 
@@ -229,7 +229,13 @@
         """Let an operator accept a configuration."""
         access = Access(self.platform, "operator")
         wanted = source(number, overlay) if overlay else source(number)
-        result = await accept_config(access, access, wanted, author, pause_s=0.0)
+        match await access.read(CONFIG_KEY):
+            case Success(row):
+                result = await accept_config(
+                    access, access, wanted, author, row, pause_s=0.0
+                )
+            case Failure(error):
+                result = Failure(NotAccepted(error.reason))
         self.results.append(result)
         return result
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/membership.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/membership.py
@@ -16,6 +16,8 @@
 from lagoonhinge_core.store_messages import VmEntry, VmState
 
 HEARTBEAT_ROUNDS = 5
+SMALL_CELL_NODES = 3
+ROUNDS_PER_NODE = 2
 FORGET_AFTER_S = 3_600.0
 FRESH_SHARE = 0.7
 MAX_RETRY_ROUNDS = 4
@@ -227,7 +229,9 @@
         )
 
     def _is_alive(self, vm: str, record: _Record, now_s: float) -> bool:
-        rounds = float(HEARTBEAT_ROUNDS)
+        # The budget of gossip makes a large cell meet each of its nodes less often.
+        more_nodes = max(0, len(self.cell_vms) - SMALL_CELL_NODES)
+        rounds = float(HEARTBEAT_ROUNDS + ROUNDS_PER_NODE * more_nodes)
         if not self.in_cell(vm):
             # One peer outside of the cell is met in a round, by either side.
             others = len(self.records) + 1 - len(self.cell_vms)
@@ -254,7 +258,6 @@
     return replace(
         digest,
         work={},
-        leaving=(),
         demand_tokens_per_s=dict(largest[:MAX_OUTSIDE_ACCOUNTS]),
     )
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/reaper.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/reaper.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from lagoonhinge_core.cells import owning_vm
+from lagoonhinge_core.cells import owning_vms
 from lagoonhinge_core.engine_messages import Holding
 from lagoonhinge_core.identity import NodeId, parse_node_id
 
@@ -118,7 +118,7 @@
         cell = tuple(cell)
         due: list[tuple[float, str]] = []
         for engine in engines:
-            is_assigned = owning_vm(engine, cell) == vm
+            is_assigned = vm in owning_vms(engine, cell, 1)
             interval_s = ASSIGNED_INTERVAL_S if is_assigned else OTHERS_INTERVAL_S
             late_s = now_s - interval_s - self.swept_s.get(engine, float("-inf"))
             if late_s >= 0:
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/accept.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/accept.py
@@ -58,6 +58,7 @@
     objects: ObjectStore,
     source: ConfigSource,
     author: str,
+    current: Row,
     pause_s: float = RETRY_PAUSE_S,
 ) -> Result[AcceptedConfig, AcceptError]:
     """Make a checked source the accepted configuration.
@@ -70,6 +71,8 @@
         objects: Holds the blob.
         source: The checked source.
         author: Name shown to the loser of a race.
+        current: The row that the source was derived from; a change accepted since
+            then wins.
         pause_s: Time between tries after a lost reply, in seconds.
 
     Returns:
@@ -79,11 +82,11 @@
     stored = await _store_blob(objects, source, pause_s)
     if isinstance(stored, Failure):
         return stored
-    match await _read_current(table):
+    match _named(current):
         case Failure(error):
             return Failure(error)
-        case Success(AcceptedConfig() as current) if current.digest == source.digest():
-            return Success(current)
+        case Success(AcceptedConfig() as found) if found.digest == source.digest():
+            return Success(found)
         case Success(found):
             ours = next_config(found, source.digest(), uuid4().hex, author)
     return await _move_row(table, ours, pause_s)
@@ -104,20 +107,13 @@
     return Failure(NotAccepted(f"the blob was not stored: {reason}"))
 
 
-async def _read_current(
-    table: TableStore,
-) -> Result[AcceptedConfig | None, AcceptError]:
-    match await table.read(CONFIG_KEY):
-        case Failure(error):
-            return Failure(NotAccepted(f"the row was not read: {error.reason}"))
-        case Success(row) if row.version == 0:
-            return Success(None)
-        case Success(row):
-            try:
-                return Success(_accepted(row))
-            except BadMessage as error:
-                return Failure(NotAccepted(f"the row is not readable: {error}"))
-    raise AssertionError("not a result")
+def _named(row: Row) -> Result[AcceptedConfig | None, AcceptError]:
+    if row.version == 0:
+        return Success(None)
+    try:
+        return Success(_accepted(row))
+    except BadMessage as error:
+        return Failure(NotAccepted(f"the row is not readable: {error}"))
 
 
 async def _move_row(
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_requests.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_requests.py
@@ -19,6 +19,7 @@
 from lagoonhinge_node.caller_auth import find_account
 from lagoonhinge_node.caller_messages import ChatBody, CompletionBody
 
+REQUEST_ID_KEY = web.RequestKey("request_id", str)
 TIMEOUT_HEADER = "X-Timeout-Seconds"
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_CHARACTERS = 200
@@ -31,6 +32,13 @@
     return RequestFailure(code, Outcome.NOT_RUN, message)
 
 
+def request_id_of(request: web.Request) -> str:
+    """Return the identity of a request, which it gets at the first call."""
+    if REQUEST_ID_KEY not in request:
+        request[REQUEST_ID_KEY] = uuid4().hex
+    return request[REQUEST_ID_KEY]
+
+
 class RequestReader:
     """Turns HTTP requests into checked requests."""
 
@@ -85,7 +93,7 @@
         )
         return Success(
             PlainRequest(
-                request_id=uuid4().hex,
+                request_id=request_id_of(request),
                 account=account,
                 service=name,
                 call=PlainCall(request.method, path, headers, body),
@@ -151,7 +159,7 @@
                 return Failure(failure)
             case Success(timeout_s):
                 deadline_s = self.clock.monotonic_s() + timeout_s
-        request_id = uuid4().hex
+        request_id = request_id_of(request)
         checked = ModelRequest(
             request_id=request_id,
             account=account,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/membership_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/membership_controller.py
@@ -71,6 +71,7 @@
         self.open_exchanges: set[str] = set()
         self.own_leaving: Callable[[], tuple[str, ...]] = tuple
         self.on_heard: list[Callable[[PeerDigest], None]] = []
+        self.on_listed: list[Callable[[], None]] = []
         self.members_writer = board.writer(MembersSection(), "membership")
         self.peers_writer = board.writer(PeersSection(), "membership")
         self.vms_writer = board.writer(VmsSection(), "membership")
@@ -96,6 +97,8 @@
                 self.membership.list_vms(entries, self.clock.monotonic_s())
                 self.list_is_down = False
                 self.post()
+                for follow in self.on_listed:
+                    follow()
             case Failure(error):
                 if not self.list_is_down:
                     self.log_part.warning(f"The VM list was not read: {error.reason}.")
@@ -151,6 +154,7 @@
         """Return this node's digest, whole for the cell and short for the others."""
         self.seq += 1
         poison = self.board.find(PoisonSection())
+        demand = self.board.find(DemandSection())
         node = self.board.read(NodeSection)
         whole = PeerDigest(
             node=str(node.node),
@@ -160,7 +164,9 @@
             config_version=self.board.read(ConfigSection).version,
             stopping=node.readiness == Readiness.STOPPING,
             work=self.ledger.snapshot().by_upstream,
-            demand_tokens_per_s=self.board.find(DemandSection()).tokens_per_s,
+            demand_tokens_per_s=demand.tokens_per_s,
+            demand_number=demand.number,
+            demand_heard=demand.heard,
             strikes=poison.strikes,
             quarantines=poison.quarantines,
             leaving=self.own_leaving(),
@@ -174,8 +180,12 @@
         self.peers_writer.post(self.membership.peers(now_s))
         self.vms_writer.post(self.membership.vms)
 
+    def tell_soon(self) -> None:
+        """Begin to tell every peer of the cell; returns at once."""
+        self.add_future(self.tell_all())
+
     async def tell_all(self) -> None:
-        """Tell every peer of the cell at once, before this node stops."""
+        """Tell every peer of the cell at once, whatever the budget says."""
         now_s = self.clock.monotonic_s()
         cell = (self.membership.records.get(vm) for vm in self.membership.cell_vms)
         live = (r for r in cell if r and r.heard_s > now_s - TELL_SILENCE_S)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -1,9 +1,11 @@
 """The node: builds its parts, starts them, and stops them gracefully."""
 
-from asyncio import sleep
-from dataclasses import replace
+from asyncio import gather, sleep
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 from random import Random
-from ssl import PROTOCOL_TLS_CLIENT, PROTOCOL_TLS_SERVER, SSLContext
+from socket import socket
+from ssl import PROTOCOL_TLS_SERVER, SSLContext, create_default_context
 from typing import Any
 
 from aiohttp import web
@@ -14,7 +16,13 @@
 from lagoonhinge_core.identity import NodeId
 from lagoonhinge_core.in_flight import InFlightLedger
 from lagoonhinge_core.membership import Membership
-from lagoonhinge_core.sections import ConfigSection, NodeSection, Readiness
+from lagoonhinge_core.sections import (
+    ConfigSection,
+    MembersSection,
+    NodeSection,
+    Readiness,
+)
+from lagoonhinge_core.stopping import longest_request_s
 from lagoonhinge_core.tokens import TokenEstimator
 from lagoonhinge_http.platform import HttpPlatform
 from lagoonhinge_http.session import open_session
@@ -23,10 +31,12 @@
 from lagoonhinge_node.cache_controller import CacheController
 from lagoonhinge_node.caller_api import CallerApi
 from lagoonhinge_node.caller_requests import RequestReader
+from lagoonhinge_node.claim_store import ClaimStore
+from lagoonhinge_node.claimed_calls import ClaimedCalls
 from lagoonhinge_node.clock import SystemClock
 from lagoonhinge_node.config_controller import ConfigController
 from lagoonhinge_node.engine_client import HttpEngineClient
-from lagoonhinge_node.listener import Listener
+from lagoonhinge_node.listener import MAX_STOP_S, Listener
 from lagoonhinge_node.logs import PartLogger
 from lagoonhinge_node.membership_controller import MembershipController
 from lagoonhinge_node.metrics import Metrics
@@ -42,19 +52,32 @@
 from lagoonhinge_node.settings import NodeSettings
 from lagoonhinge_node.upstream_controller import UpstreamController
 
-LONGEST_REQUEST_S = 3600.0
 MAX_BODY_BYTES = 64 << 20
+CONTROL_STOP_S = 2.0
+FLUSH_LIMIT_S = 10.0
+FLUSH_CHECK_S = 0.05
+
+
+@dataclass(frozen=True)
+class NodeSockets:
+    """Listening sockets, bound before the node starts."""
+
+    callers: socket
+    control: socket
 
 
 class Node(Service):
     """Root service of the process."""
 
     # mode gives up on a stop after 60 s by default; long prompts run longer.
-    shutdown_timeout = LONGEST_REQUEST_S
+    shutdown_timeout = MAX_STOP_S
 
-    def __init__(self, settings: NodeSettings):
+    def __init__(self, settings: NodeSettings, sockets: NodeSockets):
         super().__init__()
         self.settings = settings
+        self.sockets = sockets
+        self.longest_request_s = 0.0
+        self.pending_work: list[Callable[[], int]] = []
         self.log_part = PartLogger("node")
 
     def on_init_dependencies(self) -> list[ServiceT]:
@@ -74,17 +97,11 @@
         self.ledger = InFlightLedger()
         self.estimator = TokenEstimator({})
         self.metrics = Metrics()
-        self.metrics.config_version.set_function(
-            lambda: self.board.read(ConfigSection).version
-        )
-        self.metrics.config_refused.set_function(
-            lambda: bool(self.board.read(ConfigSection).last_error)
-        )
+        self._watch_board()
         self.session = open_session()
         self.engines = HttpEngineClient()
         platform = HttpPlatform(self.session, settings.platform_url)
         self.releaser = Releaser(self.engines)
-        self.upstreams = UpstreamController(self.board, self.engines, clock)
         self.peers = HttpPeerClient(
             settings.peer_secret, _peer_tls_context(settings), self._count_begun
         )
@@ -114,10 +131,15 @@
             self.random,
             self.ledger,
         )
+        self.upstreams = UpstreamController(self.board, self.engines, clock)
+        self.membership.on_heard.append(self.config.follow_digest)
+        self.membership.on_heard.append(self.upstreams.follow_digest)
+        self.membership.on_listed.append(self.upstreams.refresh)
+        self.upstreams.on_own_marks.append(self.membership.tell_soon)
+        self.membership.own_leaving = self.upstreams.marks.own
         self.reaper = ReaperController(
             self.board, self.engines, clock, self.ledger, self.releaser
         )
-        self.membership.on_heard.append(self.config.follow_digest)
         self.admission = Admission(self.board, self.ledger, clock)
         self.demand = AdmissionController(
             self.board,
@@ -138,7 +160,18 @@
             self.releaser,
             self.estimator,
         )
-        plain = PlainPath(self.board, HttpPlainClient(self.session), clock, self.ledger)
+        self.plain_client = HttpPlainClient(self.session)
+        self.claimed = ClaimedCalls(
+            ClaimStore(platform, platform, clock), clock, self.metrics
+        )
+        plain = PlainPath(
+            self.board,
+            self.plain_client,
+            clock,
+            self.ledger,
+            self.claimed,
+            models.budget,
+        )
         reader = RequestReader(self.board, clock, self.estimator)
         callers = CallerApi(self.board, reader, models, plain, self.metrics)
         operators = OperatorApi(
@@ -156,14 +189,16 @@
         control.add_routes(peers.routes())
         tls = _tls_context(settings)
         self.caller_listener = Listener(
-            callers.app(MAX_BODY_BYTES), settings.listen, tls
+            callers.app(MAX_BODY_BYTES), self.sockets.callers, tls
         )
-        self.control_listener = Listener(control, settings.control_listen, tls)
+        self.control_listener = Listener(control, self.sockets.control, tls)
+        self.pending_work.append(lambda: len(self.releaser.pending))
         return [
             self.releaser,
             self.config,
             self.membership,
             self.upstreams,
+            self.claimed,
             self.reaper,
             self.demand,
             self.cache,
@@ -171,8 +206,8 @@
 
     async def on_started(self) -> None:
         """Open the listeners once every controller runs."""
-        await self.control_listener.start(1.0)
-        await self.caller_listener.start(LONGEST_REQUEST_S)
+        await self.control_listener.start()
+        await self.caller_listener.start()
         self._post_readiness(Readiness.READY)
         self.log_part.info(f"Serving callers on {self.settings.listen}.")
 
@@ -180,23 +215,51 @@
         """Let the balancer look away, then finish every running request."""
         self._post_readiness(Readiness.STOPPING)
         self.log_part.info("Stopping; running requests are finished first.")
-        await sleep(self.settings.balancer_lag_s)
-        await self.caller_listener.stop()
-        self.log_part.info("No request is running.")
+        self.caller_listener.drain()
+        await gather(self.membership.tell_all(), sleep(self.settings.balancer_lag_s))
+        if await self.caller_listener.stop(self.longest_request_s):
+            self.log_part.info("No request is running.")
+        else:
+            limit_s = self.longest_request_s
+            self.log_part.error(f"Requests ran longer than their bound, {limit_s} s.")
+        await self._flush()
 
     async def on_shutdown(self) -> None:
         """Close what the parts shared."""
-        await self.control_listener.stop()
+        await self.control_listener.stop(CONTROL_STOP_S)
         await self.engines.close()
         await self.peers.close()
+        await self.plain_client.close()
         await self.session.close()
 
+    async def _flush(self) -> None:
+        # Releases and other writes that outlive their request are still repeated.
+        until_s = self.loop.time() + FLUSH_LIMIT_S
+        while any(count() for count in self.pending_work):
+            if self.loop.time() > until_s:
+                self.log_part.warning("Some releases were left to expire.")
+                return
+            await sleep(FLUSH_CHECK_S)
+
     def _follow_config(self, section: ConfigSection) -> None:
+        # Requests taken under an older configuration may run longer.
+        longest_s = longest_request_s(section.config)
+        self.longest_request_s = max(self.longest_request_s, longest_s)
         models = section.config.models
         self.estimator.reconfigure(
             {name: model.bytes_per_token for name, model in models.items()}
         )
 
+    def _watch_board(self) -> None:
+        read, metrics = self.board.read, self.metrics
+        metrics.config_version.set_function(lambda: read(ConfigSection).version)
+        metrics.config_refused.set_function(
+            lambda: bool(read(ConfigSection).last_error)
+        )
+        metrics.members_alive.set_function(
+            lambda: sum(m.alive for m in read(MembersSection).members.values())
+        )
+
     def _count_bytes(self, path: str, count: int) -> None:
         self.metrics.control_bytes.labels(path).inc(count)
 
@@ -229,8 +292,4 @@
 def _peer_tls_context(settings: NodeSettings) -> SSLContext | None:
     if settings.tls_cert is None:
         return None
-    # Peers are named by IP number; the shared secret and the certificate file vouch.
-    context = SSLContext(PROTOCOL_TLS_CLIENT)
-    context.check_hostname = False
-    context.load_verify_locations(settings.tls_cert)
-    return context
+    return create_default_context(cafile=settings.tls_ca)
--- a/stand_ins/engine_state.py
+++ b/stand_ins/engine_state.py
@@ -93,6 +93,7 @@
     faults: EngineFaults = EngineFaults()
     clock: Callable[[], float] = monotonic
     streams: dict[str, StreamRun] = field(default_factory=dict)
+    accepted: int = 0
     spans: dict[str, SpanRun] = field(default_factory=dict)
     reports: list[tuple[float, LoadReport]] = field(default_factory=list)
     fencing: int = 0
@@ -138,6 +139,7 @@
         elif len(self.waiting()) >= self.rates.max_waiting:
             return Refusal(503, "too many waiting")
         self.streams[call.attempt] = run
+        self.accepted += 1
         self.admit_waiting()
         return run
 
