--- a/features/steps/attempts_processes_steps.py
+++ b/features/steps/attempts_processes_steps.py
@@ -15,7 +15,9 @@
 from lagoonhinge_node.engine_client import HttpEngineClient
 from stand_ins.answers import whole_answer
 
-BOUND = {"X-Timeout-Seconds": "3"}
+# Admission has learnt slow answers from the faults before, and refuses short bounds.
+BOUND = {"X-Timeout-Seconds": "8"}
+PAUSE_PAST_BOUND_S = 9.0
 MIDDLE_S = 0.5
 
 
@@ -53,7 +55,7 @@
 @when("the node is paused past the bound of a streamed answer")
 def step_paused(context):
     opened, first = _start(context, "streamed", BOUND)
-    context.attempt_fleet.pause_node(4.0)
+    context.attempt_fleet.pause_node(PAUSE_PAST_BOUND_S)
     context.answer = HttpAnswer(200, {}, first + opened.read_rest())
 
 
--- a/features/support/silent_callers.py
+++ b/features/support/silent_callers.py
@@ -9,16 +9,23 @@
 from features.support.fleet import PORTS
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.engine_messages import Sampling, Usage
+from lagoonhinge_core.identity import NodeId
 from lagoonhinge_core.outcome import Outcome
 from lagoonhinge_core.recovery import deadline_failure
 from lagoonhinge_core.request import ModelRequest
-from lagoonhinge_core.sections import ConfigSection
+from lagoonhinge_core.sections import (
+    ConfigSection,
+    NodeSection,
+    Readiness,
+    UpstreamsSection,
+)
 from lagoonhinge_core.tokens import TokenEstimate
 from lagoonhinge_node.answer_relay import Finished
 from lagoonhinge_node.caller_api import CallerApi
 from lagoonhinge_node.clock import SystemClock
 from lagoonhinge_node.metrics import Metrics
 
+NODE = NodeSection(NodeId("vm", 1), "site", "zone", Readiness.READY, 0.0)
 BOUND_S = 1.0
 LIVENESS_S = 20.0
 PART = "x" * 65536
@@ -61,7 +68,8 @@
     """Serve a caller that reads nothing; fails unless its handler soon ends."""
     clock = SystemClock()
     board = Blackboard()
-    board.writer(ConfigSection(version=1), "config")
+    for section in (ConfigSection(version=1), NODE, UpstreamsSection()):
+        board.writer(section, "test")
     reader = _Reader(clock, is_streamed)
     api = CallerApi(board, reader, _Models(clock), None, Metrics())
     runner = web.AppRunner(api.app(1 << 20), handler_cancellation=True)
