--- a/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
@@ -99,6 +99,10 @@
         self.first_token.labels(length).observe(waited_s)
         self.slowdown.labels(length).observe(waited_s / nominal_s)
 
+    def observe_attempt(self, number: int) -> None:
+        """Count an attempt, the first of its request or a retry."""
+        self.attempts.labels("first" if number == 1 else "retry").inc()
+
     def observe_answer(self, usage: Usage) -> None:
         """Count a whole answer of a model."""
         self.answers.labels("model").inc()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
@@ -1,6 +1,7 @@
 """The way of a model request: admit, place, attempt, rerun, finish or fail in time."""
 
 from asyncio import sleep, timeout
+from collections.abc import Callable
 from itertools import count
 from random import Random
 
@@ -79,6 +80,8 @@
         self.budget = RetryBudget()
         self.placer = admission.placer
         self.numbers = count(1)
+        self.on_admitted: list[Callable[[float], None]] = []
+        self.on_attempt: list[Callable[[int], None]] = []
 
     async def run(
         self, request: ModelRequest, sink: AnswerSink
@@ -110,6 +113,9 @@
             case Failure(failure):
                 return Failure(failure)
             case Success(ticket):
+                waited_s = self.admission.waited_s(request.request_id)
+                for note in self.on_admitted:
+                    note(waited_s)
                 try:
                     return await self._attempt_until_done(request, state, sink)
                 finally:
@@ -233,6 +239,8 @@
             is_long=self._is_long(request),
         )
         call = self._call(request, attempt)
+        for note in self.on_attempt:
+            note(state.attempts)
         earlier = state.outcome
         # If the time bound ends this attempt, what it did is not known.
         state.outcome = Outcome.UNKNOWN
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -168,6 +168,8 @@
             self.estimator,
             self.poison,
         )
+        models.on_admitted.append(self.metrics.queue.observe)
+        models.on_attempt.append(self.metrics.observe_attempt)
         self.plain_client = HttpPlainClient(self.session)
         self.claimed = ClaimedCalls(
             ClaimStore(platform, platform, clock), clock, self.metrics
