Configuration in parts, from acceptance to the nodes and between peers

Cause: a node read and parsed the whole configuration at each change. Ruled out: fetching outside of the lock (an older version could then end later than a newer one). Change: the row names the manifest; lagoonctl stores the parts first and the manifest last; nodes keep the parts that a change did not touch, fetch the others from the object store or a peer, check each digest, decode in a thread and check the whole before it is in force.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -43,7 +43,7 @@
       | node blob get            | rival operator | accepted     |
       | node blob get            | node replaced  | accepted     |
       | node blob get            | zone cut off   | accepted     |
-      | node blob get            | overtaken      | accepted     |
+      | node row read            | late reply and overtaken | accepted |
 
   Scenario: A write that was held up and lands late is settled by applying again
     Given a world of 3 nodes where change 1 is in force
@@ -80,7 +80,7 @@
 
     Examples:
       | defect                | reason            |
-      | bad for the site      | zones             |
+      | bad for the site      | nowhere           |
       | missing               | not read          |
       | not what was accepted | digest            |
       | unreadable            | not readable      |
--- a/features/support/config_world.py
+++ b/features/support/config_world.py
@@ -14,13 +14,12 @@
 from lagoonhinge_core.peer_messages import PeerDigest, PeerUnreachable
 from lagoonhinge_core.sections import ConfigSection
 from lagoonhinge_core.store_messages import Conflict, NotStored, Row, Unavailable
-from lagoonhinge_ctl.accept import NotAccepted, accept_config
+from lagoonhinge_ctl.accept import NotAccepted, accept_config, bundle_source
 from lagoonhinge_http.wire import decode
 from lagoonhinge_node.config_controller import COLLECT_S, ConfigController
 
 SITE = "perth"
 NODES = ("north", "east", "south")
-BAD_OVERLAY = "zones = 3"
 
 
 def source(number: int, overlay: str = 'zones = ["z"]') -> ConfigSource:
@@ -28,6 +27,11 @@
     return ConfigSource(f"# change {number}\n{base_text()}", {SITE: overlay})
 
 
+def digest_of(wanted: ConfigSource) -> str:
+    """Return the digest under which a configuration is accepted."""
+    return bundle_source(wanted).unwrap().manifest.digest
+
+
 class ManualClock:
     """A clock that moves when told."""
 
@@ -175,6 +179,14 @@
             return Failure(PeerUnreachable(address, "cut off"))
         return Success(known)
 
+    async def fetch_blob(self, address, digest, timeout_s):
+        """Answer as the peers' client of this node."""
+        peer = self.world.nodes[address]
+        blob = peer.controller.blobs.get(digest)
+        if self.cut or peer.cut or blob is None:
+            return Failure(PeerUnreachable(address, "cut off"))
+        return Success(blob)
+
     @property
     def section(self) -> ConfigSection:
         return self.board.read(ConfigSection)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/config_row.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/config_row.py
@@ -12,7 +12,7 @@
 
     Attributes:
         version: The row's own version after the write, so it grows by one.
-        digest: SHA-256 of the blob.
+        digest: SHA-256 of the manifest, the blob that leads to all others.
         change: Identity of the change, to settle a lost reply.
         author: Who accepted it.
         recent: Identities of the changes before this one, the newest first.
@@ -34,19 +34,6 @@
         return None
 
 
-@dataclass(frozen=True)
-class KnownConfig:
-    """A configuration that a node can hand to its peers.
-
-    Attributes:
-        accepted: Version and digest.
-        blob: Content of the object.
-    """
-
-    accepted: AcceptedConfig
-    blob: bytes
-
-
 def next_config(
     current: AcceptedConfig | None, digest: str, change: str, author: str
 ) -> AcceptedConfig:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/ports.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/ports.py
@@ -4,7 +4,7 @@
 
 from returns.result import Result
 
-from lagoonhinge_core.config_row import KnownConfig
+from lagoonhinge_core.config_row import AcceptedConfig
 from lagoonhinge_core.engine_messages import (
     CacheEvents,
     EngineCall,
@@ -161,8 +161,13 @@
 
     async def fetch_config(
         self, address: str, timeout_s: float
-    ) -> Result[KnownConfig, PeerUnreachable]:
-        """Return the configuration in force at a peer."""
+    ) -> Result[AcceptedConfig, PeerUnreachable]:
+        """Return the version in force at a peer."""
+
+    async def fetch_blob(
+        self, address: str, digest: str, timeout_s: float
+    ) -> Result[bytes, PeerUnreachable]:
+        """Return a blob of the version in force at a peer; its digest is unchecked."""
 
     async def fetch_contacts(
         self, address: str, timeout_s: float
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/accept.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/accept.py
@@ -1,13 +1,16 @@
 """Acceptance of a configuration: store the blob, then move the row."""
 
-from asyncio import sleep
+from asyncio import gather, sleep
 from dataclasses import dataclass
 from typing import TypeAlias
 from uuid import uuid4
 
 from returns.result import Failure, Result, Success
 
-from lagoonhinge_core.config_load import ConfigSource
+from lagoonhinge_core.config import Config
+from lagoonhinge_core.config_decode import ConfigError
+from lagoonhinge_core.config_load import ConfigSource, load_site
+from lagoonhinge_core.config_parts import Blob, Bundle, make_bundle
 from lagoonhinge_core.config_row import (
     CONFIG_KEY,
     AcceptedConfig,
@@ -19,6 +22,7 @@
 from lagoonhinge_http.wire import BadMessage, decode, encode
 
 MAX_TRIES = 4
+PUTS_AT_ONCE = 8
 RETRY_PAUSE_S = 0.5
 
 
@@ -79,32 +83,66 @@
         What was accepted, or why not. A lost reply is settled by the change's
         identity in the row.
     """
-    stored = await _store_blob(objects, source, pause_s)
-    if isinstance(stored, Failure):
-        return stored
+    match bundle_source(source):
+        case Failure(errors):
+            return Failure(NotAccepted("; ".join(str(error) for error in errors)))
+        case Success(made):
+            bundle: Bundle = made
+    digest = bundle.manifest.digest
     match _named(current):
         case Failure(error):
             return Failure(error)
-        case Success(AcceptedConfig() as found) if found.digest == source.digest():
+        case Success(AcceptedConfig() as found) if found.digest == digest:
             return Success(found)
         case Success(found):
-            ours = next_config(found, source.digest(), uuid4().hex, author)
+            ours = next_config(found, digest, uuid4().hex, author)
+    stored = await _store_bundle(objects, bundle, pause_s)
+    if isinstance(stored, Failure):
+        return stored
     return await _move_row(table, ours, pause_s)
 
 
+def bundle_source(
+    source: ConfigSource,
+) -> Result[Bundle, tuple[ConfigError, ...]]:
+    """Return what is to be stored for a source, or the errors of its sites."""
+    configs: dict[str, Config] = {}
+    for site in sorted(source.sites) or [""]:
+        match load_site(source, site):
+            case Success(config):
+                configs[site] = config
+            case Failure(errors):
+                return Failure(errors)
+    blob = Blob(source.digest(), source.encode())
+    return Success(make_bundle(blob, configs))
+
+
+async def _store_bundle(
+    objects: ObjectStore, bundle: Bundle, pause_s: float
+) -> Result[None, AcceptError]:
+    # The manifest comes last, so that whoever finds it finds the rest too.
+    for start in range(0, len(bundle.blobs), PUTS_AT_ONCE):
+        batch = bundle.blobs[start : start + PUTS_AT_ONCE]
+        stored = await gather(*(_store_blob(objects, b, pause_s) for b in batch))
+        for result in stored:
+            if isinstance(result, Failure):
+                return result
+    return await _store_blob(objects, bundle.manifest, pause_s)
+
+
 async def _store_blob(
-    objects: ObjectStore, source: ConfigSource, pause_s: float
+    objects: ObjectStore, blob: Blob, pause_s: float
 ) -> Result[None, AcceptError]:
     reason = ""
     for _ in range(MAX_TRIES):
         # Storing the same blob again is harmless, so a lost reply is no matter.
-        match await objects.put(blob_name(source.digest()), source.encode()):
+        match await objects.put(blob_name(blob.digest), blob.content):
             case Success(_):
                 return Success(None)
             case Failure(error):
                 reason = error.reason
         await sleep(pause_s)
-    return Failure(NotAccepted(f"the blob was not stored: {reason}"))
+    return Failure(NotAccepted(f"blob {blob.digest} was not stored: {reason}"))
 
 
 def _named(row: Row) -> Result[AcceptedConfig | None, AcceptError]:
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/accepted.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/accepted.py
@@ -5,6 +5,7 @@
 from returns.result import Failure, Success
 
 from lagoonhinge_core.config_load import ConfigSource, decode_source
+from lagoonhinge_core.config_parts import Manifest
 from lagoonhinge_core.config_row import CONFIG_KEY, AcceptedConfig, blob_name
 from lagoonhinge_core.store_messages import Row
 from lagoonhinge_ctl.exit_codes import ExitCode
@@ -40,9 +41,16 @@
     if row.version == 0:
         return Accepted(row, None, NO_SOURCE)
     change = decode(row.value, AcceptedConfig)
-    match await platform.get(blob_name(change.digest)):
+    manifest = decode(await _read_blob(platform, change.digest), Manifest)
+    source = decode_source(await _read_blob(platform, manifest.source_digest))
+    return Accepted(row, change, source)
+
+
+async def _read_blob(platform: HttpPlatform, digest: str) -> bytes:
+    match await platform.get(blob_name(digest)):
         case Success(blob):
-            return Accepted(row, change, decode_source(blob))
+            content: bytes = blob
+            return content
         case Failure(error):
-            stop(ExitCode.PLATFORM, f"the blob was not read: {error}")
+            stop(ExitCode.PLATFORM, f"blob {digest} was not read: {error}")
     raise AssertionError("not a result")
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/config_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/config_controller.py
@@ -1,13 +1,12 @@
 """Controller of the configuration: learns versions and adopts greater ones.
 
-Versions come from the platform's row and from peers of any zone. A blob is read from
-the object store or, while that is down, from a peer; its digest vouches for it.
+Versions come from the platform's row and from peers of any zone. Blobs are read from
+the object store or, while that is down, from a peer; their digests vouch for them.
 """
 
-from asyncio import Lock, to_thread
-from collections.abc import Callable
+from asyncio import Lock
+from collections.abc import Callable, Mapping
 from dataclasses import replace
-from hashlib import sha256
 from math import inf
 from random import Random
 
@@ -15,19 +14,13 @@
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.blackboard import Blackboard
-from lagoonhinge_core.config import Config
-from lagoonhinge_core.config_load import decode_source, load_site
-from lagoonhinge_core.config_row import (
-    CONFIG_KEY,
-    AcceptedConfig,
-    KnownConfig,
-    blob_name,
-)
+from lagoonhinge_core.config_row import CONFIG_KEY, AcceptedConfig
 from lagoonhinge_core.peer_messages import PeerDigest
 from lagoonhinge_core.ports import Clock, ObjectStore, PeerClient, TableStore
 from lagoonhinge_core.sections import ConfigSection
 from lagoonhinge_core.store_messages import Row
 from lagoonhinge_http.wire import BadMessage, decode
+from lagoonhinge_node.config_assembly import Assembled, ConfigAssembler, Refused
 from lagoonhinge_node.logs import PartLogger
 
 POLL_JITTER_SHARE = 0.2
@@ -65,13 +58,13 @@
         self.writer = board.writer(ConfigSection(), "config")
         self.board = board
         self.table = table
-        self.objects = objects
+        self.assembler = ConfigAssembler(objects, peers, site)
         self.peers = peers
         self.clock = clock
         self.random = random
-        self.site = site
         self.poll_s = poll_s
-        self.known: KnownConfig | None = None
+        self.known: AcceptedConfig | None = None
+        self.blobs: Mapping[str, bytes] = {}
         self.refused: AcceptedConfig | None = None
         self.heard: dict[str, int] = {}
         self.first_heard_s: float | None = None
@@ -121,8 +114,8 @@
         try:
             for address in self._newest_peers():
                 match await self.peers.fetch_config(address, PEER_FETCH_TIMEOUT_S):
-                    case Success(KnownConfig(accepted, blob)):
-                        if isinstance(await self.adopt(accepted, blob), Success):
+                    case Success(accepted):
+                        if isinstance(await self.adopt(accepted, address), Success):
                             return
                     case Failure(error):
                         self.heard.pop(address, None)
@@ -130,12 +123,14 @@
         finally:
             self.is_learning = False
 
-    async def adopt(self, accepted: AcceptedConfig, blob: bytes) -> Result[None, str]:
+    async def adopt(
+        self, accepted: AcceptedConfig, peer: str | None = None
+    ) -> Result[None, str]:
         """Bring a version into force if it is greater and whole.
 
         Args:
             accepted: Version and digest.
-            blob: The blob, from the object store or a peer.
+            peer: Control address of a node that has it in force.
 
         Returns:
             Success, or why the version is not in force.
@@ -145,18 +140,15 @@
                 return Failure(f"version {accepted.version} is not greater")
             if accepted == self.refused:
                 return Failure(f"version {accepted.version} was refused before")
-            # Parsing takes long for many accounts; callers are served meanwhile.
-            if not await to_thread(_is_blob_of, accepted.digest, blob):
-                reason = f"the blob does not have digest {accepted.digest}"
-                self._note(reason)
-                return Failure(reason)
-            match await to_thread(_load, blob, self.site):
-                case Success(config):
-                    self._put_in_force(KnownConfig(accepted, blob), config)
+            match await self.assembler.assemble(accepted.digest, peer):
+                case Success(assembled):
+                    self._put_in_force(accepted, assembled)
                     return Success(None)
-                case Failure(reason):
-                    self.refused = accepted
-                    self._note(f"version {accepted.version} is refused: {reason}")
+                case Failure(error):
+                    if isinstance(error, Refused):
+                        self.refused = accepted
+                    reason = f"version {accepted.version}: {error}"
+                    self._note(reason)
                     return Failure(reason)
         raise AssertionError("not a result")
 
@@ -171,20 +163,14 @@
         if accepted.version != row.version:
             self._note(f"the row at version {row.version} says {accepted.version}")
             return
-        if accepted == self.refused:
-            return
-        match await self.objects.get(blob_name(accepted.digest)):
-            case Success(blob):
-                await self.adopt(accepted, blob)
-            case Failure(error):
-                self._note(f"the blob of version {row.version} was not read: {error}")
+        await self.adopt(accepted)
 
-    def _put_in_force(self, known: KnownConfig, config: Config) -> None:
-        accepted = known.accepted
+    def _put_in_force(self, accepted: AcceptedConfig, assembled: Assembled) -> None:
         assert accepted.version > self._version(), f"{accepted} is not greater"
-        self.known = known
+        self.known = accepted
+        self.blobs = assembled.blobs
         section = ConfigSection(
-            accepted.version, accepted.digest, config, self.clock.wall_s()
+            accepted.version, accepted.digest, assembled.config, self.clock.wall_s()
         )
         self.writer.post(section)
         for follow in self.on_adopted:
@@ -219,13 +205,3 @@
 
     def _version(self) -> int:
         return self.board.read(ConfigSection).version
-
-
-def _is_blob_of(digest: str, blob: bytes) -> bool:
-    return sha256(blob).hexdigest() == digest
-
-
-def _load(blob: bytes, site: str) -> Result[Config, str]:
-    return load_site(decode_source(blob), site).alt(
-        lambda errors: "; ".join(str(error) for error in errors)
-    )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -152,6 +152,7 @@
             settings.peer_secret,
             self.membership.take_digest,
             lambda: self.config.known,
+            lambda: self.config.blobs,
             self.membership.contacts,
             self._count_bytes,
         )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/peer_api.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/peer_api.py
@@ -1,16 +1,18 @@
 """The peers' part of the control listener: digests, configuration and members."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from hmac import compare_digest
 
 from aiohttp import hdrs, web
 
-from lagoonhinge_core.config_row import KnownConfig
+from lagoonhinge_core.config_row import AcceptedConfig
 from lagoonhinge_core.peer_messages import PeerContact, PeerDigest
 from lagoonhinge_http.wire import BadMessage
 from lagoonhinge_node.peer_wire import (
+    BLOBS_PATH,
     CONFIG_PATH,
     DIGEST_PATH,
+    JSON_TYPE,
     MEMBERS_PATH,
     header_bytes,
     pack,
@@ -27,7 +29,8 @@
         secret: Secret shared by the nodes.
         take_digest: Takes a peer's digest and returns this node's own; raises
             `ValueError` for one without a node identity.
-        known_config: Returns the configuration to hand out, if any.
+        known_config: Returns the version in force, if any.
+        blobs: Returns the blobs of that version by digest.
         contacts: Returns the members known here.
         count_bytes: Told the path and the bytes of each call, both ways.
     """
@@ -36,13 +39,15 @@
         self,
         secret: str,
         take_digest: Callable[[PeerDigest], PeerDigest],
-        known_config: Callable[[], KnownConfig | None],
+        known_config: Callable[[], AcceptedConfig | None],
+        blobs: Callable[[], Mapping[str, bytes]],
         contacts: Callable[[], tuple[PeerContact, ...]],
         count_bytes: Callable[[str, int], None],
     ):
         self.secret = secret
         self.take_digest = take_digest
         self.known_config = known_config
+        self.blobs = blobs
         self.contacts = contacts
         self.count_bytes = count_bytes
 
@@ -51,6 +56,7 @@
         return [
             web.post(DIGEST_PATH, self._guarded(self.exchange)),
             web.get(CONFIG_PATH, self._guarded(self.show_config)),
+            web.get(BLOBS_PATH + "/{digest}", self._guarded(self.show_blob)),
             web.get(MEMBERS_PATH, self._guarded(self.show_members)),
         ]
 
@@ -64,12 +70,20 @@
             return web.Response(status=400, text=f"{error}\n")
 
     async def show_config(self, _: web.Request) -> web.Response:
-        """Answer the configuration in force here."""
+        """Answer the version in force here."""
         known = self.known_config()
         if known is None:
             return web.Response(status=404, text="no configuration is known yet\n")
         return _packed(known)
 
+    async def show_blob(self, request: web.Request) -> web.Response:
+        """Answer one blob of the version in force here."""
+        digest = request.match_info["digest"]
+        blob = self.blobs().get(digest)
+        if blob is None:
+            return web.Response(status=404, text=f"no blob {digest}\n")
+        return web.Response(body=blob, content_type=JSON_TYPE)
+
     async def show_members(self, _: web.Request) -> web.Response:
         """Answer the members known here."""
         return _packed(self.contacts())
@@ -83,7 +97,8 @@
             received = header_bytes(request.raw_headers) + (request.content_length or 0)
             body = answer.body if isinstance(answer.body, bytes) else b""
             sent = len(body) + header_bytes(answer.headers.items())
-            self.count_bytes(request.path, received + sent)
+            kind = BLOBS_PATH if request.path.startswith(BLOBS_PATH) else request.path
+            self.count_bytes(kind, received + sent)
             return answer
 
         return check
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/peer_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/peer_client.py
@@ -5,13 +5,15 @@
 from typing import TypeVar
 
 from aiohttp import ClientError, ClientResponse, hdrs
+from msgspec import Raw
 from returns.result import Failure, Result, Success
 
-from lagoonhinge_core.config_row import KnownConfig
+from lagoonhinge_core.config_row import AcceptedConfig
 from lagoonhinge_core.peer_messages import PeerContact, PeerDigest, PeerUnreachable
 from lagoonhinge_http.session import ConnectionLost, call_timeout, open_session
 from lagoonhinge_http.wire import BadMessage
 from lagoonhinge_node.peer_wire import (
+    BLOBS_PATH,
     CONFIG_PATH,
     DIGEST_PATH,
     MEMBERS_PATH,
@@ -54,9 +56,17 @@
 
     async def fetch_config(
         self, address: str, timeout_s: float
-    ) -> Result[KnownConfig, PeerUnreachable]:
-        """Return the configuration in force at a peer."""
-        return await self._call(address, CONFIG_PATH, None, KnownConfig, timeout_s)
+    ) -> Result[AcceptedConfig, PeerUnreachable]:
+        """Return the version in force at a peer."""
+        return await self._call(address, CONFIG_PATH, None, AcceptedConfig, timeout_s)
+
+    async def fetch_blob(
+        self, address: str, digest: str, timeout_s: float
+    ) -> Result[bytes, PeerUnreachable]:
+        """Return a blob of the version in force at a peer; its digest is unchecked."""
+        path = f"{BLOBS_PATH}/{digest}"
+        answer = await self._call(address, path, None, Raw, timeout_s)
+        return answer.map(bytes)
 
     async def fetch_contacts(
         self, address: str, timeout_s: float
@@ -103,4 +113,6 @@
     def _count(self, path: str, answer: ClientResponse, body_bytes: int) -> None:
         heads = header_bytes(answer.request_info.headers.items())
         heads += header_bytes(answer.raw_headers)
-        self.count_bytes(path, heads + body_bytes)
+        # Blobs count together, so that no label grows with their number.
+        kind = BLOBS_PATH if path.startswith(BLOBS_PATH) else path
+        self.count_bytes(kind, heads + body_bytes)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/peer_wire.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/peer_wire.py
@@ -8,6 +8,7 @@
 
 DIGEST_PATH = "/peer/digest"
 CONFIG_PATH = "/peer/config"
+BLOBS_PATH = "/peer/blobs"
 MEMBERS_PATH = "/peer/members"
 DEFLATE = "deflate"
 JSON_TYPE = "application/json"
