--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Load and cost measurements; each prints figures of one run."""
+"""Load and experiment tools; see README.md."""
--- a/features/steps/fairness_steps.py
+++ b/features/steps/fairness_steps.py
@@ -15,6 +15,7 @@
 )
 
 from features.support.admitting import AdmittingNode
+from lagoonhinge_core.admission_policy import FinishTime
 from lagoonhinge_core.config import AccountConfig
 from lagoonhinge_core.fair_queue import FairQueue, QueueItem
 from lagoonhinge_core.identity import NodeId
@@ -25,6 +26,7 @@
 FUZZ = {"derandomize": True, "database": None, "deadline": None}
 WEIGHTS = {"a": 1.0, "b": 2.0, "c": 0.5}
 ITEM_TOKENS = 10
+CREDIT_TOKENS = 5.0
 LIMIT = 1000.0
 
 
@@ -33,7 +35,7 @@
 
     def __init__(self):
         super().__init__()
-        self.queue = FairQueue()
+        self.queue = FairQueue(CREDIT_TOKENS)
         self.virtual_time = 0.0
         self.finish = {}
         self.line = {}
@@ -43,7 +45,8 @@
     def push(self, account, tokens):
         self.number += 1
         weight = WEIGHTS[account]
-        start = max(self.virtual_time, self.finish.get(account, 0.0))
+        earliest = self.virtual_time - CREDIT_TOKENS
+        start = max(earliest, self.finish.get(account, earliest))
         self.finish[account] = start + tokens / weight
         name = f"r{self.number}"
         self.line[name] = (start, self.number, account, tokens)
@@ -126,6 +129,27 @@
     assert least <= index <= most + 1e-9, (index, context.served)
 
 
+@given("a queue with a credit of {credit:d} tokens and a backlog of account a")
+def step_credit(context, credit):
+    context.queue = FairQueue(float(credit))
+    for number in range(20):
+        context.queue.push(QueueItem(f"a{number}", "a", ITEM_TOKENS))
+    for _ in range(5):
+        context.queue.pop()
+
+
+@when("account b sends {count:d} requests at once")
+def step_burst(context, count):
+    for number in range(count):
+        context.queue.push(QueueItem(f"b{number}", "b", ITEM_TOKENS))
+
+
+@then("{count:d} of the next {upto:d} requests are of account b")
+def step_next_accounts(context, count, upto):
+    accounts = [context.queue.pop().account for _ in range(upto)]
+    assert accounts.count("b") == count, accounts
+
+
 class Site:
     """Nodes that gossip demand; every message is kept and may come at any time."""
 
@@ -377,6 +401,25 @@
     assert_refused(context.node, refused)
 
 
+@given("answers of {tokens:d} tokens that took {took:g} s after their prompts")
+def step_answers(context, tokens, took):
+    context.finish = FinishTime()
+    for _ in range(50):
+        context.finish.note(took, tokens)
+
+
+@when("{idle:d} s pass without another")
+def step_idle(context, idle):
+    for _ in range(idle):
+        context.finish.tick(1.0)
+
+
+@then("an answer of 100 tokens is expected to take {least:g} to {most:g} s")
+def step_expected(context, least, most):
+    expected = context.finish.after_prompt_s(100)
+    assert least <= expected <= most, expected
+
+
 class TicketMachine(RuleBasedStateMachine):
     """Requests arrive, end, or are given up by their callers at any moment."""
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/admission_policy.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/admission_policy.py
@@ -5,6 +5,10 @@
 
 DRAIN_MEMORY_S = 10.0
 DEMAND_MEMORY_S = 5.0
+FINISH_GAIN = 0.05
+FINISH_MEMORY_S = 60.0
+FINISH_MARGIN_S = 0.1
+SLOWEST_TOKEN_S = 0.2
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 120.0
 NEGLIGIBLE_TOKENS_PER_S = 1.0
@@ -13,19 +17,21 @@
 
 @dataclass(frozen=True)
 class Prediction:
-    """When a request would get its first token.
+    """When a request would be answered.
 
     Attributes:
         start_s: Time until it is dispatched, in seconds.
         prefill_s: Time that its own prompt takes, in seconds.
+        finish_s: Time that its answer takes after that, in seconds.
     """
 
     start_s: float
     prefill_s: float
+    finish_s: float = 0.0
 
     def late_by_s(self, remaining_s: float) -> float:
         """Return by how much the bound is missed, in seconds; negative if met."""
-        return self.start_s + self.prefill_s - remaining_s
+        return self.start_s + self.prefill_s + self.finish_s - remaining_s
 
 
 def retry_after_s(late_by_s: float) -> float:
@@ -69,6 +75,34 @@
         return tokens_ahead / max(NEGLIGIBLE_TOKENS_PER_S, self.tokens_per_s)
 
 
+class FinishTime:
+    """Time that answers take after their prompts for each output token, learned.
+
+    Long answers weigh more than short ones. One that hung counts as at most a slow
+    one, and what was learned fades, so that refusals never keep themselves up.
+    """
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+        self.tokens = 0.0
+
+    def note(self, after_prompt_s: float, output_tokens: int) -> None:
+        """Take in one answer."""
+        seconds = min(after_prompt_s, SLOWEST_TOKEN_S * output_tokens)
+        self.seconds += FINISH_GAIN * (seconds - self.seconds)
+        self.tokens += FINISH_GAIN * (output_tokens - self.tokens)
+
+    def tick(self, elapsed_s: float) -> None:
+        """Let what was learned fade, given the time since the last tick."""
+        self.seconds *= exp(-elapsed_s / FINISH_MEMORY_S)
+
+    def after_prompt_s(self, output_tokens: int) -> float:
+        """Return how long an answer takes after its prompt, in seconds."""
+        if self.tokens <= 0:
+            return FINISH_MARGIN_S
+        return FINISH_MARGIN_S + output_tokens * self.seconds / self.tokens
+
+
 class DemandMeter:
     """Offered load by key, as an exponential average in tokens per second."""
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
@@ -1,15 +1,11 @@
 """Admission: limits, fair queue, deadline check, and room on an upstream."""
 
-from asyncio import CancelledError, Future, get_running_loop
-from dataclasses import dataclass, field
+from asyncio import CancelledError, TimerHandle, get_running_loop
 
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.admission_policy import (
     DemandMeter,
-    DrainRate,
-    Prediction,
-    retry_after_s,
 )
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.config import (
@@ -19,78 +15,34 @@
     ModelService,
     PlacementConfig,
 )
-from lagoonhinge_core.fair_queue import FairQueue, QueueItem
+from lagoonhinge_core.fair_queue import QueueItem
 from lagoonhinge_core.in_flight import InFlightLedger, WorkItem
 from lagoonhinge_core.length_aware import is_long
 from lagoonhinge_core.limits import AccountLimits, DemandShares
-from lagoonhinge_core.outcome import ErrorCode, Outcome
 from lagoonhinge_core.outcome import Failure as RequestFailure
 from lagoonhinge_core.placement import Candidate, PlacementRequest, Placer
 from lagoonhinge_core.ports import Clock
 from lagoonhinge_core.prefix_index import PrefixIndex
 from lagoonhinge_core.request import ModelRequest
 from lagoonhinge_core.sections import ConfigSection, NodeSection, PeersSection
-from lagoonhinge_node.candidates import find_candidates, read_or
+from lagoonhinge_node.admission_lanes import (
+    Admitted,
+    Lane,
+    ServiceLanes,
+    Ticket,
+    Waiting,
+)
+from lagoonhinge_node.admission_refusals import over_limit, overloaded, too_late
+from lagoonhinge_node.candidates import (
+    Capacity,
+    find_candidates,
+    find_capacity,
+    read_or,
+)
+from lagoonhinge_node.upstream_room import UpstreamRoom
 
 RETRY_AFTER_S = 1.0
-
-
-@dataclass(frozen=True)
-class Ticket:
-    """The right of one request to be served; given back exactly once."""
-
-    request_id: str
-
-
-@dataclass
-class Admitted:
-    """A request that holds a ticket.
-
-    Attributes:
-        upstream: Upstream set aside for its first attempt, until that is placed.
-        waited_s: Time that it spent in the queue, in seconds.
-    """
-
-    upstream: str | None
-    waited_s: float
-
-
-@dataclass
-class Lane:
-    """The queue of one length class of one service.
-
-    Lanes don't wait for each other: they need different room.
-    """
-
-    queue: FairQueue = field(default_factory=FairQueue)
-    drain: DrainRate = field(default_factory=DrainRate)
-
-
-@dataclass
-class ServiceLanes:
-    """The lanes of one service."""
-
-    short: Lane = field(default_factory=Lane)
-    long: Lane = field(default_factory=Lane)
-
-    def both(self) -> tuple[Lane, Lane]:
-        """Return the lanes, short first."""
-        return self.short, self.long
-
-    def waiting(self) -> int:
-        """Return how many requests are in line."""
-        return len(self.short.queue) + len(self.long.queue)
-
-
-@dataclass(frozen=True)
-class Waiting:
-    """A request in line."""
-
-    request: ModelRequest
-    lane: Lane
-    wanted: PlacementRequest
-    arrived_s: float
-    granted: "Future[Result[Ticket, RequestFailure]]"
+LOOK_AGAIN_S = 0.01
 
 
 class Admission:
@@ -109,6 +61,8 @@
         self.services: dict[str, ServiceLanes] = {}
         self.waiting: dict[str, Waiting] = {}
         self.admitted: dict[str, Admitted] = {}
+        self.room = UpstreamRoom(board, ledger, self.placer)
+        self.timer: TimerHandle | None = None
         ledger.on_less_work.append(self.dispatch)
 
     async def admit(self, request: ModelRequest) -> Result[Ticket, RequestFailure]:
@@ -123,11 +77,11 @@
         held = len(self.admitted) + len(self.waiting)
         if held >= config.limits.max_in_flight_requests:
             message = f"{held} requests are in flight on this node"
-            return _overloaded(message, RETRY_AFTER_S)
+            return Failure(overloaded(message, RETRY_AFTER_S))
         account = config.accounts[request.account]
         wait_s = self.limits.take(request.account, account, tokens, now_s)
         if wait_s is not None:
-            return _over_limit(request.account, account, wait_s)
+            return Failure(over_limit(request.account, account, wait_s))
         try:
             result = await self._admit_to_upstream(request, account)
         except CancelledError:
@@ -140,7 +94,10 @@
     def release(self, ticket: Ticket) -> None:
         """Give a ticket back."""
         unused = self.take_reserved(ticket.request_id)
-        del self.admitted[ticket.request_id]
+        admitted = self.admitted.pop(ticket.request_id)
+        if admitted.waiting is not None and unused is None:
+            took_s = self.clock.monotonic_s() - admitted.granted_s
+            admitted.waiting.learn_finish(took_s)
         if unused is not None:
             self.dispatch()
 
@@ -157,7 +114,7 @@
 
     def waited_s(self, request_id: str) -> float:
         """Return how long an admitted request was in line, in seconds."""
-        return self.admitted[request_id].waited_s
+        return self.admitted[request_id].waited_s()
 
     def dispatch(self) -> None:
         """Grant what the upstreams have room for, in fair order."""
@@ -180,22 +137,25 @@
             self._learn_rates(service, lanes, elapsed_s)
             for lane in lanes.both():
                 lane.queue.forget_idle()
+                lane.finish.tick(elapsed_s)
         self.dispatch()
 
     async def _admit_to_upstream(
         self, request: ModelRequest, account: AccountConfig
     ) -> Result[Ticket, RequestFailure]:
-        candidates = find_candidates(self.board, self.ledger, request.service)
-        if not candidates or _too_large(request, candidates):
-            self.admitted[request.request_id] = Admitted(None, 0.0)
+        capacity = find_capacity(self.board, request.service)
+        # One that no upstream can hold is for a group, which reserves for itself.
+        if request.estimate.total() > capacity.kv_tokens:
+            self.admitted[request.request_id] = Admitted(None)
             return Success(Ticket(request.request_id))
-        waiting = self._waiting(request)
-        late_by_s = self._late_by_s(waiting, account, candidates)
+        waiting = self._waiting(request, capacity)
+        ahead = waiting.lane.queue.tokens_ahead(request.account, account.weight)
+        late_by_s = waiting.late_by_s(ahead, self.clock.monotonic_s())
         if late_by_s > 0:
-            return _overloaded(_late_message(request, late_by_s), late_by_s)
+            return Failure(too_late(request.account, late_by_s))
         if not self._make_place(waiting, account):
             message = f"the queue of {request.service!r} is full"
-            return _overloaded(message, self._queue_wait_s(waiting.lane))
+            return Failure(overloaded(message, waiting.lane.wait_s()))
         self._enter(waiting, account)
         try:
             return await waiting.granted
@@ -226,10 +186,10 @@
             self._learn_rates(service, lanes, 1.0)
         return lanes
 
-    def _waiting(self, request: ModelRequest) -> Waiting:
+    def _waiting(self, request: ModelRequest, capacity: Capacity) -> Waiting:
         estimate = request.estimate
         lanes = self._lanes(request.service)
-        lane = lanes.long if self._is_long(request) else lanes.short
+        long = self._is_long(request)
         wanted = PlacementRequest(
             estimate.prompt_tokens,
             estimate.output_tokens,
@@ -237,16 +197,23 @@
             needs_room=True,
             cached=self.prefixes.cached_tokens(request.prompt, estimate.prompt_tokens),
         )
-        now_s = self.clock.monotonic_s()
-        future = get_running_loop().create_future()
-        return Waiting(request, lane, wanted, now_s, future)
+        uncached = estimate.prompt_tokens - max(wanted.cached.values(), default=0)
+        return Waiting(
+            request,
+            lanes.long if long else lanes.short,
+            wanted,
+            long,
+            uncached / capacity.prefill_tokens_per_s,
+            self.clock.monotonic_s(),
+            get_running_loop().create_future(),
+        )
 
     def _enter(self, waiting: Waiting, account: AccountConfig) -> None:
         request = waiting.request
         tokens = request.estimate.total() - max(
             waiting.wanted.cached.values(), default=0
         )
-        if self._is_long(request):
+        if waiting.is_long:
             self.long_demand.note(request.service, request.estimate.prompt_tokens)
         self.waiting[request.request_id] = waiting
         waiting.lane.queue.push(
@@ -258,16 +225,30 @@
         head = lane.queue.head()
         assert head is not None
         waiting = self.waiting[head.request_id]
-        candidates = find_candidates(self.board, self.ledger, service)
-        policy = self._policy(service)
-        choice = self.placer.choose(policy, candidates, waiting.wanted)
-        if choice is None and candidates:
+        now_s = self.clock.monotonic_s()
+        late_by_s = waiting.late_by_s(0.0, now_s)
+        if late_by_s > 0:
+            self._refuse(waiting, too_late(head.account, late_by_s))
+            return True
+        choice = self.room.find(self._policy(service), waiting.wanted, now_s)
+        if choice is None and self.room.is_served(service):
+            if not waiting.is_long:
+                self._dispatch_later()
             return False
         lane.queue.pop()
         lane.drain.note(head.tokens)
         self._grant(waiting, choice)
         return True
 
+    def _dispatch_later(self) -> None:
+        """Look again when an engine may have come far enough for the next prompt."""
+        if self.timer is None:
+            self.timer = get_running_loop().call_later(LOOK_AGAIN_S, self._look_again)
+
+    def _look_again(self) -> None:
+        self.timer = None
+        self.dispatch()
+
     def _grant(self, waiting: Waiting, choice: Candidate | None) -> None:
         request = waiting.request
         request_id = request.request_id
@@ -279,11 +260,11 @@
                 upstream,
                 estimate.prompt_tokens,
                 estimate.total(),
-                self._is_long(request),
+                waiting.is_long,
             )
             self.ledger.start(_reservation(request_id), item)
-        waited_s = self.clock.monotonic_s() - waiting.arrived_s
-        self.admitted[request_id] = Admitted(upstream, waited_s)
+        now_s = self.clock.monotonic_s()
+        self.admitted[request_id] = Admitted(upstream, waiting, now_s)
         if not waiting.granted.done():
             waiting.granted.set_result(Success(Ticket(request_id)))
 
@@ -311,48 +292,29 @@
             own += request.estimate.total() / account.weight
         if heaviest is None or own >= lane.queue.load(heaviest):
             return False
-        victim = lane.queue.newest(heaviest)
+        victim = self.waiting[lane.queue.newest(heaviest).request_id]
         message = f"the queue is full and {heaviest!r} has the most in it"
-        self._refuse(victim.request_id, message, self._queue_wait_s(lane))
+        self._refuse(victim, overloaded(message, lane.wait_s()))
         return True
 
-    def _refuse(self, request_id: str, message: str, late_by_s: float) -> None:
-        waiting = self.waiting.pop(request_id)
+    def _refuse(self, waiting: Waiting, failure: RequestFailure) -> None:
+        request_id = waiting.request.request_id
+        del self.waiting[request_id]
         waiting.lane.queue.cancel(request_id)
         if not waiting.granted.done():
-            waiting.granted.set_result(_overloaded(message, late_by_s))
-
-    def _late_by_s(
-        self,
-        waiting: Waiting,
-        account: AccountConfig,
-        candidates: tuple[Candidate, ...],
-    ) -> float:
-        request = waiting.request
-        lane = waiting.lane
-        ahead = lane.queue.tokens_ahead(request.account, account.weight)
-        own = request.estimate.prompt_tokens
-        own -= max(waiting.wanted.cached.values(), default=0)
-        rate = max(candidate.prefill_tokens_per_s for candidate in candidates)
-        prediction = Prediction(lane.drain.wait_s(ahead), own / rate)
-        return prediction.late_by_s(request.deadline_s - self.clock.monotonic_s())
+            waiting.granted.set_result(Failure(failure))
 
     def _refuse_late_in(self, lane: Lane) -> None:
         now_s = self.clock.monotonic_s()
         ahead = 0
         for item in lane.queue.in_order():
-            request = self.waiting[item.request_id].request
-            remaining_s = request.deadline_s - now_s
-            late_by_s = Prediction(lane.drain.wait_s(ahead), 0.0).late_by_s(remaining_s)
+            waiting = self.waiting[item.request_id]
+            late_by_s = waiting.late_by_s(ahead, now_s)
             if late_by_s > 0:
-                message = _late_message(request, late_by_s)
-                self._refuse(item.request_id, message, late_by_s)
+                self._refuse(waiting, too_late(item.account, late_by_s))
             else:
                 ahead += item.tokens
 
-    def _queue_wait_s(self, lane: Lane) -> float:
-        return lane.drain.wait_s(lane.queue.tokens)
-
     def _nodes_in_zone(self) -> int:
         zone = self.board.read(NodeSection).zone
         digests = read_or(self.board, PeersSection()).digests.values()
@@ -373,28 +335,3 @@
 
 def _reservation(request_id: str) -> str:
     return f"ticket/{request_id}"
-
-
-def _too_large(request: ModelRequest, candidates: tuple[Candidate, ...]) -> bool:
-    return request.estimate.total() > max(c.kv_tokens for c in candidates)
-
-
-def _late_message(request: ModelRequest, late_by_s: float) -> str:
-    return f"{request.account!r} would miss its time bound by {late_by_s:.1f} s"
-
-
-def _over_limit(
-    name: str, account: AccountConfig, wait_s: float
-) -> Result[Ticket, RequestFailure]:
-    limit = f"{account.tokens_per_s:.0f} tokens per second"
-    message = f"{name!r} is over its limit of {limit}"
-    return Failure(
-        RequestFailure(ErrorCode.OVER_LIMIT, Outcome.NOT_RUN, message, wait_s)
-    )
-
-
-def _overloaded(message: str, late_by_s: float) -> Result[Ticket, RequestFailure]:
-    wait_s = retry_after_s(late_by_s)
-    return Failure(
-        RequestFailure(ErrorCode.OVERLOADED, Outcome.NOT_RUN, message, wait_s)
-    )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_requests.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_requests.py
@@ -20,6 +20,7 @@
 from lagoonhinge_node.caller_messages import ChatBody, CompletionBody
 from lagoonhinge_node.keyed_completions import digest_completion
 
+REQUEST_ID_KEY = web.RequestKey("request_id", str)
 TIMEOUT_HEADER = "X-Timeout-Seconds"
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_CHARACTERS = 200
@@ -32,6 +33,13 @@
     return RequestFailure(code, Outcome.NOT_RUN, message)
 
 
+def request_id_of(request: web.Request) -> str:
+    """Return the identity of a request, which it gets at the first call."""
+    if REQUEST_ID_KEY not in request:
+        request[REQUEST_ID_KEY] = uuid4().hex
+    return request[REQUEST_ID_KEY]
+
+
 class RequestReader:
     """Turns HTTP requests into checked requests."""
 
@@ -87,7 +95,7 @@
         )
         return Success(
             PlainRequest(
-                request_id=uuid4().hex,
+                request_id=request_id_of(request),
                 account=account,
                 service=name,
                 call=PlainCall(request.method, path, headers, body),
@@ -158,7 +166,7 @@
                 return Failure(failure)
             case Success(key):
                 digest = "" if key is None else digest_completion(request.path, body)
-        request_id = uuid4().hex
+        request_id = request_id_of(request)
         checked = ModelRequest(
             request_id=request_id,
             account=account,
