--- a/features/claims.feature
+++ b/features/claims.feature
@@ -64,6 +64,13 @@
       | upstream unreachable   | after dispatch  | answer                    | replay                  | replay                  | 1 |
       | upstream unreachable   | outcome write   | answer                    | replay                  | replay                  | 1 |
       | upstream unreachable   | replay          | replay                    | replay                  | replay                  | 1 |
+      | upstream silent        | before claim    | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 0 |
+      | upstream silent        | claim write     | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 0 |
+      | upstream silent        | before dispatch | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 0 |
+      | upstream silent        | dispatch        | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 0 |
+      | upstream silent        | after dispatch  | answer                    | replay                  | replay                  | 1 |
+      | upstream silent        | outcome write   | answer                    | replay                  | replay                  | 1 |
+      | upstream silent        | replay          | replay                    | replay                  | replay                  | 1 |
       | cut before execution   | before claim    | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 0 |
       | cut before execution   | claim write     | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 0 |
       | cut before execution   | before dispatch | upstream_failed unknown   | outcome_unknown unknown | outcome_unknown unknown | 0 |
@@ -107,7 +114,7 @@
 
   Scenario: Every pair of faults, each at every step
     When a keyed call meets every pair of faults, each fault at every step
-    Then no call of 4753 pairs ran twice or ran after it was refused as not run
+    Then no call of 5460 pairs ran twice or ran after it was refused as not run
 
   @fuzz
   Scenario: Random interleavings of three nodes over a faulty store
@@ -145,6 +152,7 @@
       | POST   | with    | table down           | store_unavailable not-run | 0     | 0    |
       | GET    | with    | table down           | answer                    | 1     | 1    |
       | GET    | without | upstream refuses     | answer                    | 2     | 1    |
+      | GET    | without | upstream silent      | answer                    | 2     | 1    |
       | GET    | without | cut before execution | answer                    | 2     | 1    |
       | GET    | without | cut after execution  | answer                    | 2     | 2    |
       | GET    | without | all upstreams refuse | upstream_failed not-run   | 3     | 0    |
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -28,6 +28,7 @@
     "upstream refuses",
     "all upstreams refuse",
     "upstream unreachable",
+    "upstream silent",
     "cut before execution",
     "cut after execution",
     "node killed",
--- a/features/support/claims.py
+++ b/features/support/claims.py
@@ -22,7 +22,7 @@
     UpstreamsSection,
 )
 from lagoonhinge_core.store_messages import Conflict, NotStored, Row, Unavailable
-from lagoonhinge_core.upstream_errors import Broken, NotSent, Refused
+from lagoonhinge_core.upstream_errors import Broken, NotSent, Refused, Silent
 from lagoonhinge_node.claim_store import ClaimStore
 from lagoonhinge_node.claimed_calls import REPLAYED, ClaimedCalls
 from lagoonhinge_node.metrics import Metrics
@@ -122,6 +122,9 @@
             return Failure(Refused("busy"))
         if fault == "upstream unreachable":
             return Failure(NotSent("connection refused"))
+        if fault == "upstream silent":
+            await sleep(limits.timeout_s)
+            return Failure(Silent(limits.timeout_s))
         if fault == "cut before execution":
             return Failure(Broken("connection reset"))
         tags = {header.name: header.value for header in call.headers}
