--- a/features/memory.feature
+++ b/features/memory.feature
@@ -73,5 +73,6 @@
     When a release is submitted and 1 s pass
     Then the pooled connections of the engine were dropped 1 times
 
+  @fuzz
   Scenario: After any sequence of faults each engine's memory is what its live work holds
     Then the state machine of memory, reaper and dying nodes finds no fault
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -6,10 +6,10 @@
 from random import Random
 
 from behave import given, then, when
-from hypothesis.stateful import run_state_machine_as_test
 from returns.result import Failure, Success
 
-from features.support.memory_machine import MEMORY_SETTINGS, MemoryMachine
+from features.support.fuzz import run_machine
+from features.support.memory_machine import MemoryMachine
 from lagoonhinge_core.engine_messages import Holding
 from lagoonhinge_core.identity import NodeId
 from lagoonhinge_core.reaper import GoneVms, OwnerKnowledge, SweepSchedule, judge
@@ -37,6 +37,8 @@
 }
 RELEASE = Release("http://engine", "stream", "vm-own-100-1", 0.0)
 LIVENESS_S = 20.0
+MACHINE_EXAMPLES = 150
+MACHINE_STEPS = 60
 
 
 @given("a holding of {owner}, {age:d} s old, that expires in {expires:d} s")
@@ -206,4 +208,4 @@
 
 @then("the state machine of memory, reaper and dying nodes finds no fault")
 def step_machine(context):
-    run_state_machine_as_test(MemoryMachine, settings=MEMORY_SETTINGS)
+    run_machine(MemoryMachine, MACHINE_EXAMPLES, MACHINE_STEPS)
--- a/features/support/memory_machine.py
+++ b/features/support/memory_machine.py
@@ -7,7 +7,6 @@
 
 from dataclasses import dataclass, field
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
@@ -263,12 +262,3 @@
             for _ in range(len(node.pending)):
                 self.release_next(vm, "confirmed")
         self.everything_in_use_is_held()
-
-
-MEMORY_SETTINGS = settings(
-    derandomize=True,
-    database=None,
-    deadline=None,
-    max_examples=150,
-    stateful_step_count=60,
-)
