Platform stand-in: a call that is cut while it is down takes no effect

Cause: the handler still ran after the connection was cut, so 'down' also applied writes, which is what lose_replies is for. The features that use it pass unchanged (claims_processes, configuration, orders, stopping, lagoonctl).

--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -75,6 +75,7 @@
         return True
 
 
+DOWN_STATUS = 503
 STATE = web.AppKey("state", PlatformState)
 
 
@@ -166,6 +167,7 @@
         await sleep(faults.slow_s)
     if faults.down:
         cut_connection(request)
+        return _json("down", DOWN_STATUS)
     return await handler(request)
 
 
