--- a/features/lagoonctl.feature
+++ b/features/lagoonctl.feature
@@ -14,9 +14,11 @@
     Given a fleet that an operator looks after
     Then "drain engine-0" exits with 0 and prints "in force: perth"
     And "config apply FOLDER" exits with 0 and prints "in force: perth"
-    And no request runs on engine-0
+    And every request runs on engine-1
     And "undrain engine-0" exits with 0 and prints "in force: perth"
-    And requests run on engine-0 again
+    And "drain engine-1" exits with 0 and prints "in force: perth"
+    And every request runs on engine-0
+    And "undrain engine-1" exits with 0 and prints "in force: perth"
 
   Scenario Outline: Errors go to standard error with their own exit status
     Given a fleet that an operator looks after
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/in_flight.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/in_flight.py
@@ -1,9 +1,11 @@
 """Exact counts of this node's own work on each upstream."""
 
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class UpstreamWork:
     """Work in flight on one upstream.
 
@@ -12,12 +14,24 @@
         tokens: Their tokens, prompt and output.
         long_requests: Attempts in flight of the long class.
         prefill_tokens: Prompt tokens of attempts without a first token yet.
+        long_prefill_tokens: Part of `prefill_tokens` that is of the long class.
     """
 
     requests: int = 0
     tokens: int = 0
     long_requests: int = 0
     prefill_tokens: int = 0
+    long_prefill_tokens: int = 0
+
+    def plus(self, other: "UpstreamWork") -> "UpstreamWork":
+        """Return the work of both together."""
+        return UpstreamWork(
+            self.requests + other.requests,
+            self.tokens + other.tokens,
+            self.long_requests + other.long_requests,
+            self.prefill_tokens + other.prefill_tokens,
+            self.long_prefill_tokens + other.long_prefill_tokens,
+        )
 
 
 @dataclass(frozen=True)
@@ -37,6 +51,7 @@
     is_long: bool
 
 
+RECENT_CHANGES = 32
 NO_WORK = UpstreamWork()
 
 
@@ -47,6 +62,9 @@
         self.by_upstream: dict[str, UpstreamWork] = {}
         self.open_items: dict[str, WorkItem] = {}
         self.prefilling: set[str] = set()
+        self.on_less_work: list[Callable[[], None]] = []
+        self.changes = 0
+        self.recently_changed: deque[str] = deque(maxlen=RECENT_CHANGES)
 
     def start(self, attempt: str, item: WorkItem) -> None:
         """Count an attempt from its dispatch."""
@@ -61,30 +79,76 @@
             self.prefilling.remove(attempt)
             item = self.open_items[attempt]
             self._add(item, 0, -item.prompt_tokens)
+            self._tell_less_work()
 
     def finish(self, attempt: str) -> None:
         """Stop counting an attempt."""
-        self.first_token(attempt)
+        self.withdraw(attempt)
+        self._tell_less_work()
+
+    def withdraw(self, attempt: str) -> None:
+        """Stop counting an attempt whose room is taken over by another at once."""
         item = self.open_items.pop(attempt)
-        self._add(item, -1, 0)
+        was_prefilling = attempt in self.prefilling
+        self.prefilling.discard(attempt)
+        self._add(item, -1, -item.prompt_tokens if was_prefilling else 0)
 
     def work(self, upstream: str) -> UpstreamWork:
         """Return the work in flight on one upstream."""
         return self.by_upstream.get(upstream, NO_WORK)
 
+    def changed_since(self, changes: int) -> Iterable[str] | None:
+        """Return the upstreams changed since a value of `changes`; `None` if many."""
+        count = self.changes - changes
+        if count > len(self.recently_changed):
+            return None
+        recent = self.recently_changed
+        return [recent[-n] for n in range(1, count + 1)]
+
     def snapshot(self) -> InFlightWork:
         """Return all counts, for the blackboard."""
         return InFlightWork(dict(self.by_upstream))
 
     def _add(self, item: WorkItem, sign: int, prefill_tokens: int) -> None:
+        self.changes += 1
+        self.recently_changed.append(item.upstream)
         old = self.work(item.upstream)
         new = UpstreamWork(
             requests=old.requests + sign,
             tokens=old.tokens + sign * item.total_tokens,
             long_requests=old.long_requests + sign * item.is_long,
             prefill_tokens=old.prefill_tokens + prefill_tokens,
+            long_prefill_tokens=(
+                old.long_prefill_tokens + item.is_long * prefill_tokens
+            ),
         )
         if new == NO_WORK:
             self.by_upstream.pop(item.upstream, None)
         else:
             self.by_upstream[item.upstream] = new
+
+    def _tell_less_work(self) -> None:
+        for listener in self.on_less_work:
+            listener()
+
+
+def add_up(
+    parts: Iterable[Mapping[str, UpstreamWork]], known: Mapping[str, UpstreamWork]
+) -> dict[str, UpstreamWork]:
+    """Return the sum of several counts by upstream name.
+
+    Args:
+        parts: The counts.
+        known: An earlier sum; its values are used again where nothing changed, so
+            that readers can tell by identity what did.
+    """
+    sums: dict[str, UpstreamWork] = {}
+    for part in parts:
+        for name, work in part.items():
+            old = sums.get(name)
+            sums[name] = work if old is None else old.plus(work)
+    for name, work in sums.items():
+        before = known.get(name)
+        if before == work:
+            sums[name] = before
+    return sums
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/sections.py
@@ -6,6 +6,7 @@
 from lagoonhinge_core.config import Config
 from lagoonhinge_core.engine_messages import LoadReport
 from lagoonhinge_core.identity import NodeId
+from lagoonhinge_core.in_flight import UpstreamWork
 from lagoonhinge_core.peer_messages import PeerDigest, Quarantine, Strike
 
 
@@ -141,9 +142,27 @@
 
 @dataclass(frozen=True)
 class DemandSection:
-    """Load offered to this node by client account; written by admission."""
+    """Load offered to this node by client account; written by admission.
+
+    Attributes:
+        tokens_per_s: Offered load by client account, in tokens per second.
+        number: Raised with each change of it.
+        heard: Newest number held of the demand of each other node's run.
+    """
 
     tokens_per_s: dict[str, float] = field(default_factory=dict)
+    number: int = 0
+    heard: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class OthersWorkSection:
+    """Work by upstream name that isn't this node's own; written by admission.
+
+    It adds up the peers' counts and what load reports show beyond all counts.
+    """
+
+    by_upstream: dict[str, UpstreamWork] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -152,3 +171,66 @@
 
     strikes: tuple[Strike, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
+
+
+class OrderState(StrEnum):
+    """How an upstream stands to its desired state."""
+
+    REACHED = "reached"
+    BUSY = "busy"
+    DIFFERS = "differs"
+    SILENT = "silent"
+
+
+@dataclass(frozen=True)
+class OrdersSection:
+    """Orders to the upstreams of this zone; written by the orders controller.
+
+    Attributes:
+        is_holder: Whether this node holds the zone's lease.
+        fencing: Fencing number of the lease; 0 if it is not held.
+        upstreams: State of each upstream by name, as the holder sees it.
+    """
+
+    is_holder: bool = False
+    fencing: int = 0
+    upstreams: dict[str, OrderState] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class ReaperFinding:
+    """Memory of an engine that was found without a use and is being freed.
+
+    Attributes:
+        upstream: Name of the engine.
+        kind: `stream`, `reservation` or `export`.
+        name: Name under which the engine holds it.
+        owner: Identity of the node that took it.
+        tokens: Size, in tokens.
+        reason: Why it is freed.
+        found_wall_s: When it was found, in seconds since the epoch.
+    """
+
+    upstream: str
+    kind: str
+    name: str
+    owner: str
+    tokens: int
+    reason: str
+    found_wall_s: float
+
+
+@dataclass(frozen=True)
+class ReaperSection:
+    """Leftover memory found on engines; written by the reaper.
+
+    Attributes:
+        findings: The newest findings, oldest first.
+        found_tokens: Memory found since the start, in tokens.
+        swept_wall_s: When each engine last listed its holdings to this node, in
+            seconds since the epoch.
+    """
+
+    findings: tuple[ReaperFinding, ...] = ()
+    found_tokens: int = 0
+    swept_wall_s: dict[str, float] = field(default_factory=dict)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_answers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_answers.py
@@ -1,11 +1,13 @@
 """Answers to callers: JSON, server-sent events, and errors with their statuses."""
 
+from asyncio import sleep, timeout
 from math import ceil
 
 from aiohttp import web
 
 from lagoonhinge_core.outcome import ErrorCode, Failure
 from lagoonhinge_http.wire import encode
+from lagoonhinge_node.answer_relay import Finished
 from lagoonhinge_node.caller_messages import (
     ChatChoice,
     ChatDelta,
@@ -18,7 +20,6 @@
     TextChoice,
     UsageBody,
 )
-from lagoonhinge_node.model_path import Finished
 
 STATUSES = {
     ErrorCode.BAD_REQUEST: 400,
@@ -39,6 +40,9 @@
     ErrorCode.OUTCOME_UNKNOWN: 502,
 }
 REQUEST_ID = "X-Request-Id"
+TEXT_MARK = "(text)"
+LAST_WRITE_TIMEOUT_S = 2.0
+FLUSH_POLL_S = 0.05
 JSON_TYPE = "application/json"
 
 
@@ -68,6 +72,8 @@
         self.request_id = request_id
         self.model = model
         self.is_chat = is_chat
+        event = self._event(self._part_choice(TEXT_MARK, None), None)
+        self.before_text, self.after_text = event.split(encode(TEXT_MARK))
 
     def whole(self, text: str, finished: Finished) -> bytes:
         """Return the body of a whole answer."""
@@ -80,7 +86,7 @@
 
     def part(self, text: str) -> bytes:
         """Return the event for one part."""
-        return self._event(self._part_choice(text, None), None)
+        return self.before_text + encode(text) + self.after_text
 
     def end(self, finished: Finished) -> bytes:
         """Return the last events of a whole answer."""
@@ -108,6 +114,45 @@
     return UsageBody(usage.prompt_tokens, usage.completion_tokens, total)
 
 
+def drop_connection(request: web.Request) -> None:
+    """End the caller's connection without sending what is left."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def _unsent_bytes(request: web.Request) -> int:
+    transport = request.transport
+    return 0 if transport is None else transport.get_write_buffer_size()
+
+
+async def send_last(
+    request: web.Request,
+    response: web.StreamResponse,
+    timeout_s: float,
+    body: bytes = b"",
+) -> web.StreamResponse:
+    """Send the rest of an answer, or drop the connection of a silent caller.
+
+    Args:
+        request: The caller's request.
+        response: Its answer, perhaps partly sent.
+        timeout_s: Time for the caller to take it, in seconds.
+        body: Last part of a streamed answer.
+    """
+    try:
+        async with timeout(timeout_s):
+            await response.prepare(request)
+            if body:
+                await response.write(body)
+            await response.write_eof()
+            # A silent caller must not keep the connection for as long as it likes.
+            while _unsent_bytes(request):
+                await sleep(FLUSH_POLL_S)
+    except TimeoutError:
+        drop_connection(request)
+    return response
+
+
 class WholeSink:
     """Collects an answer that is sent in one piece."""
 
@@ -118,6 +163,11 @@
         """Take the next part of the answer."""
         self.parts.append(text)
 
+    def restart(self) -> bool:
+        """Forget what was taken; nothing of it was sent yet."""
+        self.parts.clear()
+        return True
+
 
 class EventSink:
     """Sends an answer as server-sent events, from its first part on."""
@@ -126,11 +176,22 @@
         self.request = request
         self.format = answer_format
         self.response: web.StreamResponse | None = None
+        self.is_writing = False
 
     async def write(self, text: str) -> None:
-        """Send the next part of the answer."""
+        """Send the next part of the answer.
+
+        A write that was cancelled leaves `is_writing` set; the library can send
+        nothing more on such a connection.
+        """
         response = await self.open()
+        self.is_writing = True
         await response.write(self.format.part(text))
+        self.is_writing = False
+
+    def restart(self) -> bool:
+        """Return whether nothing was sent yet."""
+        return self.response is None
 
     async def open(self) -> web.StreamResponse:
         """Return the answer, with its head sent."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_requests.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_requests.py
@@ -18,7 +18,9 @@
 from lagoonhinge_http.wire import BadMessage, decode
 from lagoonhinge_node.caller_auth import find_account
 from lagoonhinge_node.caller_messages import ChatBody, CompletionBody
+from lagoonhinge_node.keyed_completions import digest_completion
 
+REQUEST_ID_KEY = web.RequestKey("request_id", str)
 TIMEOUT_HEADER = "X-Timeout-Seconds"
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_CHARACTERS = 200
@@ -31,6 +33,13 @@
     return RequestFailure(code, Outcome.NOT_RUN, message)
 
 
+def request_id_of(request: web.Request) -> str:
+    """Return the identity of a request, which it gets at the first call."""
+    if REQUEST_ID_KEY not in request:
+        request[REQUEST_ID_KEY] = uuid4().hex
+    return request[REQUEST_ID_KEY]
+
+
 class RequestReader:
     """Turns HTTP requests into checked requests."""
 
@@ -69,10 +78,11 @@
                 return Failure(failure)
             case Success(timeout_s):
                 deadline_s = self.clock.monotonic_s() + timeout_s
-        key = request.headers.get(KEY_HEADER)
-        if key is not None and not 0 < len(key) <= MAX_KEY_CHARACTERS:
-            message = f"{KEY_HEADER} must have 1 to {MAX_KEY_CHARACTERS} characters"
-            return Failure(refusal(ErrorCode.BAD_REQUEST, message))
+        match _read_key(request):
+            case Failure(failure):
+                return Failure(failure)
+            case Success(key):
+                pass
         body = await self._read_bytes(request)
         if isinstance(body, RequestFailure):
             return Failure(body)
@@ -85,7 +95,7 @@
         )
         return Success(
             PlainRequest(
-                request_id=uuid4().hex,
+                request_id=request_id_of(request),
                 account=account,
                 service=name,
                 call=PlainCall(request.method, path, headers, body),
@@ -151,7 +161,12 @@
                 return Failure(failure)
             case Success(timeout_s):
                 deadline_s = self.clock.monotonic_s() + timeout_s
-        request_id = uuid4().hex
+        match _read_key(request):
+            case Failure(failure):
+                return Failure(failure)
+            case Success(key):
+                digest = "" if key is None else digest_completion(request.path, body)
+        request_id = request_id_of(request)
         checked = ModelRequest(
             request_id=request_id,
             account=account,
@@ -164,6 +179,8 @@
             sampling=body.sampling(),
             deadline_s=deadline_s,
             stall_timeout_s=service.stall_timeout_s,
+            idempotency_key=key,
+            call_digest=digest,
         )
         return Success((checked, body.stream))
 
@@ -187,6 +204,14 @@
     return None
 
 
+def _read_key(request: web.Request) -> Result[str | None, RequestFailure]:
+    key = request.headers.get(KEY_HEADER)
+    if key is not None and not 0 < len(key) <= MAX_KEY_CHARACTERS:
+        message = f"{KEY_HEADER} must have 1 to {MAX_KEY_CHARACTERS} characters"
+        return Failure(refusal(ErrorCode.BAD_REQUEST, message))
+    return Success(key)
+
+
 def _read_timeout_s(
     request: web.Request, bound: TimeBound, tokens: int
 ) -> Result[float, RequestFailure]:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
@@ -3,6 +3,7 @@
 from logging import Formatter, LogRecord, getLogger
 
 from absl import logging
+from absl.flags import FLAGS
 from msgspec import json
 
 LEVELS = {
@@ -58,6 +59,8 @@
         level: One of `LEVELS`.
         as_json: Whether to write one JSON object a line.
     """
+    # absl's own flags are not used; unparsed, they cost a line that is not JSON.
+    FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(LEVELS[level])
     logging.set_stderrthreshold(logging.DEBUG)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/node.py
@@ -27,22 +27,30 @@
 from lagoonhinge_http.platform import HttpPlatform
 from lagoonhinge_http.session import open_session
 from lagoonhinge_node.admission import Admission
+from lagoonhinge_node.admission_controller import AdmissionController, peer_addresses
+from lagoonhinge_node.cache_controller import CacheController
 from lagoonhinge_node.caller_api import CallerApi
 from lagoonhinge_node.caller_requests import RequestReader
+from lagoonhinge_node.claim_store import ClaimStore
+from lagoonhinge_node.claimed_calls import ClaimedCalls
 from lagoonhinge_node.clock import SystemClock
 from lagoonhinge_node.config_controller import ConfigController
 from lagoonhinge_node.engine_client import HttpEngineClient
+from lagoonhinge_node.keyed_completions import KeyedCompletions
 from lagoonhinge_node.listener import MAX_STOP_S, Listener
 from lagoonhinge_node.logs import PartLogger
 from lagoonhinge_node.membership_controller import MembershipController
 from lagoonhinge_node.metrics import Metrics
 from lagoonhinge_node.model_path import ModelPath
 from lagoonhinge_node.operator_api import OperatorApi
+from lagoonhinge_node.orders_controller import OrdersController
 from lagoonhinge_node.peer_api import PeerApi
 from lagoonhinge_node.peer_client import HttpPeerClient
 from lagoonhinge_node.peer_wire import DIGEST_PATH
 from lagoonhinge_node.plain_client import HttpPlainClient
 from lagoonhinge_node.plain_path import PlainPath
+from lagoonhinge_node.poison_controller import PoisonController
+from lagoonhinge_node.reaper_controller import ReaperController
 from lagoonhinge_node.releases import Releaser
 from lagoonhinge_node.settings import NodeSettings
 from lagoonhinge_node.upstream_controller import UpstreamController
@@ -132,7 +140,24 @@
         self.membership.on_listed.append(self.upstreams.refresh)
         self.upstreams.on_own_marks.append(self.membership.tell_soon)
         self.membership.own_leaving = self.upstreams.marks.own
-        self.admission = Admission(self.board)
+        self.reaper = ReaperController(
+            self.board, self.engines, clock, self.ledger, self.releaser
+        )
+        self.orders = OrdersController(
+            self.board, self.engines, platform, platform, clock, self.random
+        )
+        self.admission = Admission(self.board, self.ledger, clock)
+        self.demand = AdmissionController(
+            self.board,
+            self.admission,
+            clock,
+            peer_addresses(
+                tuple(str(peer) for peer in settings.peers),
+                str(settings.control_listen),
+            ),
+        )
+        self.cache = CacheController(self.board, self.engines, self.admission.prefixes)
+        self.poison = PoisonController(self.board, clock)
         models = ModelPath(
             self.board,
             self.engines,
@@ -141,10 +166,30 @@
             self.ledger,
             self.releaser,
             self.estimator,
+            self.poison,
+        )
+        models.on_admitted.append(self.metrics.queue.observe)
+        models.on_attempt.append(self.metrics.observe_attempt)
+        self.plain_client = HttpPlainClient(self.session)
+        self.claimed = ClaimedCalls(
+            ClaimStore(platform, platform, clock), clock, self.metrics
+        )
+        plain = PlainPath(
+            self.board,
+            self.plain_client,
+            clock,
+            self.ledger,
+            self.claimed,
+            models.budget,
         )
-        plain = PlainPath(self.board, HttpPlainClient(self.session), clock, self.ledger)
         reader = RequestReader(self.board, clock, self.estimator)
-        callers = CallerApi(self.board, reader, models, plain, self.metrics)
+        callers = CallerApi(
+            self.board,
+            reader,
+            KeyedCompletions(models, self.claimed),
+            plain,
+            self.metrics,
+        )
         operators = OperatorApi(
             self.board, self.metrics, settings.operator_token, self._live_state
         )
@@ -165,7 +210,18 @@
         )
         self.control_listener = Listener(control, self.sockets.control, tls)
         self.pending_work.append(lambda: len(self.releaser.pending))
-        return [self.releaser, self.config, self.membership, self.upstreams]
+        return [
+            self.releaser,
+            self.config,
+            self.membership,
+            self.upstreams,
+            self.orders,
+            self.claimed,
+            self.reaper,
+            self.demand,
+            self.cache,
+            self.poison,
+        ]
 
     async def on_started(self) -> None:
         """Open the listeners once every controller runs."""
@@ -192,6 +248,7 @@
         await self.control_listener.stop(CONTROL_STOP_S)
         await self.engines.close()
         await self.peers.close()
+        await self.plain_client.close()
         await self.session.close()
 
     async def _flush(self) -> None:
@@ -238,6 +295,8 @@
         return {
             "InFlightWork": self.ledger.snapshot(),
             "AdmittedRequests": len(self.admission.admitted),
+            "QueuedRequests": len(self.admission.waiting),
+            "ClaimTasks": len(self.claimed.tasks),
             "PendingReleases": sorted(r.name for r in self.releaser.pending),
         }
 
