Poison in separate processes; long bodies are decoded off the event loop

Cause: isolation of suspects and the rest of a died upstream had no test that failed without them; a million-token body was decoded on the loop.

--- a/features/poison.feature
+++ b/features/poison.feature
@@ -41,6 +41,18 @@
       | 3     | 6       | at each in turn  | 3      |
       | 3     | 6       | at all at once   | 3      |
       | 2     | 2       | at each in turn  | 3      |
+      | 1     | 1       | at one node      | 2      |
+
+  Scenario: Suspects run apart from each other
+    Given 1 nodes that gossip before 2 engines
+    When 6 suspects of one death and 4 other prompts are asked together
+    Then every one is answered and no two suspects shared an engine
+
+  Scenario: An upstream that died gets nothing until it reports a new run
+    Given 1 nodes that gossip before 2 engines
+    When an engine dies under the poison and 5 innocents follow
+    Then nothing was sent to the dead engine
+    And it is used again once it reports a new run
 
   Scenario: Any strikes in any order
     Then the poison state machine holds for 200 examples
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -124,6 +124,72 @@
     context.poison.close()
 
 
+@when(
+    "{suspects:d} suspects of one death and {others:d} other prompts are asked together"
+)
+def step_suspects(context, suspects, others):
+    rig = context.poison
+    names = {f"suspect {number}" for number in range(suspects)}
+    now_s = rig.loop.wall_s()
+    strikes = tuple(
+        Strike(fingerprint("compliance", name), "engine-9", "boot", now_s)
+        for name in names
+    )
+    rig.first.poison.ledger.add(strikes, now_s)
+    context.together = 0
+
+    def note(step, engine, stream):
+        if step == "accept":
+            running = {run.call.prompt for run in engine.runs.values()}
+            context.together = max(context.together, len(running & names))
+
+    rig.first.port.on_step = note
+    prompts = [*sorted(names), *(f"other {number}" for number in range(others))]
+    context.answers = rig.run(*(rig.ask(0, prompt) for prompt in prompts))
+
+
+@then("every one is answered and no two suspects shared an engine")
+def step_apart(context):
+    assert set(context.answers) == {"whole"}, context.answers
+    assert context.together == 1, context.together
+    context.poison.close()
+
+
+@when("an engine dies under the poison and {count:d} innocents follow")
+def step_dies(context, count):
+    rig = context.poison
+    reach = rig.first.port.on_step
+    context.connects = []
+
+    def note(step, engine, stream):
+        if step == "connect":
+            context.connects.append((engine.url, engine.alive))
+        reach(step, engine, stream)
+
+    rig.first.port.on_step = note
+    context.task = rig.loop.create_task(rig.ask(0, POISON))
+    rig.run(sleep(0.6))
+    assert rig.deaths == 1, rig.deaths
+    # Long enough that nothing has restarted, and with the first gossip past.
+    answers = rig.run(*(rig.ask_until_whole(0, f"after {n}") for n in range(count)))
+    assert set(answers) == {"whole"}, answers
+
+
+@then("nothing was sent to the dead engine")
+def step_nothing_sent(context):
+    assert all(alive for _, alive in context.connects), context.connects
+
+
+@then("it is used again once it reports a new run")
+def step_used_again(context):
+    rig = context.poison
+    rig.run(sleep(10.0))
+    context.connects.clear()
+    rig.run(*(rig.ask(0, f"later {number}") for number in range(4)))
+    assert len({url for url, _ in context.connects}) == 2, context.connects
+    rig.close()
+
+
 @then("the poison state machine holds for {examples:d} examples")
 def step_machine(context, examples):
     run_poison_machine(examples)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_requests.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_requests.py
@@ -1,5 +1,6 @@
 """Reading and checking of callers' requests."""
 
+from asyncio import timeout, to_thread
 from uuid import uuid4
 
 from aiohttp import web
@@ -22,6 +23,8 @@
 TIMEOUT_HEADER = "X-Timeout-Seconds"
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_CHARACTERS = 200
+BODY_TIMEOUT_S = 60.0
+OFF_LOOP_BYTES = 262_144
 MAX_OUTPUT_TOKENS = 100_000
 PASSED_HEADERS = ("Content-Type", "Accept", KEY_HEADER)
 
@@ -104,7 +107,10 @@
         if isinstance(raw, RequestFailure):
             return Failure(raw)
         try:
-            return Success(decode(raw, kind))
+            if len(raw) < OFF_LOOP_BYTES:
+                return Success(decode(raw, kind))
+            # Every other request's tokens wait for what runs on the loop.
+            return Success(await to_thread(decode, raw, kind))
         except BadMessage as error:
             return Failure(refusal(ErrorCode.BAD_REQUEST, f"body: {error}"))
 
@@ -116,9 +122,13 @@
         if request.content_length is not None and request.content_length > limit:
             return too_large
         try:
-            body = await request.read()
+            async with timeout(BODY_TIMEOUT_S):
+                body = await request.read()
         except HTTPRequestEntityTooLarge:
             return too_large
+        except TimeoutError:
+            message = f"the body did not arrive within {BODY_TIMEOUT_S:.0f} s"
+            return refusal(ErrorCode.BAD_REQUEST, message)
         return too_large if len(body) > limit else body
 
     def _check_completion(
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/poison_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/poison_controller.py
@@ -25,6 +25,7 @@
 MERGE_INTERVAL_S = 0.5
 SPREAD_S = 2.5
 DISPROOF_MARGIN_S = 0.5
+MAX_FINGERPRINTS = 4096
 CLEAR = Clear()
 
 
@@ -38,6 +39,7 @@
         self.ledger = PoisonLedger()
         self.noted_s: dict[Death, float] = {}
         self.suspects: dict[str, Counter[str]] = {}
+        self.fingerprints: dict[str, str] = {}
         self.writer = board.writer(PoisonSection(), "poison")
         self.log_part = PartLogger("poison")
 
@@ -62,7 +64,7 @@
         """Return whether a request may run, and how."""
         if self.ledger.is_empty():
             return CLEAR
-        return self.ledger.standing(_fingerprint(request), self.clock.wall_s())
+        return self.ledger.standing(self._fingerprint(request), self.clock.wall_s())
 
     def spread_s(self, suspect: Suspect) -> float:
         """Return how long a suspect waits until peers know of its strike."""
@@ -70,7 +72,7 @@
 
     def strike(self, request: ModelRequest, upstream: str, boot: str) -> None:
         """Note that an upstream died with this request on it."""
-        name = _fingerprint(request)
+        name = self._fingerprint(request)
         now_s = self.clock.wall_s()
         self.ledger.add((Strike(name, upstream, boot, now_s),), now_s)
         self.log_part.warning(
@@ -83,7 +85,7 @@
     def complete(self, request: ModelRequest) -> None:
         """Clear a prompt that has run to its end."""
         if not self.ledger.is_empty():
-            self.ledger.complete(_fingerprint(request), self.clock.wall_s())
+            self.ledger.complete(self._fingerprint(request), self.clock.wall_s())
             self._post()
 
     def dead_upstreams(self) -> frozenset[str]:
@@ -100,7 +102,7 @@
         """Return the upstreams on which another suspect runs now."""
         if not self.suspects:
             return frozenset()
-        name = _fingerprint(request)
+        name = self._fingerprint(request)
         return frozenset(
             upstream
             for upstream, running in self.suspects.items()
@@ -113,7 +115,7 @@
         if not isinstance(self.standing(request), Suspect):
             yield
             return
-        name = _fingerprint(request)
+        name = self._fingerprint(request)
         running = self.suspects.setdefault(upstream, Counter())
         running[name] += 1
         try:
@@ -145,6 +147,11 @@
         if section != self.board.read(PoisonSection):
             self.writer.post(section)
 
-
-def _fingerprint(request: ModelRequest) -> str:
-    return fingerprint(request.model, request.prompt)
+    def _fingerprint(self, request: ModelRequest) -> str:
+        known = self.fingerprints.get(request.request_id)
+        if known is None:
+            known = fingerprint(request.model, request.prompt)
+            self.fingerprints[request.request_id] = known
+            if len(self.fingerprints) > MAX_FINGERPRINTS:
+                del self.fingerprints[next(iter(self.fingerprints))]
+        return known
