--- a/packages/lagoonhinge-node/src/lagoonhinge_node/attempts.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/attempts.py
@@ -179,11 +179,12 @@
         sink: AnswerSink,
     ) -> Result[Finished, Interrupted | AnswerDiffers]:
         first_seq = sequence.next_seq
-        stalled_at_s = self.clock.monotonic_s() + request.stall_timeout_s
+        now_s = self.clock.monotonic_s()
+        stalled_at_s = now_s + request.stall_timeout_s
         try:
             while True:
-                wait_s = stalled_at_s - self.clock.monotonic_s()
-                received = await stream.next_chunks(self._bounded_s(request, wait_s))
+                wait_s = max(0.0, min(stalled_at_s, request.deadline_s) - now_s)
+                received = await stream.next_chunks(wait_s)
                 now_s = self.clock.monotonic_s()
                 if now_s >= request.deadline_s:
                     # A process that was paused passes nothing on past the bound.
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/engine_stream.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/engine_stream.py
@@ -14,7 +14,7 @@
 from lagoonhinge_node.upstream_faults import error_of_exception
 
 EVENT_END = b"\n\n"
-EVENT_PREFIX = b"data: "
+PREFIX_BYTES = len(b"data: ")
 
 _CHUNK_DECODER = Decoder(EngineChunk)
 
@@ -110,10 +110,7 @@
 ) -> Result[tuple[EngineChunk, ...], UpstreamError]:
     try:
         return Success(
-            tuple(
-                _CHUNK_DECODER.decode(event.removeprefix(EVENT_PREFIX))
-                for event in events
-            )
+            tuple([_CHUNK_DECODER.decode(event[PREFIX_BYTES:]) for event in events])
         )
     except (ValidationError, DecodeError) as error:
         return Failure(Broken(f"bad chunk: {error}"))
