Refuse what is in line for a service that leaves the configuration

Cause: such requests were granted without an upstream and met a path that asserts the service.

Change: they are refused as not run; overload runs print how soon refusals on arrival come.

--- a/bench/load.py
+++ b/bench/load.py
@@ -29,6 +29,7 @@
 POLICIES = ("length_aware", "least_in_flight", "round_robin")
 SHORT_TIMEOUT_S = 90.0
 OVERLOAD_TIMEOUT_S = 6.0
+AT_ONCE_S = 0.15  # below the interval at which the line is looked through
 
 
 @dataclass
@@ -267,6 +268,10 @@
             f"refused at twice: {len(refused)}, as not-run with Retry-After: {honest}, "
             f"after their bound: {late}"
         )
+        at_once = sorted(a.took_s for a in refused if a.took_s < AT_ONCE_S)
+        if at_once:
+            p99_ms = at_once[int(0.99 * (len(at_once) - 1))] * 1000
+            print(f"of these on arrival: {len(at_once)}, answered p99 {p99_ms:.1f} ms")
         self.plot({block.name: block.shorts() for block in self.blocks.values()})
 
     def plot(self, histograms: dict[str, HdrHistogram]) -> None:
--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -90,6 +90,11 @@
       | 1    | 0       |
       | 31   | 2       |
 
+  Scenario: A service that leaves the configuration refuses what is in line
+    Given a node before 2 upstreams of 1000 tokens per second and a queue of 6
+    When 4 requests of 500 tokens arrive and the service leaves the configuration
+    Then 2 of those in line are refused as not run with Retry-After
+
   Scenario Outline: What answers take is learned without refusing for ever
     Given answers of <tokens> tokens that took <took> s after their prompts
     When <idle> s pass without another
--- a/features/steps/fairness_steps.py
+++ b/features/steps/fairness_steps.py
@@ -16,12 +16,13 @@
 
 from features.support.admitting import AdmittingNode
 from lagoonhinge_core.admission_policy import FinishTime
-from lagoonhinge_core.config import AccountConfig
+from lagoonhinge_core.config import AccountConfig, Config
 from lagoonhinge_core.fair_queue import FairQueue, QueueItem
 from lagoonhinge_core.identity import NodeId
 from lagoonhinge_core.limits import AccountLimits, DemandShares
 from lagoonhinge_core.outcome import Outcome
 from lagoonhinge_core.retry_budget import RetryBudget
+from lagoonhinge_core.sections import ConfigSection
 
 FUZZ = {"derandomize": True, "database": None, "deadline": None}
 WEIGHTS = {"a": 1.0, "b": 2.0, "c": 0.5}
@@ -396,6 +397,21 @@
     run(play())
 
 
+@when("4 requests of 500 tokens arrive and the service leaves the configuration")
+def step_service_leaves(context):
+    async def play():
+        node = AdmittingNode()
+        for _ in range(4):
+            node.arrive(500)
+        await node.settle()
+        node.config.post(ConfigSection(2, "", Config()))
+        node.admission.dispatch()
+        await node.settle()
+        context.node = node
+
+    run(play())
+
+
 @then("{refused:d} of those in line are refused as not run with Retry-After")
 def step_refused_in_line(context, refused):
     assert_refused(context.node, refused)
--- a/features/support/admitting.py
+++ b/features/support/admitting.py
@@ -68,7 +68,7 @@
                 for n in range(upstreams)
             },
         )
-        self.board.writer(ConfigSection(1, "", config), "test")
+        self.config = self.board.writer(ConfigSection(1, "", config), "test")
         self.board.writer(UpstreamsSection(), "test")
         self.ledger = InFlightLedger()
         self.admission = Admission(self.board, self.ledger, self.clock)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
@@ -226,6 +226,10 @@
         assert head is not None
         waiting = self.waiting[head.request_id]
         now_s = self.clock.monotonic_s()
+        if service not in self._config().services:
+            message = f"service {service!r} has left the configuration"
+            self._refuse(waiting, overloaded(message, RETRY_AFTER_S))
+            return True
         late_by_s = waiting.late_by_s(0.0, now_s)
         if late_by_s > 0:
             self._refuse(waiting, too_late(head.account, late_by_s))
