A hanging object store costs a node its timeout once, not for each part

Cause: with the store silent and a peer at hand, each batch of parts waited for the store's timeout first. Ruled out: always asking peers first, which would put every change's bytes on the control budget. Change: after the store failed once in an assembly, the rest comes from the peer.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -67,6 +67,11 @@
       | the platform is down |
       | the objects are down |
 
+  Scenario: An object store that hangs costs its timeout once, not for each part
+    Given a world of 3 nodes where change 1 is in force
+    When a node is replaced while the object store is down
+    Then it asked the object store once and took the parts from a peer
+
   Scenario: A node that knows no configuration says so and why
     Given a world of 3 nodes without configuration
     When the platform is down at a node's look
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -24,6 +24,7 @@
 from lagoonhinge_core.config_parts import Blob, Bundle, make_bundle
 from lagoonhinge_core.config_row import CONFIG_KEY, blob_name, next_config
 from lagoonhinge_ctl.accept import LostRace, NotAccepted, Undecided
+from lagoonhinge_node.config_controller import COLLECT_S
 
 SETTLING_ROUNDS = 4
 ACCOUNTS = 21_000
@@ -187,6 +188,30 @@
     assert context.seen[-1] == 2 and 1 not in context.seen, context.seen
 
 
+@when("a node is replaced while the object store is down")
+def step_replace_no_objects(context):
+    world = context.world
+    context.asked = []
+
+    async def count(reached):
+        if reached == "node blob get":
+            context.asked.append(reached)
+
+    world.platform.faults.objects_down = True
+    world.replace_node(NODES[0])
+    world.platform.hook = count
+    for _ in range(2):
+        world.run(world.nodes[NODES[0]].learn())
+        world.clock.now_s += COLLECT_S
+
+
+@then("it asked the object store once and took the parts from a peer")
+def step_asked_store_once(context):
+    node = context.world.nodes[NODES[0]]
+    assert len(node.controller.blobs) > 2, node.controller.blobs.keys()
+    assert (node.section.version, len(context.asked)) == (1, 1), context.asked
+
+
 @when("the platform is down at a node's look")
 def step_down_look(context):
     context.world.platform.faults.down = True
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/config_assembly.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/config_assembly.py
@@ -86,6 +86,7 @@
         self.site = site
         self.blobs: dict[str, bytes] = {}
         self.decoded: dict[PartRef, DecodedPart] = {}
+        self.store_failed = False
 
     async def assemble(
         self, digest: str, peer: str | None
@@ -96,6 +97,7 @@
             digest: Digest of the manifest.
             peer: Control address of a node that has the blobs, if one is known.
         """
+        self.store_failed = False
         manifest = await self._message(digest, peer, Manifest)
         if isinstance(manifest, Failure):
             return manifest
@@ -135,25 +137,30 @@
         if known is not None:
             return Success(known)
         reasons: list[str] = []
-        match await self.objects.get(blob_name(digest)):
-            case Success(blob) if sha256(blob).hexdigest() == digest:
-                self.blobs[digest] = blob
-                return Success(blob)
-            case Success(_):
-                reasons.append("the store's content has another digest")
-            case Failure(error):
-                reasons.append(str(error))
+        # A store that hangs costs its timeout once, not for each of many parts.
+        if peer is None or not self.store_failed:
+            match await self.objects.get(blob_name(digest)):
+                case Success(blob) if _is_named(digest, blob):
+                    return Success(self._take(digest, blob))
+                case Success(_):
+                    reasons.append("the store's content has another digest")
+                case Failure(error):
+                    reasons.append(str(error))
+            self.store_failed = True
         if peer is not None:
             match await self.peers.fetch_blob(peer, digest, PEER_BLOB_TIMEOUT_S):
-                case Success(blob) if sha256(blob).hexdigest() == digest:
-                    self.blobs[digest] = blob
-                    return Success(blob)
+                case Success(blob) if _is_named(digest, blob):
+                    return Success(self._take(digest, blob))
                 case Success(_):
                     reasons.append(f"the content of peer {peer} has another digest")
                 case Failure(unreachable):
                     reasons.append(str(unreachable))
         return Failure(Unread(digest, "; ".join(reasons)))
 
+    def _take(self, digest: str, blob: bytes) -> bytes:
+        self.blobs[digest] = blob
+        return blob
+
     def _join(self, refs: tuple[PartRef, ...]) -> Result[Config, AssemblyError]:
         for ref in refs:
             if ref not in self.decoded:
@@ -176,3 +183,7 @@
             ref: part for ref, part in self.decoded.items() if ref.digest in self.blobs
         }
         return Assembled(config, self.blobs)
+
+
+def _is_named(digest: str, blob: bytes) -> bool:
+    return sha256(blob).hexdigest() == digest
