--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -90,6 +90,7 @@
       | not what was accepted | digest            |
       | unreadable            | not readable      |
 
+  @fuzz
   Scenario: Configuration changes are fuzzed against the accepted rows
     When configuration changes are fuzzed with 100 examples
     Then no version fell and the accepted change won everywhere
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -45,6 +45,7 @@
       | 9     | 2     | 3     |
       | 66    | 9     | 20    |
 
+  @fuzz
   Scenario: Gossip converges from one known address, and after every fault
     When membership is fuzzed with 60 examples
     Then no older run or digest ever replaced a newer one, and all converged
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -9,7 +9,7 @@
 from msgspec import json
 from returns.result import Failure, Success
 
-from features.support.config_fuzz import check_results, run_config_machine
+from features.support.config_fuzz import ConfigMachine, check_results
 from features.support.config_world import (
     NODES,
     SITE,
@@ -18,6 +18,7 @@
     source,
 )
 from features.support.fleet import ZONES, Fleet, base_text, http, overlay_text
+from features.support.fuzz import run_machine
 from features.support.waiting import eventually
 from lagoonhinge_core.config import UpstreamConfig
 from lagoonhinge_core.config_load import load_site
@@ -27,6 +28,7 @@
 from lagoonhinge_node.config_controller import COLLECT_S
 
 SETTLING_ROUNDS = 4
+FUZZ_STEPS = 25
 ACCOUNTS = 21_000
 HEALTH_TIMEOUT_S = 5.0
 
@@ -278,7 +280,7 @@
 
 @when("configuration changes are fuzzed with {examples:d} examples")
 def step_fuzz_config(context, examples):
-    run_config_machine(examples)
+    run_machine(ConfigMachine, examples, FUZZ_STEPS)
 
 
 @then("no version fell and the accepted change won everywhere")
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -6,18 +6,20 @@
 from msgspec import json
 
 from features.support.fleet import PEER_SECRET, ZONES, Fleet, http
+from features.support.fuzz import run_machine
 from features.support.membership import (
     INTERVAL_S,
     VMS,
+    MembershipMachine,
     SimNetwork,
     SimNode,
-    run_membership_machine,
 )
 from features.support.shared import shared_fleet
 from features.support.waiting import eventually
 from lagoonhinge_core.cells import MAX_CELL_NODES, assign_cells
 from lagoonhinge_core.gossip_budget import GossipBudget
 
+FUZZ_STEPS = 30
 OWN, SAME_ZONE, OTHER_ZONE = VMS[0], VMS[2], VMS[1]
 
 
@@ -97,7 +99,7 @@
 
 @when("membership is fuzzed with {examples:d} examples")
 def step_fuzz(context, examples):
-    run_membership_machine(examples)
+    run_machine(MembershipMachine, examples, FUZZ_STEPS)
 
 
 @then("no older run or digest ever replaced a newer one, and all converged")
--- a/features/support/config_fuzz.py
+++ b/features/support/config_fuzz.py
@@ -1,12 +1,10 @@
 """A fuzzer of configuration changes against an oracle of the accepted rows."""
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 from returns.result import Failure, Success
 
@@ -104,17 +102,3 @@
             check_results(self.world)
         finally:
             self.world.runner.close()
-
-
-def run_config_machine(examples: int) -> None:
-    """Run the fuzzer, the same way each time."""
-    run_state_machine_as_test(
-        ConfigMachine,
-        settings=settings(
-            max_examples=examples,
-            stateful_step_count=25,
-            derandomize=True,
-            database=None,
-            deadline=None,
-        ),
-    )
--- a/features/support/membership.py
+++ b/features/support/membership.py
@@ -2,14 +2,12 @@
 
 from random import Random
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
 from lagoonhinge_core.identity import NodeId, parse_node_id
@@ -174,17 +172,3 @@
         self.net.rounds(SETTLING_ROUNDS)
         self.net.check_never_older()
         self.net.check_converged()
-
-
-def run_membership_machine(examples: int) -> None:
-    """Run the fuzzer, the same way each time."""
-    run_state_machine_as_test(
-        MembershipMachine,
-        settings=settings(
-            max_examples=examples,
-            stateful_step_count=30,
-            derandomize=True,
-            database=None,
-            deadline=None,
-        ),
-    )
