--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -67,6 +67,11 @@
       | the platform is down |
       | the objects are down |
 
+  Scenario: An object store that hangs costs its timeout once, not for each part
+    Given a world of 3 nodes where change 1 is in force
+    When a node is replaced while the object store is down
+    Then it asked the object store once and took the parts from a peer
+
   Scenario: A node that knows no configuration says so and why
     Given a world of 3 nodes without configuration
     When the platform is down at a node's look
@@ -85,6 +90,7 @@
       | not what was accepted | digest            |
       | unreadable            | not readable      |
 
+  @fuzz
   Scenario: Configuration changes are fuzzed against the accepted rows
     When configuration changes are fuzzed with 100 examples
     Then no version fell and the accepted change won everywhere
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -9,7 +9,7 @@
 from msgspec import json
 from returns.result import Failure, Success
 
-from features.support.config_fuzz import check_results, run_config_machine
+from features.support.config_fuzz import ConfigMachine, check_results
 from features.support.config_world import (
     NODES,
     SITE,
@@ -18,14 +18,17 @@
     source,
 )
 from features.support.fleet import ZONES, Fleet, base_text, http, overlay_text
+from features.support.fuzz import run_machine
 from features.support.waiting import eventually
 from lagoonhinge_core.config import UpstreamConfig
 from lagoonhinge_core.config_load import load_site
 from lagoonhinge_core.config_parts import Blob, Bundle, make_bundle
 from lagoonhinge_core.config_row import CONFIG_KEY, blob_name, next_config
 from lagoonhinge_ctl.accept import LostRace, NotAccepted, Undecided
+from lagoonhinge_node.config_controller import COLLECT_S
 
 SETTLING_ROUNDS = 4
+FUZZ_STEPS = 25
 ACCOUNTS = 21_000
 HEALTH_TIMEOUT_S = 5.0
 
@@ -187,6 +190,30 @@
     assert context.seen[-1] == 2 and 1 not in context.seen, context.seen
 
 
+@when("a node is replaced while the object store is down")
+def step_replace_no_objects(context):
+    world = context.world
+    context.asked = []
+
+    async def count(reached):
+        if reached == "node blob get":
+            context.asked.append(reached)
+
+    world.platform.faults.objects_down = True
+    world.replace_node(NODES[0])
+    world.platform.hook = count
+    for _ in range(2):
+        world.run(world.nodes[NODES[0]].learn())
+        world.clock.now_s += COLLECT_S
+
+
+@then("it asked the object store once and took the parts from a peer")
+def step_asked_store_once(context):
+    node = context.world.nodes[NODES[0]]
+    assert len(node.controller.blobs) > 2, node.controller.blobs.keys()
+    assert (node.section.version, len(context.asked)) == (1, 1), context.asked
+
+
 @when("the platform is down at a node's look")
 def step_down_look(context):
     context.world.platform.faults.down = True
@@ -253,7 +280,7 @@
 
 @when("configuration changes are fuzzed with {examples:d} examples")
 def step_fuzz_config(context, examples):
-    run_config_machine(examples)
+    run_machine(ConfigMachine, examples, FUZZ_STEPS)
 
 
 @then("no version fell and the accepted change won everywhere")
