--- a/features/attempts.feature
+++ b/features/attempts.feature
@@ -101,5 +101,6 @@
       | the budget       | 3        | 1     | 2        |
       | an empty budget  | 3        | 0     | 1        |
 
+  @fuzz
   Scenario: Any faults in any order
     Then the request state machine holds for 60 examples
--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -1,5 +1,6 @@
 Feature: Fair queueing, limits, deadlines and retries
 
+  @fuzz
   Scenario: The fair queue agrees with a dictionary oracle
     Then random pushes, pops and cancels match a dictionary oracle of fair queueing
 
@@ -26,6 +27,7 @@
       | 20     | 3     |
       | 40     | 4     |
 
+  @fuzz
   Scenario: Shares of a limit never add up to more than the limit
     Then random gossip, loss, restarts and demand keep the sum of shares within 1
 
@@ -108,5 +110,6 @@
       | 1      | 600   | 0    | 0.1   | 21   |
       | 1      | 600   | 600  | 0.1   | 0.2  |
 
+  @fuzz
   Scenario: Tickets under random arrivals, ends and departures
     Then random arrivals, ends and departures leave no ticket, room or queue entry
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -76,5 +76,6 @@
       | 20000  | 20000 | 1   | 30000    | 10000       |
       | 0      | 0     | 9   | 30000    | 0           |
 
+  @fuzz
   Scenario: A prefix index under late and gapped cache events
     Then random cache events never make the index name a prefix that is not cached
--- a/features/poison.feature
+++ b/features/poison.feature
@@ -54,5 +54,6 @@
     Then nothing was sent to the dead engine
     And it is used again once it reports a new run
 
+  @fuzz
   Scenario: Any strikes in any order
     Then the poison state machine holds for 200 examples
--- a/features/steps/fairness_steps.py
+++ b/features/steps/fairness_steps.py
@@ -11,10 +11,10 @@
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
 from features.support.admitting import AdmittingNode
+from features.support.fuzz import run_machine
 from lagoonhinge_core.admission_policy import FinishTime
 from lagoonhinge_core.config import AccountConfig, Config
 from lagoonhinge_core.fair_queue import FairQueue, QueueItem
@@ -24,7 +24,6 @@
 from lagoonhinge_core.retry_budget import RetryBudget
 from lagoonhinge_core.sections import ConfigSection
 
-FUZZ = {"derandomize": True, "database": None, "deadline": None}
 WEIGHTS = {"a": 1.0, "b": 2.0, "c": 0.5}
 ITEM_TOKENS = 10
 CREDIT_TOKENS = 5.0
@@ -92,9 +91,7 @@
 
 @then("random pushes, pops and cancels match a dictionary oracle of fair queueing")
 def step_queue_machine(context):
-    run_state_machine_as_test(
-        FairQueueMachine, settings=settings(max_examples=150, **FUZZ)
-    )
+    run_machine(FairQueueMachine, 150)
 
 
 @given("accounts in line with weights and backlogs {accounts}")
@@ -233,10 +230,7 @@
 
 @then("random gossip, loss, restarts and demand keep the sum of shares within 1")
 def step_shares_machine(context):
-    run_state_machine_as_test(
-        SharesMachine,
-        settings=settings(max_examples=300, stateful_step_count=60, **FUZZ),
-    )
+    run_machine(SharesMachine, 300, 60)
 
 
 @given("3 nodes that have exchanged demands of {before} of the limit")
@@ -291,7 +285,7 @@
 
 @then("random outages never see retries above 10 and a tenth of successes")
 def step_budget(context):
-    @settings(max_examples=200, **FUZZ)
+    @settings(max_examples=200, derandomize=True, database=None, deadline=None)
     @for_all(st.lists(st.booleans(), max_size=400))
     def check(fails):
         budget = RetryBudget()
@@ -479,6 +473,4 @@
 
 @then("random arrivals, ends and departures leave no ticket, room or queue entry")
 def step_ticket_machine(context):
-    run_state_machine_as_test(
-        TicketMachine, settings=settings(max_examples=200, **FUZZ)
-    )
+    run_machine(TicketMachine, 200)
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -1,15 +1,14 @@
 """Steps on placement, sans-IO."""
 
 from behave import given, then, when
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
+from features.support.fuzz import run_machine
 from features.support.placing import LONG_TOKENS, POLICIES, SHORT_TOKENS, Zone
 from lagoonhinge_core.config import LengthAware
 from lagoonhinge_core.engine_messages import CacheEvent, CacheEvents, LoadReport
@@ -202,9 +201,4 @@
 
 @then("random cache events never make the index name a prefix that is not cached")
 def step_cache(context):
-    run_state_machine_as_test(
-        CacheMachine,
-        settings=settings(
-            derandomize=True, database=None, deadline=None, max_examples=150
-        ),
-    )
+    run_machine(CacheMachine, 150)
--- a/features/support/poison_machine.py
+++ b/features/support/poison_machine.py
@@ -1,14 +1,13 @@
 """Stateful fuzzing of strikes against a dictionary: one killer, many bystanders."""
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
+from features.support.fuzz import run_machine
 from lagoonhinge_core.peer_messages import Strike
 from lagoonhinge_core.poison import (
     DEATHS_WITHOUT_DOUBT,
@@ -98,13 +97,4 @@
 
 def run_poison_machine(examples: int) -> None:
     """Run the machine with a fixed seed."""
-    run_state_machine_as_test(
-        PoisonMachine,
-        settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=30,
-        ),
-    )
+    run_machine(PoisonMachine, examples, 30)
--- a/features/support/request_machine.py
+++ b/features/support/request_machine.py
@@ -2,16 +2,15 @@
 
 from asyncio import CancelledError, sleep
 
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
+from features.support.fuzz import run_machine
 from features.support.request_rig import (
     BOUND_S,
     RecordingSink,
@@ -150,14 +149,4 @@
 
 def run_request_machine(examples: int) -> None:
     """Run the machine with a fixed seed."""
-    run_state_machine_as_test(
-        RequestMachine,
-        settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=30,
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    run_machine(RequestMachine, examples, 30)
