--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/serving_parts.py
@@ -0,0 +1,92 @@
+"""The request path of a node: admission, models, plain services, callers' interface."""
+
+from typing import Any
+
+from mode.types import ServiceT
+
+from lagoonhinge_node.admission import Admission
+from lagoonhinge_node.admission_controller import AdmissionController, peer_addresses
+from lagoonhinge_node.cache_controller import CacheController
+from lagoonhinge_node.caller_api import CallerApi
+from lagoonhinge_node.caller_requests import RequestReader
+from lagoonhinge_node.claim_store import ClaimStore
+from lagoonhinge_node.claimed_calls import ClaimedCalls
+from lagoonhinge_node.keyed_completions import KeyedCompletions
+from lagoonhinge_node.model_path import ModelPath
+from lagoonhinge_node.plain_client import HttpPlainClient
+from lagoonhinge_node.plain_path import PlainPath
+from lagoonhinge_node.poison_controller import PoisonController
+from lagoonhinge_node.shared_parts import SharedParts
+
+
+class ServingParts:
+    """Builds the request path.
+
+    Args:
+        shared: Parts that the controllers use as well.
+        poison: Tells which prompts may run.
+    """
+
+    def __init__(self, shared: SharedParts, poison: PoisonController):
+        self.shared = shared
+        board, clock, metrics = shared.board, shared.clock, shared.metrics
+        self.admission = Admission(board, shared.ledger, clock)
+        self.demand = self._demand_controller()
+        self.cache = CacheController(board, shared.engines, self.admission.prefixes)
+        self.models = ModelPath(
+            board,
+            shared.engines,
+            clock,
+            self.admission,
+            shared.ledger,
+            shared.releaser,
+            shared.estimator,
+            poison,
+        )
+        self.models.on_admitted.append(metrics.queue.observe)
+        self.models.on_attempt.append(metrics.observe_attempt)
+        claims = ClaimStore(shared.platform, shared.platform, clock)
+        self.claimed = ClaimedCalls(claims, clock, metrics)
+        self.plain_client = HttpPlainClient(shared.session)
+
+    def services(self) -> list[ServiceT]:
+        """Return the services in the order of their start."""
+        return [self.claimed, self.demand, self.cache]
+
+    def caller_api(self) -> CallerApi:
+        """Return the callers' interface."""
+        shared = self.shared
+        plain = PlainPath(
+            shared.board,
+            self.plain_client,
+            shared.clock,
+            shared.ledger,
+            self.claimed,
+            self.models.budget,
+        )
+        return CallerApi(
+            shared.board,
+            RequestReader(shared.board, shared.clock, shared.estimator),
+            KeyedCompletions(self.models, self.claimed),
+            plain,
+            shared.metrics,
+        )
+
+    def live_state(self) -> dict[str, Any]:
+        """Return the counts that change with every request, for the state dump."""
+        return {
+            "InFlightWork": self.shared.ledger.snapshot(),
+            "AdmittedRequests": len(self.admission.admitted),
+            "QueuedRequests": len(self.admission.waiting),
+            "ClaimTasks": len(self.claimed.tasks),
+            "PendingReleases": sorted(r.name for r in self.shared.releaser.pending),
+        }
+
+    def _demand_controller(self) -> AdmissionController:
+        settings = self.shared.settings
+        peers = peer_addresses(
+            tuple(str(peer) for peer in settings.peers), str(settings.control_listen)
+        )
+        return AdmissionController(
+            self.shared.board, self.admission, self.shared.clock, peers
+        )
