--- a/bench/open_loop.py
+++ b/bench/open_loop.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 from time import monotonic
+from uuid import uuid4
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 from msgspec import json
@@ -83,11 +84,12 @@
     found: list[Arrival] = []
     for number, stream in enumerate(streams):
         random = Random(f"{seed}/{number}")
-        at_s = random.expovariate(stream.per_s)
-        while at_s < block_s:
+        # Given their count, Poisson arrivals are uniform; a fixed count keeps the
+        # offered load what it is said to be in a short block.
+        for _ in range(round(stream.per_s * block_s)):
+            at_s = random.uniform(0.0, block_s)
             tokens = random.randint(stream.least_tokens, stream.most_tokens)
             found.append(Arrival(at_s, random.choice(stream.accounts), tokens))
-            at_s += random.expovariate(stream.per_s)
     return sorted(found, key=lambda arrival: arrival.at_s)
 
 
@@ -106,6 +108,8 @@
         self.urls = urls
         self.timeout_s = timeout_s
         self.sent = 0
+        # No block may find its prompts in the caches that another one filled.
+        self.name = uuid4().hex
 
     async def run(self, planned: list[Arrival]) -> list[Answer]:
         """Send each arrival at its time; returns all answers."""
@@ -138,7 +142,7 @@
             "Authorization": f"Bearer {account_key(arrival.account)}",
             "X-Timeout-Seconds": str(self.timeout_s),
         }
-        body = _body(arrival.tokens, self.sent)
+        body = _body(arrival.tokens, self.name, self.sent)
         sent_s = monotonic()
         try:
             async with session.post(url, data=body, headers=headers) as response:
@@ -163,8 +167,8 @@
         )
 
 
-def _body(tokens: int, number: int) -> bytes:
-    prompt = f"{number:08} " + "core " * (tokens * BYTES_PER_TOKEN // 5)
+def _body(tokens: int, block: str, number: int) -> bytes:
+    prompt = f"{block} {number:08} " + "core " * (tokens * BYTES_PER_TOKEN // 5)
     return json.encode(
         {
             "model": "compliance",
