A node serves with its own cell's upstreams, and reads bounded numbers of cache events

Cause: in a zone of several cells a node placed over all of the zone's upstreams, of which it has reports only for its own cell's, and read the cache events of all of them: at 420 engines in a zone 210 readings a second for each node. Ruled out: reports of the whole zone, whose polls grow with nodes times engines. Cache events are read from 8 engines a poll, the longest unread first.

features/cells.feature (9 scenarios) failed for want of the rule and passes; 273 scenarios of the features concerned pass.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/cells.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/cells.py
@@ -5,11 +5,13 @@
 """
 
 from collections.abc import Iterable
+from functools import lru_cache
 from hashlib import blake2b
 from math import ceil
 
 MAX_CELL_NODES = 8
 SCORE_BYTES = 8
+MAX_REMEMBERED = 8_192
 
 
 def _score(name: str, cell: int) -> int:
@@ -39,6 +41,7 @@
     return assigned
 
 
+@lru_cache(maxsize=MAX_REMEMBERED)
 def owning_cell(upstream: str, cell_count: int) -> int:
     """Return the cell of a zone that an upstream belongs to."""
     return max(range(cell_count), key=lambda cell: _score(upstream, cell))
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
@@ -37,7 +37,6 @@
     Capacity,
     find_candidates,
     find_capacity,
-    read_or,
 )
 from lagoonhinge_node.upstream_room import UpstreamRoom
 
@@ -321,7 +320,7 @@
 
     def _nodes_in_zone(self) -> int:
         zone = self.board.read(NodeSection).zone
-        digests = read_or(self.board, PeersSection()).digests.values()
+        digests = self.board.find(PeersSection()).digests.values()
         return 1 + sum(digest.zone == zone for digest in digests)
 
     def _is_long(self, request: ModelRequest) -> bool:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/admission_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/admission_controller.py
@@ -16,7 +16,6 @@
     UpstreamsSection,
 )
 from lagoonhinge_node.admission import Admission
-from lagoonhinge_node.candidates import read_or
 
 DISPATCH_INTERVAL_S = 0.2
 TICKS_PER_PUBLICATION = 5
@@ -75,8 +74,8 @@
 
     def _observe_peers(self) -> None:
         shares = self.admission.shares
-        digests = read_or(self.board, PeersSection()).digests
-        members = read_or(self.board, MembersSection()).members
+        digests = self.board.find(PeersSection()).digests
+        members = self.board.find(MembersSection()).members
         for digest in digests.values():
             news = DemandNews(
                 digest.demand_number, digest.demand_tokens_per_s, digest.demand_heard
@@ -114,7 +113,7 @@
             self.others_writer.post(OthersWorkSection(others))
 
     def _peers_work(self) -> list[dict[str, UpstreamWork]]:
-        digests = read_or(self.board, PeersSection()).digests.values()
+        digests = self.board.find(PeersSection()).digests.values()
         return [digest.work for digest in digests]
 
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/cache_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/cache_controller.py
@@ -6,15 +6,15 @@
 from returns.result import Failure, Success
 
 from lagoonhinge_core.blackboard import Blackboard
-from lagoonhinge_core.config import ModelService
 from lagoonhinge_core.ports import EngineClient
 from lagoonhinge_core.prefix_index import PrefixIndex
-from lagoonhinge_core.sections import ConfigSection, NodeSection
 from lagoonhinge_core.upstream_errors import Gone
+from lagoonhinge_node.cell_upstreams import cell_engines
 from lagoonhinge_node.logs import PartLogger
 
 READ_INTERVAL_S = 2.0
 READ_TIMEOUT_S = 1.0
+MAX_READS_PER_POLL = 8
 POLLS_SKIPPED_WITHOUT_EVENTS = 30
 
 
@@ -27,6 +27,8 @@
         self.engines = engines
         self.prefixes = prefixes
         self.polls_to_skip: dict[str, int] = {}
+        self.polls = 0
+        self.read_at: dict[str, int] = {}
         self.log_part = PartLogger("cache")
 
     @Service.task
@@ -36,17 +38,15 @@
             await self.sleep(READ_INTERVAL_S)
 
     async def poll(self) -> None:
-        """Read the new events of every engine of this zone."""
-        config = self.board.read(ConfigSection).config
-        zone = self.board.read(NodeSection).zone
-        urls = {
-            name: upstream.url
-            for name, upstream in config.upstreams.items()
-            if upstream.zone == zone
-            and isinstance(config.services[upstream.service], ModelService)
-        }
-        self.prefixes.keep_only(set(urls))
-        await gather(*(self._read(name, url) for name, url in urls.items()))
+        """Read the new events of the cell's engines, a bounded number at a time."""
+        engines = cell_engines(self.board)
+        self.prefixes.keep_only(set(engines))
+        due = sorted(engines, key=lambda name: self.read_at.get(name, 0))
+        due = due[:MAX_READS_PER_POLL]
+        self.polls += 1
+        self.read_at = {name: self.read_at.get(name, 0) for name in engines}
+        self.read_at.update(dict.fromkeys(due, self.polls))
+        await gather(*(self._read(name, engines[name].url) for name in due))
 
     async def _read(self, name: str, url: str) -> None:
         skipped = self.polls_to_skip.get(name, 0)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/candidates.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/candidates.py
@@ -2,23 +2,22 @@
 
 from dataclasses import dataclass, field
 from operator import itemgetter
-from typing import TypeVar
 from weakref import WeakKeyDictionary
 
 from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.cells import owning_cell
 from lagoonhinge_core.config import UpstreamConfig, UpstreamMode
 from lagoonhinge_core.in_flight import NO_WORK, InFlightLedger, UpstreamWork
 from lagoonhinge_core.placement import Candidate
 from lagoonhinge_core.sections import (
     ConfigSection,
+    MembersSection,
     NodeSection,
     OthersWorkSection,
     UpstreamReport,
     UpstreamsSection,
 )
 
-SectionT = TypeVar("SectionT")
-
 
 @dataclass(frozen=True)
 class Sources:
@@ -28,6 +27,12 @@
     node: NodeSection
     upstreams: UpstreamsSection
     others: OthersWorkSection
+    members: MembersSection
+
+    def same_cell(self, other: "Sources") -> bool:
+        """Return whether this node's cell is numbered as it was."""
+        old, new = self.members, other.members
+        return (old.cell_number, old.cell_count) == (new.cell_number, new.cell_count)
 
     def same_as(self, other: "Sources") -> bool:
         """Return whether no section was posted anew."""
@@ -36,6 +41,7 @@
             and self.node is other.node
             and self.upstreams is other.upstreams
             and self.others is other.others
+            and self.same_cell(other)
         )
 
 
@@ -105,8 +111,9 @@
 ) -> tuple[Candidate, ...]:
     """Return the upstreams of a service in this zone that may receive new work.
 
-    They are in the order of their names, which all nodes share. Those that did not
-    answer the last time are left out while others did.
+    They are in the order of their names, which all nodes of the cell share. Those of
+    other cells, and those that did not answer the last time, are left out while there
+    are others.
     """
     known = _entries(board, service)
     if known.changes == ledger.changes:
@@ -126,19 +133,13 @@
     return _entries(board, service).capacity
 
 
-def read_or(board: Blackboard, default: SectionT) -> SectionT:
-    """Return a section, or the default while no controller writes it."""
-    section = board.sections.get(type(default), default)
-    assert isinstance(section, type(default))
-    return section
-
-
 def _entries(board: Blackboard, service: str) -> ServiceEntries:
     sources = Sources(
         board.read(ConfigSection),
         board.read(NodeSection),
         board.read(UpstreamsSection),
-        read_or(board, _NOTHING_FROM_OTHERS),
+        board.find(_NOTHING_FROM_OTHERS),
+        board.find(_ALONE),
     )
     by_service = _CACHE.setdefault(board, {})
     known = by_service.get(service)
@@ -192,8 +193,7 @@
             candidate = _candidate(name, upstream, NO_WORK, others)
             entry = Entry(name, upstream, others, NO_WORK, candidate)
         entries[name] = entry
-    reachable = {name: entries[name] for name in entries if name not in unreachable}
-    entries = reachable or entries
+    entries = _preferred(entries, unreachable, sources.members)
     known.sources = sources
     known.entries = entries
     known.changes = STALE
@@ -204,6 +204,19 @@
     )
 
 
+def _preferred(
+    entries: dict[str, Entry], unreachable: set[str], members: MembersSection
+) -> dict[str, Entry]:
+    """Return the cell's entries that answer, else the zone's, else all."""
+    reachable = {name: entries[name] for name in entries if name not in unreachable}
+    own = {
+        name: entry
+        for name, entry in reachable.items()
+        if owning_cell(name, members.cell_count) == members.cell_number
+    }
+    return own or reachable or entries
+
+
 def _candidate(
     name: str, upstream: UpstreamConfig, own: UpstreamWork, others: UpstreamWork
 ) -> Candidate:
@@ -220,3 +233,4 @@
 
 _NO_REPORT = UpstreamReport()
 _NOTHING_FROM_OTHERS = OthersWorkSection()
+_ALONE = MembersSection()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/reaper_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/reaper_controller.py
@@ -7,8 +7,7 @@
 from returns.result import Failure, Success
 
 from lagoonhinge_core.blackboard import Blackboard
-from lagoonhinge_core.cells import owning_cell
-from lagoonhinge_core.config import ModelService, UpstreamConfig
+from lagoonhinge_core.config import UpstreamConfig
 from lagoonhinge_core.engine_messages import Holding
 from lagoonhinge_core.in_flight import InFlightLedger
 from lagoonhinge_core.ports import Clock, EngineClient
@@ -20,12 +19,12 @@
     judge,
 )
 from lagoonhinge_core.sections import (
-    ConfigSection,
     MembersSection,
     NodeSection,
     ReaperFinding,
     ReaperSection,
 )
+from lagoonhinge_node.cell_upstreams import cell_engines
 from lagoonhinge_node.logs import PartLogger
 from lagoonhinge_node.releases import Release, Releaser
 
@@ -67,7 +66,7 @@
     async def sweep(self) -> None:
         """Look at the engines that are due and free what nobody uses."""
         node = self.board.read(NodeSection)
-        engines = self._engines(node.zone)
+        engines = cell_engines(self.board)
         self.schedule.forget_others(engines)
         due = self.schedule.take_due(
             self.clock.monotonic_s(), engines, node.node.vm, self._live_vms(node)
@@ -129,17 +128,6 @@
             is_in_flight=self.ledger.open_items.__contains__,
         )
 
-    def _engines(self, zone: str) -> dict[str, UpstreamConfig]:
-        config = self.board.read(ConfigSection).config
-        section = self.board.find(MembersSection())
-        return {
-            name: upstream
-            for name, upstream in config.upstreams.items()
-            if upstream.zone == zone
-            and owning_cell(name, section.cell_count) == section.cell_number
-            and isinstance(config.services[upstream.service], ModelService)
-        }
-
     def _live_vms(self, node: NodeSection) -> tuple[str, ...]:
         section = self.board.find(MembersSection())
         members = section.members
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/upstream_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/upstream_controller.py
@@ -7,8 +7,8 @@
 from returns.result import Failure, Success
 
 from lagoonhinge_core.blackboard import Blackboard
-from lagoonhinge_core.cells import owning_cell, owning_vms
-from lagoonhinge_core.config import ModelService, UpstreamConfig
+from lagoonhinge_core.cells import owning_vms
+from lagoonhinge_core.config import UpstreamConfig
 from lagoonhinge_core.leaving import LeavingMarks
 from lagoonhinge_core.peer_messages import PeerDigest
 from lagoonhinge_core.ports import Clock, EngineClient
@@ -21,6 +21,7 @@
     UpstreamsSection,
     VmsSection,
 )
+from lagoonhinge_node.cell_upstreams import cell_engines
 from lagoonhinge_node.logs import PartLogger
 
 REPORT_INTERVAL_S = 1.0
@@ -60,15 +61,10 @@
 
     def duties(self) -> Iterator[tuple[str, UpstreamConfig]]:
         """Return the engines that this node asks; a large cell shares them out."""
-        config = self.board.read(ConfigSection).config
         members = self.board.find(MembersSection())
         own = self.board.read(NodeSection).node.vm
         live = [vm for vm in members.cell if vm == own or members.members[vm].alive]
-        for name, upstream in self._of_zone().items():
-            if not isinstance(config.services[upstream.service], ModelService):
-                continue
-            if owning_cell(name, members.cell_count) != members.cell_number:
-                continue
+        for name, upstream in cell_engines(self.board).items():
             is_shared = len(live) > UNSHARED_CELL_NODES
             if not is_shared or own in owning_vms(name, live, POLLERS):
                 yield name, upstream
