--- a/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
@@ -1,25 +1,21 @@
 """The way of a model request: admit, place, attempt, rerun, finish or fail in time."""
 
-from asyncio import sleep, timeout
+from asyncio import timeout
 from collections.abc import Callable
-from itertools import count
 from random import Random
 
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.answer_text import AnswerDiffers
 from lagoonhinge_core.blackboard import Blackboard
-from lagoonhinge_core.config import LengthAware, ModelService, PlacementConfig
 from lagoonhinge_core.engine_messages import EngineCall
 from lagoonhinge_core.in_flight import InFlightLedger, WorkItem
-from lagoonhinge_core.outcome import ErrorCode, Outcome
 from lagoonhinge_core.outcome import Failure as RequestFailure
+from lagoonhinge_core.outcome import Outcome
 from lagoonhinge_core.placement import (
-    Candidate,
-    PlacementRequest,
     engine_priority,
 )
-from lagoonhinge_core.poison import Clear, Quarantined, Suspect
+from lagoonhinge_core.poison import Quarantined
 from lagoonhinge_core.ports import Clock, EngineClient
 from lagoonhinge_core.recovery import (
     AttemptEnded,
@@ -34,23 +30,19 @@
 )
 from lagoonhinge_core.request import ModelRequest
 from lagoonhinge_core.retry_budget import RetryBudget
-from lagoonhinge_core.sections import ConfigSection, NodeSection, UpstreamsSection
+from lagoonhinge_core.sections import ConfigSection, NodeSection
 from lagoonhinge_core.tokens import TokenEstimator
 from lagoonhinge_core.upstream_errors import Gone
 from lagoonhinge_node.admission import Admission
 from lagoonhinge_node.answer_relay import AnswerSink, Finished
+from lagoonhinge_node.attempt_placing import AttemptPlacing
 from lagoonhinge_node.attempts import EXPIRY_MARGIN_S, Attempt, AttemptRunner
-from lagoonhinge_node.candidates import find_candidates
 from lagoonhinge_node.group_attempts import GroupAttempts
 from lagoonhinge_node.group_path import GroupPath
 from lagoonhinge_node.poison_controller import PoisonController
 from lagoonhinge_node.releases import Releaser
 from lagoonhinge_node.request_state import RequestState
 
-NO_UPSTREAM_RETRY_AFTER_S = 2.0
-ISOLATION_WAIT_S = 15.0
-ISOLATION_POLL_S = 0.1
-
 
 class ModelPath:
     """Serves model requests with the parts that the node gives it."""
@@ -69,7 +61,6 @@
         self.board = board
         self.clock = clock
         self.admission = admission
-        self.ledger = ledger
         self.estimator = estimator
         random = Random(str(board.read(NodeSection).node))
         groups = GroupPath(board, engines, clock, random, ledger, releaser)
@@ -78,8 +69,7 @@
         self.poison = poison
         self.attempts = AttemptRunner(engines, clock, ledger, releaser)
         self.budget = RetryBudget()
-        self.placer = admission.placer
-        self.numbers = count(1)
+        self.placing = AttemptPlacing(board, clock, admission, ledger, poison)
         self.on_admitted: list[Callable[[float], None]] = []
         self.on_attempt: list[Callable[[int], None]] = []
 
@@ -153,77 +143,15 @@
             return await self.group_attempts.run(
                 request,
                 state,
-                self._next_name,
+                self.placing.next_name,
                 lambda attempt: self._run_attempt(request, attempt, state, sink),
             )
-        attempt = await self._next_attempt(request, state)
+        attempt = await self.placing.next_attempt(request, state)
         if isinstance(attempt, RequestFailure):
             return Failure(attempt)
         state.attempts += 1
         return await self._run_attempt(request, attempt, state, sink)
 
-    def _next_name(self) -> str:
-        node = self.board.read(NodeSection).node
-        return f"{node.vm}-{node.incarnation}-{next(self.numbers)}"
-
-    def _boot(self, upstream: str) -> str:
-        report = self.board.read(UpstreamsSection).reports.get(upstream)
-        return report.load.boot if report is not None and report.load else ""
-
-    async def _next_attempt(
-        self, request: ModelRequest, state: RequestState
-    ) -> Attempt | RequestFailure:
-        """Place the next attempt; a suspect waits until it may run apart."""
-        until_s = self.clock.monotonic_s() + ISOLATION_WAIT_S
-        while True:
-            if self._remaining_s(request) <= 0:
-                return deadline_failure(state.outcome)
-            standing = self.poison.standing(request)
-            if isinstance(standing, Quarantined):
-                return quarantined_failure(state.outcome, standing.remaining_s)
-            pause_s = ISOLATION_POLL_S
-            if isinstance(standing, Suspect):
-                pause_s = max(pause_s, self.poison.spread_s(standing))
-            if pause_s == ISOLATION_POLL_S:
-                attempt = self._place(request, state, isinstance(standing, Suspect))
-                if attempt is not None:
-                    return attempt
-                is_free = isinstance(standing, Clear) or not self.poison.suspects
-                if is_free or self.clock.monotonic_s() > until_s:
-                    return state.failure or _no_upstream(request)
-            await sleep(pause_s)
-
-    def _place(
-        self, request: ModelRequest, state: RequestState, is_suspect: bool
-    ) -> Attempt | None:
-        dead = self.poison.dead_upstreams()
-        apart = dead | self.poison.suspect_upstreams(request)
-        # One that answers but lost the attempt is better than none; so is, for a
-        # prompt that is no suspect, one on which a suspect runs.
-        choice = self._choose(request, state.tried | apart)
-        choice = choice or self._choose(request, state.unusable | apart)
-        if not is_suspect:
-            choice = choice or self._choose(request, state.unusable | dead)
-        if choice is None:
-            return None
-        config = self.board.read(ConfigSection).config.upstreams[choice.name]
-        boot = self._boot(choice.name)
-        return Attempt(self._next_name(), choice.name, config, boot=boot)
-
-    def _choose(
-        self, request: ModelRequest, excluded: frozenset[str]
-    ) -> Candidate | None:
-        candidates = find_candidates(self.board, self.ledger, request.service)
-        wanted = PlacementRequest(
-            request.estimate.prompt_tokens,
-            request.estimate.output_tokens,
-            excluded,
-            request.service,
-            self.admission.take_reserved(request.request_id),
-        )
-        policy = self._policy(request.service)
-        return self.placer.choose(policy, candidates, wanted)
-
     async def _run_attempt(
         self,
         request: ModelRequest,
@@ -236,7 +164,7 @@
             upstream=attempt.upstream,
             prompt_tokens=estimate.prompt_tokens,
             total_tokens=estimate.total(),
-            is_long=self._is_long(request),
+            is_long=self.placing.is_long(request),
         )
         call = self._call(request, attempt)
         for note in self.on_attempt:
@@ -283,7 +211,7 @@
             max_tokens=request.estimate.output_tokens,
             seed=request.seed,
             priority=engine_priority(
-                self._policy(request.service),
+                self.placing.policy(request.service),
                 request.estimate.prompt_tokens,
                 self.admission.waited_s(request.request_id),
             ),
@@ -300,26 +228,5 @@
             request.model, request.prompt_bytes, finished.usage.prompt_tokens
         )
 
-    def _policy(self, service: str) -> PlacementConfig:
-        config = self.board.read(ConfigSection).config.services[service]
-        assert isinstance(config, ModelService)
-        return config.placement
-
-    def _is_long(self, request: ModelRequest) -> bool:
-        match self._policy(request.service):
-            case LengthAware(long_from_tokens=limit):
-                return request.estimate.prompt_tokens >= limit
-            case _:
-                return False
-
     def _remaining_s(self, request: ModelRequest) -> float:
         return request.deadline_s - self.clock.monotonic_s()
-
-
-def _no_upstream(request: ModelRequest) -> RequestFailure:
-    return RequestFailure(
-        ErrorCode.NO_UPSTREAM,
-        Outcome.NOT_RUN,
-        f"no upstream of {request.service!r} may take new work",
-        NO_UPSTREAM_RETRY_AFTER_S,
-    )
