Logs: every line has a part, and mode no longer tells of each service

Cause: mode logs through the loggers of the services' own modules, which the level set on 'mode' does not reach; 21 lines at each start and stop had no part. Change: those loggers are at warning, and a library's line has its logger's name for a part in JSON. The scenario of features/security.feature failed first ('part': '-') and passes.

--- a/features/security.feature
+++ b/features/security.feature
@@ -35,4 +35,4 @@
   Scenario: Logs are one JSON object a line, with part and request id
     Given a node with its secrets
     When a request fails
-    Then a log line of part "caller" carries the request's id
+    Then a log line of part "caller" carries the request's id, and no line is without part
--- a/features/steps/security_steps.py
+++ b/features/steps/security_steps.py
@@ -106,12 +106,16 @@
     context.refusal = post_completion(context.secure_node, completion, body=body)
 
 
-@then('a log line of part "{part}" carries the request\'s id')
+@then(
+    'a log line of part "{part}" carries the request\'s id, and no line is without part'
+)
 def step_log_line(context, part):
     request_id = context.refusal.json()["error"]["request_id"]
     lines = context.secure_node.log.read_bytes().splitlines()
     entries = [json.decode(line) for line in lines if line]
     assert request_id not in ("", "-"), context.refusal
+    foreign = [entry for entry in entries if entry["part"] == "-"]
+    assert not foreign, foreign
     assert any(
         entry["part"] == part and entry["request_id"] == request_id for entry in entries
     ), entries
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
@@ -41,7 +41,8 @@
     def format(self, record: LogRecord) -> str:
         args = record.args if isinstance(record.args, tuple) else ()
         is_part = record.msg == "[%s] [%s] %s" and len(args) == 3
-        part, request_id, sentence = args if is_part else ("-", "-", None)
+        # A library's line has its logger's name for a part.
+        part, request_id, sentence = args if is_part else (record.name, "-", None)
         line = {
             "time_s": round(record.created, 3),
             "level": record.levelname.lower(),
@@ -66,5 +67,7 @@
     logging.set_stderrthreshold(logging.DEBUG)
     if as_json:
         logging.get_absl_handler().setFormatter(_JsonFormatter())
-    # mode logs each service's life at info under its own prefix.
-    getLogger("mode").setLevel("WARNING")
+    # mode logs each service's life at info, without the prefix of a part, under its
+    # own name and those of the services' modules.
+    for name in ("mode", "lagoonhinge_node"):
+        getLogger(name).setLevel("WARNING")
