One place for what headers ask for, and for asking all nodes

Cause: both kinds of request read bound and key in the same lines, state and nodes asked and complained in the same lines, and a checked completion was a bare tuple. Change: CallTerms, ReadCompletion, and a base for the two commands.

--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/node_commands.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/node_commands.py
@@ -1,6 +1,7 @@
 """The `lagoonctl state` and `lagoonctl nodes` commands."""
 
 from asyncio import run
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from cappa import command
@@ -38,12 +39,6 @@
     )
 
 
-def _stop_if_silent(report: FleetReport) -> None:
-    if report.silent:
-        lines = (f"{s.address}: did not answer: {s.reason}" for s in report.silent)
-        stop(ExitCode.NODE_SILENT, "\n".join(lines))
-
-
 def _node_row(state: NodeState) -> tuple[str, ...]:
     members = state.members.members.values()
     alive = sum(member.alive for member in members)
@@ -58,44 +53,52 @@
     )
 
 
-@command(name="state", epilog="Example: lagoonctl state --nodes HOST:PORT,HOST:PORT")
 @dataclass
-class State:
-    """Print the state dump of every node; names the nodes that did not answer."""
-
+class _FleetOptions:
     nodes: NodesArg
     operator_token: TokenArg
     tls_ca: CaArg
     json: JsonArg = False
 
-    def __call__(self) -> None:
-        """Run the command."""
-        report = run(_ask(check_access(self.nodes, self.operator_token, self.tls_ca)))
+    def report(self, print_report: Callable[[FleetReport], None]) -> None:
+        """Ask the nodes, print what they answered, and name the silent ones."""
+        access = check_access(self.nodes, self.operator_token, self.tls_ca)
+        report = run(_ask(access))
         if self.json:
             print_json(report)
         else:
-            for state in report.nodes:
-                print(f"=== {state.address}")
-                print_json(state.sections)
-        _stop_if_silent(report)
+            print_report(report)
+        if report.silent:
+            lines = (f"{s.address}: did not answer: {s.reason}" for s in report.silent)
+            stop(ExitCode.NODE_SILENT, "\n".join(lines))
+
+
+def _print_states(report: FleetReport) -> None:
+    for state in report.nodes:
+        print(f"=== {state.address}")
+        print_json(state.sections)
+
+
+def _print_nodes(report: FleetReport) -> None:
+    heads = ("address", "node", "site", "zone", "ready", "config", "peers")
+    print_table(heads, [_node_row(state) for state in report.nodes])
+
+
+@command(name="state", epilog="Example: lagoonctl state --nodes HOST:PORT,HOST:PORT")
+@dataclass
+class State(_FleetOptions):
+    """Print the state dump of every node; names the nodes that did not answer."""
+
+    def __call__(self) -> None:
+        """Run the command."""
+        self.report(_print_states)
 
 
 @command(name="nodes", epilog="Example: lagoonctl nodes --nodes HOST:PORT,HOST:PORT")
 @dataclass
-class Nodes:
+class Nodes(_FleetOptions):
     """Print one line for each node; names the nodes that did not answer."""
 
-    nodes: NodesArg
-    operator_token: TokenArg
-    tls_ca: CaArg
-    json: JsonArg = False
-
     def __call__(self) -> None:
         """Run the command."""
-        report = run(_ask(check_access(self.nodes, self.operator_token, self.tls_ca)))
-        if self.json:
-            print_json(report)
-        else:
-            heads = ("address", "node", "site", "zone", "ready", "config", "peers")
-            print_table(heads, [_node_row(state) for state in report.nodes])
-        _stop_if_silent(report)
+        self.report(_print_nodes)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_api.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_api.py
@@ -22,7 +22,11 @@
     send_last,
 )
 from lagoonhinge_node.caller_messages import ChatBody, CompletionBody
-from lagoonhinge_node.caller_requests import RequestReader, request_id_of
+from lagoonhinge_node.caller_requests import (
+    ReadCompletion,
+    RequestReader,
+    request_id_of,
+)
 from lagoonhinge_node.candidates import find_capacity
 from lagoonhinge_node.keyed_completions import ModelServer
 from lagoonhinge_node.logs import PartLogger
@@ -114,7 +118,7 @@
         match await self.reader.read_completion(request, kind):
             case Failure(failure):
                 return self._fail(failure, request_id_of(request))
-            case Success((checked, is_streamed)):
+            case Success(ReadCompletion(checked, is_streamed)):
                 answer_format = AnswerFormat(
                     checked.request_id, checked.model, kind is ChatBody
                 )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/caller_requests.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/caller_requests.py
@@ -1,6 +1,7 @@
 """Reading and checking of callers' requests."""
 
 from asyncio import timeout, to_thread
+from dataclasses import dataclass
 from uuid import uuid4
 
 from aiohttp import web
@@ -43,6 +44,27 @@
     return request[REQUEST_ID_KEY]
 
 
+@dataclass(frozen=True)
+class CallTerms:
+    """What a caller's headers ask for.
+
+    Attributes:
+        deadline_s: End of the time bound on the monotonic clock.
+        idempotency_key: The caller's key, if any.
+    """
+
+    deadline_s: float
+    idempotency_key: str | None
+
+
+@dataclass(frozen=True)
+class ReadCompletion:
+    """A checked completion, and whether its answer is to be streamed."""
+
+    request: ModelRequest
+    is_streamed: bool
+
+
 class RequestReader:
     """Turns HTTP requests into checked requests."""
 
@@ -53,7 +75,7 @@
 
     async def read_completion(
         self, request: web.Request, kind: type[CompletionBody] | type[ChatBody]
-    ) -> Result[tuple[ModelRequest, bool], RequestFailure]:
+    ) -> Result[ReadCompletion, RequestFailure]:
         """Return a model request and whether its answer is to be streamed."""
         match await self._read_body(request, kind):
             case Failure(failure):
@@ -76,16 +98,11 @@
             return Failure(
                 refusal(ErrorCode.NOT_FOUND, f"there is no plain service {name!r}")
             )
-        match _read_timeout_s(request, service.time_bound, 0):
+        match self._read_terms(request, service.time_bound, 0):
             case Failure(failure):
                 return Failure(failure)
-            case Success(timeout_s):
-                deadline_s = self.clock.monotonic_s() + timeout_s
-        match _read_key(request):
-            case Failure(failure):
-                return Failure(failure)
-            case Success(key):
-                pass
+            case Success(found):
+                terms: CallTerms = found
         body = await self._read_bytes(request)
         if isinstance(body, RequestFailure):
             return Failure(body)
@@ -103,8 +120,8 @@
                 service=name,
                 call=PlainCall(request.method, path, headers, body),
                 idempotent=request.method in service.idempotent_methods,
-                idempotency_key=key,
-                deadline_s=deadline_s,
+                idempotency_key=terms.idempotency_key,
+                deadline_s=terms.deadline_s,
             )
         )
 
@@ -143,7 +160,7 @@
 
     def _check_completion(
         self, request: web.Request, body: CompletionBody | ChatBody
-    ) -> Result[tuple[ModelRequest, bool], RequestFailure]:
+    ) -> Result[ReadCompletion, RequestFailure]:
         config = self._config()
         account = self._account(request, config)
         service_name = _service_of(config, body.model)
@@ -166,16 +183,12 @@
             return Failure(refusal(ErrorCode.PROMPT_TOO_LONG, message))
         service = config.services[service_name]
         assert isinstance(service, ModelService)
-        match _read_timeout_s(request, service.time_bound, estimate.total()):
-            case Failure(failure):
-                return Failure(failure)
-            case Success(timeout_s):
-                deadline_s = self.clock.monotonic_s() + timeout_s
-        match _read_key(request):
+        match self._read_terms(request, service.time_bound, estimate.total()):
             case Failure(failure):
                 return Failure(failure)
-            case Success(key):
-                digest = "" if key is None else digest_completion(request.path, body)
+            case Success(found):
+                terms: CallTerms = found
+        is_keyed = terms.idempotency_key is not None
         request_id = request_id_of(request)
         checked = ModelRequest(
             request_id=request_id,
@@ -187,12 +200,21 @@
             estimate=estimate,
             seed=int(request_id[:8], 16) if body.seed is None else body.seed,
             sampling=body.sampling(),
-            deadline_s=deadline_s,
+            deadline_s=terms.deadline_s,
             stall_timeout_s=service.stall_timeout_s,
-            idempotency_key=key,
-            call_digest=digest,
+            idempotency_key=terms.idempotency_key,
+            call_digest=digest_completion(request.path, body) if is_keyed else "",
+        )
+        return Success(ReadCompletion(checked, body.stream))
+
+    def _read_terms(
+        self, request: web.Request, bound: TimeBound, tokens: int
+    ) -> Result[CallTerms, RequestFailure]:
+        return _read_timeout_s(request, bound, tokens).bind(
+            lambda timeout_s: _read_key(request).map(
+                lambda key: CallTerms(self.clock.monotonic_s() + timeout_s, key)
+            )
         )
-        return Success((checked, body.stream))
 
     def _account(self, request: web.Request, config: Config) -> str | None:
         return find_account(config, request.headers.get("Authorization", ""))
