--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -77,6 +77,9 @@
       | 1 request of 500 tokens bound 0.1 s  | 0      | 1       |
       | 6 requests of 500 tokens bound 1 s   | 2      | 2       |
 
+  Scenario: The state dump shows what is in line, by service, lane and account
+    Then 4 requests of account a and 2 of account b in line are shown as such
+
   Scenario: A full queue sheds the account with the most in line
     Given a node before 2 upstreams of 1000 tokens per second and a queue of 6
     When account a fills the queue and account b then sends 2 requests
--- a/features/steps/fairness_steps.py
+++ b/features/steps/fairness_steps.py
@@ -23,6 +23,7 @@
 from lagoonhinge_core.outcome import Outcome
 from lagoonhinge_core.retry_budget import RetryBudget
 from lagoonhinge_core.sections import ConfigSection
+from lagoonhinge_node.admission_lanes import queue_depths
 
 WEIGHTS = {"a": 1.0, "b": 2.0, "c": 0.5}
 ITEM_TOKENS = 10
@@ -351,6 +352,29 @@
         assert failure.retry_after_s > 0, failure
 
 
+@then(
+    "{mine:d} requests of account a and {theirs:d} of account b in line "
+    "are shown as such"
+)
+def step_queue_shown(context, mine, theirs):
+    async def play():
+        node = AdmittingNode()
+        for account in ("a", "b"):
+            for _ in range(mine if account == "a" else theirs):
+                node.arrive(500, account=account)
+        await node.settle()
+        granted = len(node.tickets)
+        depths = queue_depths(node.admission.waiting.values())
+        shown = {depth.account: depth.requests for depth in depths}
+        assert shown == {"a": mine - granted, "b": theirs}, (shown, granted)
+        assert all(depth.tokens == 501 * depth.requests for depth in depths), depths
+        await node.end_all()
+        node.assert_empty()
+        assert queue_depths(node.admission.waiting.values()) == ()
+
+    run(play())
+
+
 @when("account a fills the queue and account b then sends 2 requests")
 def step_fill(context):
     async def play():
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/admission_lanes.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/admission_lanes.py
@@ -1,7 +1,8 @@
 """Requests in line: the lanes of each service and what one request needs."""
 
 from asyncio import Future
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
 
 from returns.result import Result
 
@@ -93,6 +94,37 @@
         self.lane.finish.note(after_prompt_s, max(1, self.wanted.output_tokens))
 
 
+@dataclass(frozen=True)
+class QueueDepth:
+    """Requests in line of one account in one lane, for the state dump.
+
+    Attributes:
+        service: Name of the service.
+        is_long: Whether the lane is that of long requests.
+        account: Name of the client account.
+        requests: How many are in line.
+        tokens: Their work, in tokens.
+    """
+
+    service: str
+    is_long: bool
+    account: str
+    requests: int
+    tokens: int
+
+
+def queue_depths(waiting: Iterable[Waiting]) -> tuple[QueueDepth, ...]:
+    """Return how much is in line, by service, lane and account."""
+    depths: dict[tuple[str, bool, str], QueueDepth] = {}
+    for entry in waiting:
+        request = entry.request
+        key = (request.service, entry.is_long, request.account)
+        old = depths.get(key, QueueDepth(*key, requests=0, tokens=0))
+        tokens = old.tokens + request.estimate.total()
+        depths[key] = replace(old, requests=old.requests + 1, tokens=tokens)
+    return tuple(depths[key] for key in sorted(depths))
+
+
 @dataclass
 class Admitted:
     """A request that holds a ticket.
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/serving_parts.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/serving_parts.py
@@ -6,6 +6,7 @@
 
 from lagoonhinge_node.admission import Admission
 from lagoonhinge_node.admission_controller import AdmissionController, peer_addresses
+from lagoonhinge_node.admission_lanes import queue_depths
 from lagoonhinge_node.cache_controller import CacheController
 from lagoonhinge_node.caller_api import CallerApi
 from lagoonhinge_node.caller_requests import RequestReader
@@ -77,7 +78,7 @@
         return {
             "InFlightWork": self.shared.ledger.snapshot(),
             "AdmittedRequests": len(self.admission.admitted),
-            "QueuedRequests": len(self.admission.waiting),
+            "QueuedRequests": queue_depths(self.admission.waiting.values()),
             "ClaimTasks": len(self.claimed.tasks),
             "PendingReleases": sorted(r.name for r in self.shared.releaser.pending),
         }
