--- a/packages/lagoonhinge-http/src/lagoonhinge_http/wire.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/wire.py
@@ -1,6 +1,6 @@
 """JSON on the wire: one place for encoding and decoding typed messages."""
 
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from msgspec import DecodeError, ValidationError, json
 
@@ -19,8 +19,3 @@
         return json.decode(raw, type=kind)
     except (ValidationError, DecodeError) as error:
         raise BadMessage(f"{kind.__name__}: {error}") from error
-
-
-def to_plain(value: Any) -> Any:
-    """Return a message as maps and lists, for the state dump."""
-    return json.decode(json.encode(value, enc_hook=str))
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/serving_parts.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/serving_parts.py
@@ -75,7 +75,9 @@
 
     def live_state(self) -> dict[str, Any]:
         """Return the counts that change with every request, for the state dump."""
+        budget = self.models.budget
         return {
+            "RetryAllowances": {name: budget.allowance(name) for name in budget.saved},
             "InFlightWork": self.shared.ledger.snapshot(),
             "AdmittedRequests": len(self.admission.admitted),
             "QueuedRequests": queue_depths(self.admission.waiting.values()),
