Features: a fleet whose start fails half way leaves no process behind

Cause: a shared fleet was remembered only once built, so a node that did not start left platform and engines running: 3 processes in a trial with a node that can't start, 0 after. Change: each fleet registers itself and after_all stops what is left. 52 scenarios of whole_path, attempts_processes, tls, security and lagoonctl pass.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,10 +1,12 @@
 """Hooks of behave: every scenario stops the processes that it started."""
 
+from features.support.fleet import stop_all_fleets
 from features.support.shared import stop_shared_fleets
 
 
 def after_all(context):
     stop_shared_fleets()
+    stop_all_fleets()
 
 
 def before_scenario(context, scenario):
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -115,7 +115,16 @@
         assert answer.status == 200, answer
 
 
-@dataclass
+STARTED: list["Fleet"] = []
+
+
+def stop_all_fleets() -> None:
+    """End every fleet, also those whose start failed half way."""
+    while STARTED:
+        STARTED[-1].stop()
+
+
+@dataclass(eq=False)
 class Fleet:
     """The processes of one scenario."""
 
@@ -127,6 +136,7 @@
     starting: list[str] = field(default_factory=list)
 
     def __post_init__(self):
+        STARTED.append(self)
         self.config_folder = None
         self.tls_ca = None
         self.folder = TemporaryDirectory(prefix="lagoonhinge-")
@@ -244,6 +254,8 @@
                 process.popen.send_signal(SIGCONT)
                 process.kill()
         self.folder.cleanup()
+        if self in STARTED:
+            STARTED.remove(self)
 
     def _start_stand_in(self, name: str, module: str, flags) -> Process:
         port = PORTS.take()
