A service's placement and a request's length class are told in one place

Cause: admission and the placing of attempts each read the placement, with its default, and each decided what is long. Change: placing asks admission. No behaviour changes; 184 scenarios of fairness, attempts, groups and whole_path pass, formatter, linter and types are clean.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -171,7 +171,7 @@
         lane.queue.push(item)
         lane.queue.heaviest_account()
         candidates = find_candidates(self.board, self.ledger, "s")
-        policy = self.admission._policy("s")
+        policy = self.admission.policy("s")
         self.admission.placer.choose(policy, candidates, waiting.wanted)
         lane.queue.pop()
         return thread_time_ns() - started
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/admission.py
@@ -163,7 +163,7 @@
             raise
 
     def _learn_rates(self, service: str, lanes: ServiceLanes, elapsed_s: float) -> None:
-        policy = self._policy(service)
+        policy = self.policy(service)
         candidates = find_candidates(self.board, self.ledger, service)
         count = len(candidates)
         nodes = self._nodes_in_zone()
@@ -188,7 +188,7 @@
     def _waiting(self, request: ModelRequest, capacity: Capacity) -> Waiting:
         estimate = request.estimate
         lanes = self._lanes(request.service)
-        long = self._is_long(request)
+        long = self.is_long(request)
         wanted = PlacementRequest(
             estimate.prompt_tokens,
             estimate.output_tokens,
@@ -233,7 +233,7 @@
         if late_by_s > 0:
             self._refuse(waiting, too_late(head.account, late_by_s))
             return True
-        choice = self.room.find(self._policy(service), waiting.wanted, now_s)
+        choice = self.room.find(self.policy(service), waiting.wanted, now_s)
         if choice is None and self.room.is_served(service):
             if not waiting.is_long:
                 self._dispatch_later()
@@ -323,12 +323,14 @@
         digests = self.board.find(PeersSection()).digests.values()
         return 1 + sum(digest.zone == zone for digest in digests)
 
-    def _is_long(self, request: ModelRequest) -> bool:
-        policy = self._policy(request.service)
+    def is_long(self, request: ModelRequest) -> bool:
+        """Return whether a request counts as long work."""
+        policy = self.policy(request.service)
         tokens = request.estimate.prompt_tokens
         return isinstance(policy, LengthAware) and is_long(policy, tokens)
 
-    def _policy(self, service: str) -> PlacementConfig:
+    def policy(self, service: str) -> PlacementConfig:
+        """Return a service's placement; a default once it left the configuration."""
         config = self._config().services.get(service)
         return config.placement if isinstance(config, ModelService) else LengthAware()
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/attempt_placing.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/attempt_placing.py
@@ -4,7 +4,6 @@
 from itertools import count
 
 from lagoonhinge_core.blackboard import Blackboard
-from lagoonhinge_core.config import LengthAware, ModelService, PlacementConfig
 from lagoonhinge_core.in_flight import InFlightLedger
 from lagoonhinge_core.outcome import ErrorCode, Outcome
 from lagoonhinge_core.outcome import Failure as RequestFailure
@@ -72,19 +71,6 @@
                     return state.failure or _no_upstream(request)
             await sleep(pause_s)
 
-    def policy(self, service: str) -> PlacementConfig:
-        """Return a service's placement; a default once it left the configuration."""
-        config = self.board.read(ConfigSection).config.services.get(service)
-        return config.placement if isinstance(config, ModelService) else LengthAware()
-
-    def is_long(self, request: ModelRequest) -> bool:
-        """Return whether a request counts as long work."""
-        match self.policy(request.service):
-            case LengthAware(long_from_tokens=limit):
-                return request.estimate.prompt_tokens >= limit
-            case _:
-                return False
-
     def _place(
         self, request: ModelRequest, state: RequestState, is_suspect: bool
     ) -> Attempt | None:
@@ -113,7 +99,7 @@
             request.service,
             self.admission.take_reserved(request.request_id),
         )
-        policy = self.policy(request.service)
+        policy = self.admission.policy(request.service)
         return self.placer.choose(policy, candidates, wanted)
 
     def _boot(self, upstream: str) -> str:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/model_path.py
@@ -164,7 +164,7 @@
             upstream=attempt.upstream,
             prompt_tokens=estimate.prompt_tokens,
             total_tokens=estimate.total(),
-            is_long=self.placing.is_long(request),
+            is_long=self.admission.is_long(request),
         )
         call = self._call(request, attempt)
         for note in self.on_attempt:
@@ -211,7 +211,7 @@
             max_tokens=request.estimate.output_tokens,
             seed=request.seed,
             priority=engine_priority(
-                self.placing.policy(request.service),
+                self.admission.policy(request.service),
                 request.estimate.prompt_tokens,
                 self.admission.waited_s(request.request_id),
             ),
