--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -31,9 +31,9 @@
 from features.support.waiting import eventually
 from lagoonhinge_core.config import Config, PlainService, TimeBound
 from lagoonhinge_core.stopping import longest_request_s
+from lagoonhinge_node.addresses import Address
 from lagoonhinge_node.listener import MAX_STOP_S, Listener, bind
 from lagoonhinge_node.node import Node
-from lagoonhinge_node.settings import Address
 from stand_ins.answers import whole_answer
 
 LAG_FLAG = "--balancer-lag-s=1.0"
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the forwarding path: routes, upstreams, placement, retries."""
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/routes.py
@@ -0,0 +1,118 @@
+"""Routes: which service a request goes to and what may be done with it."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import TypeAlias
+
+
+@dataclass(frozen=True)
+class Idempotent:
+    """The request may run more than once."""
+
+
+@dataclass(frozen=True)
+class AtMostOnce:
+    """The request may run once at most for each attempt of the client."""
+
+
+@dataclass(frozen=True)
+class EventStream:
+    """The answer is a stream of events.
+
+    Attributes:
+        resumable: Whether another upstream may go on after the last event.
+        pause_limit_s: Longest pause between events that is on time, in seconds.
+    """
+
+    resumable: bool
+    pause_limit_s: float
+
+
+RouteKind: TypeAlias = Idempotent | AtMostOnce | EventStream
+
+
+@dataclass(frozen=True)
+class WeightedService:
+    """A service that gets a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """One route of the configuration.
+
+    Attributes:
+        name: Name of the route.
+        host: Host in lower case, without a port.
+        prefix: Prefix of the path; begins and ends with a slash.
+        kind: What may be repeated.
+        services: Services with their weights; at least one.
+        timeout_s: Longest time to the end of the answer, in seconds.
+        target_s: Time to the answer, or to its first event, that is on time, in
+            seconds.
+        max_upstreams: Upstreams that one client attempt may run on.
+        priority: Rank; 0 is the highest.
+        public: Whether the route needs no key.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    services: tuple[WeightedService, ...]
+    timeout_s: float
+    target_s: float
+    max_upstreams: int = 1
+    priority: int = 0
+    public: bool = False
+
+    def may_repeat(self) -> bool:
+        """Return whether a request that may have run can be sent again."""
+        match self.kind:
+            case Idempotent() | EventStream(resumable=True):
+                return True
+            case AtMostOnce() | EventStream():
+                return False
+
+    def pick_service(self, point: float) -> str:
+        """Return the service at a point of the split.
+
+        Args:
+            point: Uniform random number from 0 up to 1.
+        """
+        left = point * sum(entry.weight for entry in self.services)
+        for entry in self.services:
+            left -= entry.weight
+            if left < 0:
+                return entry.service
+        return self.services[-1].service
+
+
+class RouteTable:
+    """Finds the route of a host with the longest prefix of a path."""
+
+    def __init__(self, routes: Iterable[Route] = ()):
+        self.by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self.by_host.setdefault(route.host, {})[route.prefix] = route
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Return the route of a request, or `None` if no route matches.
+
+        Args:
+            host: Value of the `Host` header.
+            target: Request target, undecoded, with its query if any.
+        """
+        routes = self.by_host.get(host.partition(":")[0].lower())
+        if routes is None:
+            return None
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/sends.py
@@ -0,0 +1,114 @@
+"""One send of a request to an upstream, its result, and what follows from it."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TypeAlias, assert_never
+
+from lagoonhinge_core.forwarding.routes import Route
+
+
+@dataclass(frozen=True)
+class NotDelivered:
+    """No byte of the request can have reached the upstream."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Declined:
+    """The upstream says that it did not run the request and never will.
+
+    Attributes:
+        status: Its status.
+        misdirected: Whether another upstream answers at the address.
+        culprit: Address of the upstream at fault if it was a helper; else empty.
+    """
+
+    status: int
+    misdirected: bool = False
+    culprit: str = ""
+
+
+@dataclass(frozen=True)
+class Lost:
+    """The request may have run, and its answer did not arrive whole.
+
+    Attributes:
+        reason: What went wrong.
+        timed_out: Whether the upstream was merely silent for too long.
+    """
+
+    reason: str
+    timed_out: bool = False
+
+
+@dataclass(frozen=True)
+class Failed:
+    """The upstream ran the request and answers with a failure.
+
+    Attributes:
+        status: Its status.
+    """
+
+    status: int
+
+
+SendFailure: TypeAlias = NotDelivered | Declined | Lost | Failed
+
+
+class Verdict(Enum):
+    """What follows from a failed send."""
+
+    SEND_AGAIN = "send_again"
+    PASS_ON = "pass_on"
+    REFUSE = "refuse"
+    FAIL = "fail"
+
+
+@dataclass(frozen=True)
+class RequestHistory:
+    """What a request has been through.
+
+    Attributes:
+        runs: Upstreams that may have run it.
+        declined: Sends that surely did not run.
+        may_repeat_send: Whether the retry bound allows one more send.
+        remaining_s: Time left, in seconds.
+    """
+
+    runs: int
+    declined: int
+    may_repeat_send: bool
+    remaining_s: float
+
+
+MAX_DECLINED = 4  # sends that did not run, before the client is told to come back
+LEAST_USEFUL_S = 0.05  # a send with less time left can't be answered
+
+
+def after_failure(
+    route: Route, history: RequestHistory, failure: SendFailure
+) -> Verdict:
+    """Decide how a request goes on after a send failed.
+
+    Args:
+        route: The request's route.
+        history: What the request has been through, this send included.
+        failure: The failure.
+    """
+    may_send = history.may_repeat_send and history.remaining_s > LEAST_USEFUL_S
+    match failure:
+        case NotDelivered() | Declined():
+            if may_send and history.declined <= MAX_DECLINED:
+                return Verdict.SEND_AGAIN
+            return Verdict.FAIL if history.runs else Verdict.REFUSE
+        case Lost():
+            if may_send and route.may_repeat() and history.runs < route.max_upstreams:
+                return Verdict.SEND_AGAIN
+            return Verdict.FAIL
+        case Failed():
+            if may_send and route.may_repeat() and history.runs < route.max_upstreams:
+                return Verdict.SEND_AGAIN
+            return Verdict.PASS_ON
+        case _:
+            assert_never(failure)
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/upstreams.py
@@ -0,0 +1,82 @@
+"""The upstreams that the platform lists, and which of them may take new work."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from hashlib import blake2b
+
+
+@dataclass(frozen=True)
+class Upstream:
+    """One run of an upstream.
+
+    Attributes:
+        instance: Identity of this run; requests name it, so that another upstream
+            at the same address refuses them.
+        service: Name of its service.
+        host: IP address.
+        port: TCP port.
+        zone: Availability zone.
+        slots: Requests that it serves at once.
+        leaving: Whether it must get no new work.
+        started_ms: Start, in milliseconds since the epoch; 0 if it does not say.
+    """
+
+    instance: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    leaving: bool = False
+    started_ms: int = 0
+
+    def address(self) -> str:
+        """Return `host:port`."""
+        return f"{self.host}:{self.port}"
+
+
+def shared_order(upstream: Upstream) -> bytes:
+    """Return a sort key that spreads upstreams evenly and is the same on all nodes."""
+    return blake2b(upstream.instance.encode(), digest_size=8).digest()
+
+
+class UpstreamDirectory:
+    """Upstreams by instance and by service."""
+
+    def __init__(self) -> None:
+        self.by_instance: dict[str, Upstream] = {}
+        self.by_service: dict[str, tuple[Upstream, ...]] = {}
+
+    def replace_all(self, upstreams: Iterable[Upstream]) -> None:
+        """Take a complete list."""
+        self.by_instance = {entry.instance: entry for entry in upstreams}
+        self._regroup()
+
+    def update(self, changed: Iterable[Upstream], removed: Iterable[str]) -> None:
+        """Take changes of single upstreams.
+
+        Args:
+            changed: New and changed upstreams.
+            removed: Instances that are no longer listed.
+        """
+        for instance in removed:
+            self.by_instance.pop(instance, None)
+        for entry in changed:
+            self.by_instance[entry.instance] = entry
+        self._regroup()
+
+    def usable(self, service: str) -> tuple[Upstream, ...]:
+        """Return the upstreams of a service that may take new work, in shared order."""
+        return self.by_service.get(service, ())
+
+    def is_usable(self, instance: str) -> bool:
+        """Return whether one upstream is listed and not leaving."""
+        entry = self.by_instance.get(instance)
+        return entry is not None and not entry.leaving
+
+    def _regroup(self) -> None:
+        groups: dict[str, list[Upstream]] = {}
+        for entry in sorted(self.by_instance.values(), key=shared_order):
+            if not entry.leaving:
+                groups.setdefault(entry.service, []).append(entry)
+        self.by_service = {name: tuple(group) for name, group in groups.items()}
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/addresses.py
@@ -0,0 +1,42 @@
+"""Addresses of listeners, and errors of settings that name them."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Address:
+    """Host and port of a listener."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return `host:port`."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True)
+class SettingError:
+    """One bad setting.
+
+    Attributes:
+        flag: The flag, with its environment variable.
+        value: The offending value; empty for secrets.
+        reason: What is wrong with it.
+    """
+
+    flag: str
+    value: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return the error as one line."""
+        return f"{self.flag}: {self.value!r} {self.reason}"
+
+
+def parse_address(raw: str) -> Address:
+    """Return `host:port` as an address; raises `ValueError` saying what is wrong."""
+    host, _, port = raw.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("is not HOST:PORT")
+    return Address(host, int(port))
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding path of a node: callers, upstreams, what is followed and exchanged."""
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/callers.py
@@ -0,0 +1,284 @@
+"""The callers' interface: reads a request, decides whether it may run, and answers."""
+
+from asyncio import sleep, timeout
+from collections.abc import Callable
+
+from aiohttp import web
+from multidict import CIMultiDict
+from returns.result import Failure, Result, Success
+
+from lagoonhinge_core.forwarding.freshness import Standing
+from lagoonhinge_core.forwarding.messages import (
+    AnswerHead,
+    CallerRequest,
+    HeaderCodec,
+    RawHeaders,
+)
+from lagoonhinge_core.forwarding.routes import Route
+from lagoonhinge_core.forwarding.site_config import SiteConfig
+from lagoonhinge_node.forwarding.request_run import Job, RequestRunner
+from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.state import SiteConfigSection
+from lagoonhinge_node.logs import PartLogger
+
+# Until a node that can't confirm its configuration may be able to again.
+STALE_RETRY_AFTER_S = 0.5
+# A node that was paused confirms its configuration within one call to the store.
+CONFIRM_WAIT_S = 0.3
+CONFIRM_CHECK_S = 0.02
+# Callers reuse connections for as long as the configuration lets them, which this must
+# outlast; the operator's limit is a few seconds to minutes.
+IDLE_LIMIT_S = 3600.0
+MAX_HEADERS = 256
+
+BAD_REQUEST = 400
+UNAUTHORIZED = 401
+NOT_FOUND = 404
+TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+UNAVAILABLE = 503
+
+
+class Refusal(Exception):
+    """A request that is answered by this system itself.
+
+    Args:
+        status: HTTP status.
+        reason: Why, for the log.
+        retry_after_s: When to come back, in seconds; `None` if that is of no use.
+    """
+
+    def __init__(self, status: int, reason: str, retry_after_s: float | None = None):
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class HttpSink:
+    """The caller's end of one request.
+
+    Args:
+        http: The request as received.
+        codec: Translation of headers.
+        request_id: Identity of the request.
+        closes: Whether the connection ends with the answer.
+    """
+
+    def __init__(
+        self,
+        http: web.BaseRequest,
+        codec: HeaderCodec,
+        request_id: str,
+        closes: Callable[[], bool],
+    ):
+        self.http = http
+        self.codec = codec
+        self.request_id = request_id
+        self.closes = closes
+        self.begun = False
+        self.response: web.StreamResponse | None = None
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Pass on the head of a stream."""
+        self.begun = True
+        response = web.StreamResponse(
+            status=head.status, reason=head.reason, headers=_headers(head.headers)
+        )
+        response.enable_chunked_encoding()
+        self.response = response
+        self._close_if_leaving(response)
+        await response.prepare(self.http)
+
+    async def write(self, data: bytes) -> None:
+        """Pass on bytes of a stream."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """End a stream as complete."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    async def reply(self, head: AnswerHead, body: bytes) -> None:
+        """Pass on a whole answer."""
+        response = web.Response(
+            status=head.status,
+            reason=head.reason,
+            headers=_headers(head.headers),
+            body=body,
+        )
+        await self._send(response)
+
+    async def refuse(self, status: int, retry_after_s: float | None) -> None:
+        """Answer for this system itself."""
+        headers = CIMultiDict(
+            self.codec.refusal_headers(self.request_id, retry_after_s)
+        )
+        await self._send(web.Response(status=status, headers=headers))
+
+    def break_off(self) -> None:
+        """Cut a stream so that it can't look complete."""
+        if self.http.transport is not None:
+            self.http.transport.abort()
+
+    async def _send(self, response: web.Response) -> None:
+        self.begun = True
+        self.response = response
+        self._close_if_leaving(response)
+        await response.prepare(self.http)
+        await response.write_eof()
+
+    def _close_if_leaving(self, response: web.StreamResponse) -> None:
+        if self.closes():
+            response.force_close()
+
+
+class CallerInterface:
+    """Handles callers' requests.
+
+    Args:
+        state: What all requests share.
+        codec: Translation of headers.
+        runner: Runs requests.
+    """
+
+    def __init__(self, state: ServingState, codec: HeaderCodec, runner: RequestRunner):
+        self.state = state
+        self.codec = codec
+        self.runner = runner
+        self.log_part = PartLogger("callers")
+
+    def server(self) -> web.Server:
+        """Return the server for the callers' listener."""
+        limit = 64 << 10  # of a line; the configured limit is checked by the handler
+        return web.Server(
+            self.handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE_LIMIT_S,
+            max_line_size=limit,
+            max_field_size=limit,
+            max_headers=MAX_HEADERS,
+        )
+
+    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        arrived_s = self.state.clock()
+        self.state.open_requests += 1
+        sink = HttpSink(http, self.codec, "", self._is_stopping)
+        try:
+            request = await self._read(http)
+            sink.request_id = request.request_id
+            job = await self._admit(request, arrived_s)
+            await self.runner.run(job, sink)
+        except Refusal as refusal:
+            self.log_part.info(
+                "Refused.",
+                sink.request_id or "-",
+                status=refusal.status,
+                reason=refusal.reason,
+                config_age_s=self.state.freshness.age_s(self.state.clock()),
+            )
+            await sink.refuse(refusal.status, refusal.retry_after_s)
+        except ConnectionError as error:
+            self.log_part.info(
+                "The caller left.", sink.request_id or "-", error=repr(error)
+            )
+            sink.break_off()
+        finally:
+            self.state.open_requests -= 1
+        assert sink.response is not None or sink.begun is False
+        return sink.response or web.Response(status=UNAVAILABLE)
+
+    async def _read(self, http: web.BaseRequest) -> CallerRequest:
+        config = self.state.board.read(SiteConfigSection).config
+        if config is None:
+            raise Refusal(UNAVAILABLE, "no configuration", STALE_RETRY_AFTER_S)
+        limits = config.limits
+        header_bytes = sum(len(n) + len(v) + 4 for n, v in http.raw_headers)
+        if header_bytes > limits.header_bytes:
+            raise Refusal(HEADERS_TOO_LARGE, f"{header_bytes} bytes of headers")
+        if http.headers.get("Expect", "").lower() == "100-continue":
+            assert http.transport is not None
+            http.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body = bytearray()
+        async for data in http.content.iter_any():
+            body += data
+            if len(body) > limits.body_bytes:
+                raise Refusal(TOO_LARGE, f"over {limits.body_bytes} bytes of body")
+        return self.codec.read_request(
+            http.method, http.raw_path, http.raw_headers, bytes(body)
+        )
+
+    async def _admit(self, request: CallerRequest, arrived_s: float) -> Job:
+        await self._confirm()
+        match self._standing():
+            case Standing.UNKNOWN | Standing.STALE:
+                raise Refusal(
+                    UNAVAILABLE, "the configuration is stale", STALE_RETRY_AFTER_S
+                )
+            case Standing.DOUBTFUL:
+                may_deny = False
+            case Standing.CURRENT:
+                may_deny = True
+        config = self.state.board.read(SiteConfigSection).config
+        assert config is not None
+        found = _find(config, request)
+        if isinstance(found, Failure):
+            status, reason = found.failure()
+            if not may_deny:
+                raise Refusal(UNAVAILABLE, f"{reason}, or too new", STALE_RETRY_AFTER_S)
+            raise Refusal(status, reason)
+        route, account = found.unwrap()
+        limit_s = route.timeout_s
+        if request.time_limit_s is not None:
+            limit_s = min(limit_s, request.time_limit_s)
+        return Job(
+            request,
+            route,
+            route.pick_service(self.state.random.random()),
+            account,
+            arrived_s + limit_s,
+            arrived_s,
+        )
+
+    async def _confirm(self) -> None:
+        """Wait a little while the configuration is stale, as after a pause."""
+        if self._standing() is not Standing.STALE:
+            return
+        try:
+            async with timeout(CONFIRM_WAIT_S):
+                while self._standing() is Standing.STALE:
+                    await sleep(CONFIRM_CHECK_S)
+        except TimeoutError:
+            return
+
+    def _standing(self) -> Standing:
+        return self.state.freshness.standing(self.state.clock())
+
+    def _is_stopping(self) -> bool:
+        return self.state.stopping_until_s is not None
+
+
+def _find(
+    config: SiteConfig, request: CallerRequest
+) -> Result[tuple[Route, str | None], tuple[int, str]]:
+    route = config.routes.find(request.host, request.target)
+    if route is None:
+        return Failure((NOT_FOUND, "no such route"))
+    if not request.request_id:
+        return Failure((BAD_REQUEST, "no identity of the attempt"))
+    account = config.accounts.get(request.key) if request.key is not None else None
+    if account is not None:
+        return Success((route, account.name))
+    if config.needs_key and not route.public:
+        return Failure((UNAUTHORIZED, "no known key"))
+    return Success((route, None))
+
+
+def _headers(headers: RawHeaders) -> CIMultiDict[str]:
+    return CIMultiDict(
+        (name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
+        for name, value in headers
+    )
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
@@ -0,0 +1,141 @@
+"""Choice of the upstream, and of helpers, for one send."""
+
+from dataclasses import dataclass
+
+from lagoonhinge_core.forwarding.engine_time import EngineProfile
+from lagoonhinge_core.forwarding.load_book import ReadingNews
+from lagoonhinge_core.forwarding.messages import CallerRequest
+from lagoonhinge_core.forwarding.plain_placement import ServerChoice, place_call
+from lagoonhinge_core.forwarding.prompt_placement import (
+    EngineChoice,
+    Placement,
+    Prompt,
+    place_prompt,
+)
+from lagoonhinge_core.forwarding.routes import Route
+from lagoonhinge_core.forwarding.upstreams import Upstream
+from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.state import SiteConfigSection
+
+
+@dataclass(frozen=True)
+class Choice:
+    """Where one send goes.
+
+    Attributes:
+        upstream: The upstream that answers.
+        helpers: Upstreams that read parts of the prompt.
+        part_s: Predicted time to read one part, in seconds.
+        waiting_s: Predicted time until the upstream begins on it, in seconds.
+        is_long: Whether its reading delays short answers noticeably.
+        tokens: Memory it takes, in tokens.
+    """
+
+    upstream: Upstream
+    helpers: tuple[Upstream, ...] = ()
+    part_s: float = 0.0
+    waiting_s: float = 0.0
+    is_long: bool = False
+    tokens: int = 0
+
+    def readings(self) -> list[ReadingNews]:
+        """Return the prompt processing that the send gives to upstreams."""
+        if not self.part_s:
+            return []
+        return [
+            ReadingNews(upstream.instance, self.part_s, self.is_long)
+            for upstream in (self.upstream, *self.helpers)
+        ]
+
+
+class Chooser:
+    """Chooses upstreams by predicted load.
+
+    Args:
+        state: Beliefs about upstreams.
+        zone: Availability zone of the node.
+    """
+
+    def __init__(self, state: ServingState, zone: str):
+        self.state = state
+        self.zone = zone
+
+    def choose(
+        self, request: CallerRequest, route: Route, service: str, tried: set[str]
+    ) -> Choice | None:
+        """Return where to send a request, or `None` if no upstream is left.
+
+        Args:
+            request: The request.
+            route: Its route.
+            service: The service that the split gave it.
+            tried: Instances that it was sent to.
+        """
+        usable = self.state.directory.usable(service)
+        left = tuple(entry for entry in usable if entry.instance not in tried)
+        profile = self._profile(service)
+        if profile is not None and request.size is not None:
+            return self._choose_engine(request, route, profile, left)
+        return self._choose_server(left)
+
+    def _profile(self, service: str) -> EngineProfile | None:
+        config = self.state.board.read(SiteConfigSection).config
+        entry = config.services.get(service) if config is not None else None
+        return entry.engine if entry is not None else None
+
+    def _choose_engine(
+        self,
+        request: CallerRequest,
+        route: Route,
+        profile: EngineProfile,
+        left: tuple[Upstream, ...],
+    ) -> Choice | None:
+        assert request.size is not None
+        now_s = self.state.clock()
+        load, health = self.state.load, self.state.health
+        engines = tuple(
+            EngineChoice(
+                entry.instance,
+                load.load(entry.instance, now_s),
+                health.is_suspect(entry.instance, now_s),
+            )
+            for entry in left
+        )
+        size = request.size
+        prompt = Prompt(size.prompt_tokens, size.answer_tokens, route.target_s)
+        placement = place_prompt(profile, engines, prompt)
+        if placement is None:
+            return None
+        return self._choice(placement, prompt, now_s)
+
+    def _choice(self, placement: Placement, prompt: Prompt, now_s: float) -> Choice:
+        known = self.state.directory.by_instance
+        readers = (placement.instance, *placement.helpers)
+        waiting_s = max(self.state.load.load(r, now_s).reading_s for r in readers)
+        return Choice(
+            known[placement.instance],
+            tuple(known[instance] for instance in placement.helpers),
+            placement.part_s,
+            waiting_s,
+            placement.is_long,
+            prompt.tokens + prompt.answer_tokens,
+        )
+
+    def _choose_server(self, left: tuple[Upstream, ...]) -> Choice | None:
+        state = self.state
+        state.turn += 1
+        now_s = state.clock()
+        choices = tuple(
+            ServerChoice(
+                entry.instance,
+                state.load.load(entry.instance, now_s).requests,
+                entry.slots,
+                entry.zone == self.zone,
+                state.health.is_suspect(entry.instance, now_s),
+            )
+            for entry in left
+        )
+        chosen = place_call(choices, state.turn)
+        if chosen is None:
+            return None
+        return Choice(state.directory.by_instance[chosen])
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
@@ -0,0 +1,169 @@
+"""The node that forwards requests: its parts, their start, and a graceful stop."""
+
+from asyncio import sleep
+from dataclasses import dataclass
+from random import Random
+from time import CLOCK_BOOTTIME, clock_gettime
+from typing import Any
+
+from aiohttp import ClientSession, web
+from mode import Service
+from mode.types import ServiceT
+
+from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.forwarding.freshness import Freshness, FreshnessLimits, Standing
+from lagoonhinge_core.forwarding.messages import HeaderCodec
+from lagoonhinge_core.forwarding.retry_window import RetryBound
+from lagoonhinge_core.forwarding.site_store import NodeEntry, SiteStore
+from lagoonhinge_node.addresses import Address
+from lagoonhinge_node.forwarding.callers import CallerInterface
+from lagoonhinge_node.forwarding.choosing import Chooser
+from lagoonhinge_node.forwarding.followers import (
+    ConfigFollower,
+    NodeFollower,
+    UpstreamFollower,
+)
+from lagoonhinge_node.forwarding.load_exchange import LoadExchange
+from lagoonhinge_node.forwarding.request_run import RequestRunner
+from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.upstream_client import (
+    UpstreamClient,
+    open_upstream_session,
+)
+from lagoonhinge_node.logs import PartLogger
+
+# Parts of the time within which a revoked key must be out of use.
+SERVE_SHARE = 0.9  # leaves a request on its way time to arrive
+DENY_SHARE = 0.52  # a little over the longest wait for a confirmation
+# Time in which the balancer notices that the node is not ready, in seconds: two checks
+# a second apart, and one for their answers.
+BALANCER_LAG_S = 3.0
+STOP_MARGIN_S = 0.6  # before the process is killed
+STOP_CHECK_S = 0.05
+READY, NOT_READY = 200, 503
+
+
+def suspend_aware_s() -> float:
+    """Return a time that never goes back and counts suspensions, in seconds."""
+    return clock_gettime(CLOCK_BOOTTIME)
+
+
+@dataclass(frozen=True)
+class EntrySettings:
+    """Settings of a forwarding node.
+
+    Attributes:
+        entry: What the node announces of itself.
+        callers: Listening address for callers.
+        readiness: Listening address for readiness checks.
+        readiness_path: Path of these checks.
+        metrics: Listening address for metrics and the state dump.
+        revoke_s: Time within which a revoked key must be out of use, in seconds.
+        grace_s: Time from the signal to stop until the process is killed, in seconds.
+        retries: Bound on repeated sends over all nodes.
+    """
+
+    entry: NodeEntry
+    callers: Address
+    readiness: Address
+    readiness_path: str
+    metrics: Address
+    revoke_s: float
+    grace_s: float
+    retries: RetryBound
+
+
+class EntryNode(Service):
+    """Root service of a forwarding node.
+
+    Args:
+        settings: Its settings.
+        codec: Translation of headers.
+        open_store: Builds the client of the platform's store.
+    """
+
+    def __init__(self, settings: EntrySettings, codec: HeaderCodec, open_store: Any):
+        super().__init__()
+        self.settings = settings
+        self.codec = codec
+        self.open_store = open_store
+        self.log_part = PartLogger("node")
+        self.runners: list[web.BaseRunner] = []
+        self.sessions: list[ClientSession] = []
+
+    def on_init_dependencies(self) -> list[ServiceT]:
+        """Build the parts; returns the services among them."""
+        settings = self.settings
+        limits = FreshnessLimits(
+            DENY_SHARE * settings.revoke_s, SERVE_SHARE * settings.revoke_s
+        )
+        self.serving = ServingState(
+            Blackboard(),
+            Freshness(limits),
+            settings.retries,
+            Random(),
+            suspend_aware_s,
+        )
+        store: SiteStore = self.open_store()
+        exchange = LoadExchange(self.serving, settings.entry)
+        return [
+            ConfigFollower(self.serving, store),
+            UpstreamFollower(self.serving, store),
+            exchange,
+            NodeFollower(self.serving, store, settings.entry, exchange.follow_nodes),
+        ]
+
+    async def on_started(self) -> None:
+        """Open the listeners."""
+        session = open_upstream_session()
+        self.sessions.append(session)
+        runner = RequestRunner(
+            self.serving,
+            Chooser(self.serving, self.settings.entry.zone),
+            UpstreamClient(session, self.codec),
+        )
+        self.callers = CallerInterface(self.serving, self.codec, runner).server()
+        await self._listen(self.callers, self.settings.callers)
+        checks = web.Server(self._answer_check, access_log=None)
+        await self._listen(checks, self.settings.readiness)
+        self.log_part.info("Started.", node=self.settings.entry.name)
+
+    async def on_stop(self) -> None:
+        """Let the balancer look away, then finish every running request."""
+        stop_s = self.serving.clock()
+        self.serving.stopping_until_s = stop_s + self.settings.grace_s - STOP_MARGIN_S
+        self.log_part.info("Stopping.", open=self.serving.open_requests)
+        await sleep(min(BALANCER_LAG_S, self.settings.grace_s / 2))
+        for connection in self.callers.connections:
+            connection.close()
+        while self.serving.open_requests and not self._is_out_of_grace():
+            await sleep(STOP_CHECK_S)
+        self.log_part.info("Stopped.", open=self.serving.open_requests)
+
+    async def on_shutdown(self) -> None:
+        """Close what is open."""
+        for runner in self.runners:
+            await runner.cleanup()
+        for session in self.sessions:
+            await session.close()
+
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        standing = self.serving.freshness.standing(self.serving.clock())
+        is_known = standing in (Standing.CURRENT, Standing.DOUBTFUL)
+        return is_known and self.serving.stopping_until_s is None
+
+    async def _answer_check(self, request: web.BaseRequest) -> web.StreamResponse:
+        is_check = request.path == self.settings.readiness_path
+        return web.Response(status=READY if is_check and self.is_ready() else NOT_READY)
+
+    async def _listen(self, server: web.Server, address: Address) -> None:
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await runner.setup()
+        self.runners.append(runner)
+        site = web.TCPSite(runner, address.host, address.port, backlog=1024)
+        await site.start()
+
+    def _is_out_of_grace(self) -> bool:
+        assert self.serving.stopping_until_s is not None
+        return self.serving.clock() >= self.serving.stopping_until_s
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
@@ -0,0 +1,282 @@
+"""Controllers that follow the platform's store and post what they learn."""
+
+from asyncio import sleep
+from collections.abc import Callable
+
+from mode import Service
+from returns.result import Failure, Success
+
+from lagoonhinge_core.forwarding.site_store import (
+    ConfigUpdate,
+    HistoryLost,
+    NodeEntry,
+    NodeUpdate,
+    SiteStore,
+    StoreFault,
+    UpstreamUpdate,
+)
+from lagoonhinge_core.forwarding.upstreams import Upstream
+from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.state import (
+    NodeListSection,
+    SiteConfigSection,
+    UpstreamListSection,
+)
+from lagoonhinge_node.logs import PartLogger
+
+FOLLOW_WAIT_S = 2.0  # well under the time within which a revoked key must be unused
+NODES_WAIT_S = 20.0  # nodes come and go seldom, and a late list only costs accuracy
+CHANGE_PAUSE_S = 0.15  # changes come in bursts; one call reads several
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 0.5  # a quarter of the time within which a change is in force
+RETRY_JITTER = 0.5
+# Entries that lapse while the store is away are back within about two seconds.
+LAPSE_GRACE_S = 1.8
+OUTAGE_S = 3.0  # without an answer, after which entries may have lapsed
+
+
+class Backoff:
+    """Pauses between calls to a store that does not answer.
+
+    Args:
+        state: For the random numbers.
+        part: Name of the log part.
+    """
+
+    def __init__(self, state: ServingState, part: str):
+        self.serving = state
+        self.log_part = PartLogger(part)
+        self.failures = 0
+
+    async def failed(self, fault: StoreFault) -> None:
+        """Wait before the next call."""
+        self.failures += 1
+        if self.failures == 1:
+            self.log_part.warning("Lost the store.", reason=fault.reason)
+        pause_s = min(LONGEST_RETRY_S, FIRST_RETRY_S * 2 ** (self.failures - 1))
+        await sleep(pause_s * (1 - RETRY_JITTER * self.serving.random.random()))
+
+    def answered(self) -> None:
+        """Count an answer."""
+        if self.failures:
+            self.log_part.info("The store answers again.", failures=self.failures)
+        self.failures = 0
+
+
+class ConfigFollower(Service):
+    """Keeps the newest configuration in force."""
+
+    def __init__(self, state: ServingState, store: SiteStore):
+        super().__init__()
+        self.serving = state
+        self.store = store
+        self.log_part = PartLogger("config")
+        self.writer = state.board.writer(SiteConfigSection(), "config follower")
+
+    @Service.task
+    async def follow(self) -> None:
+        """Read the configuration whenever it changes."""
+        backoff = Backoff(self.serving, "config")
+        after: int | None = None
+        while not self.should_stop:
+            asked_s = self.serving.clock()
+            match await self.store.read_config(after, FOLLOW_WAIT_S):
+                case Success(update):
+                    backoff.answered()
+                    self._take(update, self._confirmed_s(asked_s, after, update))
+                    if update.version != after:
+                        await sleep(CHANGE_PAUSE_S)
+                    after = update.version
+                case Failure(HistoryLost()):
+                    self.log_part.info("The history was lost; reading all.")
+                    after = None
+                case Failure(fault):
+                    await backoff.failed(fault)
+
+    def _confirmed_s(
+        self, asked_s: float, after: int | None, update: ConfigUpdate
+    ) -> float:
+        """Return the latest time of which the update surely tells."""
+        waited_s = asked_s + FOLLOW_WAIT_S
+        is_quiet = after is not None and update.config is None and not update.fault
+        # With nothing to tell, the store answered only after the whole wait.
+        if is_quiet and update.version == after and self.serving.clock() >= waited_s:
+            return waited_s
+        return asked_s
+
+    def _take(self, update: ConfigUpdate, confirmed_s: float) -> None:
+        section = self.serving.board.read(SiteConfigSection)
+        if update.fault:
+            self.log_part.error("Unusable configuration.", reason=update.fault)
+            self.writer.post(
+                SiteConfigSection(section.config, update.fault, section.adopted_s)
+            )
+            return
+        config, known = update.config, section.config
+        if config is not None and (known is None or config.version > known.version):
+            self.writer.post(SiteConfigSection(config, "", self.serving.clock()))
+            self.log_part.info(
+                "A configuration is in force.",
+                version=config.version,
+                accounts=len(config.accounts),
+            )
+        if not self.serving.board.read(SiteConfigSection).fault:
+            self.serving.freshness.confirm(confirmed_s)
+
+
+class UpstreamFollower(Service):
+    """Keeps the list of upstreams."""
+
+    def __init__(self, state: ServingState, store: SiteStore):
+        super().__init__()
+        self.serving = state
+        self.store = store
+        self.log_part = PartLogger("upstreams")
+        self.writer = state.board.writer(UpstreamListSection(), "upstream follower")
+        self.heard_s = float("-inf")
+        self.lapse_until_s = float("-inf")
+        # Removed while the store may have been away, by the time they are gone.
+        self.lapsed: dict[str, float] = {}
+
+    @Service.task
+    async def follow(self) -> None:
+        """Read the list whenever it changes."""
+        backoff = Backoff(self.serving, "upstreams")
+        after: int | None = None
+        while not self.should_stop:
+            match await self.store.read_upstreams(after, FOLLOW_WAIT_S):
+                case Success(update):
+                    backoff.answered()
+                    self._note_outage()
+                    self._take(update, after is None)
+                    if update.version != after:
+                        await sleep(CHANGE_PAUSE_S)
+                    after = update.version
+                case Failure(HistoryLost()):
+                    self.log_part.info("The history was lost; reading all.")
+                    after = None
+                case Failure(fault):
+                    await backoff.failed(fault)
+
+    @Service.timer(0.2)
+    async def drop_lapsed(self) -> None:
+        """Drop upstreams that did not come back after the store did."""
+        now_s = self.serving.clock()
+        gone = [name for name, until_s in self.lapsed.items() if until_s <= now_s]
+        for instance in gone:
+            del self.lapsed[instance]
+            self.log_part.info("An upstream did not come back.", upstream=instance)
+        if gone:
+            self.serving.directory.update((), gone)
+            self._post(self.serving.board.read(UpstreamListSection).version)
+
+    def _note_outage(self) -> None:
+        now_s = self.serving.clock()
+        if self.heard_s > float("-inf") and now_s - self.heard_s > OUTAGE_S:
+            self.lapse_until_s = now_s + LAPSE_GRACE_S
+        self.heard_s = now_s
+
+    def _take(self, update: UpstreamUpdate, is_complete: bool) -> None:
+        known = self.serving.directory.by_instance
+        removed = set(update.removed)
+        if is_complete:
+            listed = {entry.instance for entry in update.changed}
+            removed |= {name for name in known if name not in listed}
+        removed &= set(known)
+        for entry in update.changed:
+            self.lapsed.pop(entry.instance, None)
+            self._log_change(known.get(entry.instance), entry)
+        now_s = self.serving.clock()
+        if now_s < self.lapse_until_s:
+            for instance in removed:
+                self.lapsed.setdefault(instance, self.lapse_until_s)
+            removed = set()
+        for instance in removed:
+            self.log_part.info("An upstream is gone.", upstream=instance)
+        self.serving.directory.update(update.changed, removed)
+        self._post(update.version)
+
+    def _log_change(self, old: Upstream | None, new: Upstream) -> None:
+        if old is None:
+            self.log_part.info(
+                "An upstream is listed.",
+                upstream=new.instance,
+                address=new.address(),
+                leaving=new.leaving,
+            )
+        elif new.leaving and not old.leaving:
+            self.log_part.info("An upstream is leaving.", upstream=new.instance)
+
+    def _post(self, version: int) -> None:
+        listed = self.serving.directory.by_instance
+        self.writer.post(UpstreamListSection(dict(listed), version))
+        self.serving.load.forget_all_but(listed)
+        self.serving.health.forget_all_but(frozenset(listed))
+
+
+class NodeFollower(Service):
+    """Announces this node and keeps the list of the others.
+
+    Args:
+        state: What all requests share.
+        store: The platform's store.
+        own: This node's entry.
+        on_listed: Called with the other nodes whenever they change.
+    """
+
+    def __init__(
+        self,
+        state: ServingState,
+        store: SiteStore,
+        own: NodeEntry,
+        on_listed: Callable[[list[NodeEntry]], None],
+    ):
+        super().__init__()
+        self.serving = state
+        self.store = store
+        self.own = own
+        self.on_listed = on_listed
+        self.log_part = PartLogger("nodes")
+        self.writer = state.board.writer(NodeListSection(), "node follower")
+
+    @Service.task
+    async def announce(self) -> None:
+        """Write this node's entry until the store has it."""
+        backoff = Backoff(self.serving, "nodes")
+        while not self.should_stop:
+            match await self.store.announce(self.own):
+                case Success(_):
+                    backoff.answered()
+                    return
+                case Failure(fault):
+                    await backoff.failed(fault)
+
+    @Service.task
+    async def follow(self) -> None:
+        """Read the list whenever it changes."""
+        backoff = Backoff(self.serving, "nodes")
+        after: int | None = None
+        while not self.should_stop:
+            match await self.store.read_nodes(after, NODES_WAIT_S):
+                case Success(update):
+                    backoff.answered()
+                    self._take(update, after is None)
+                    if update.version != after:
+                        await sleep(CHANGE_PAUSE_S)
+                    after = update.version
+                case Failure(HistoryLost()):
+                    after = None
+                case Failure(fault):
+                    await backoff.failed(fault)
+
+    def _take(self, update: NodeUpdate, is_complete: bool) -> None:
+        nodes = (
+            {} if is_complete else dict(self.serving.board.read(NodeListSection).nodes)
+        )
+        for name in update.removed:
+            nodes.pop(name, None)
+        for entry in update.changed:
+            nodes[entry.name] = entry
+        self.writer.post(NodeListSection(nodes))
+        self.serving.known_nodes = max(1, len(nodes))
+        self.on_listed([n for n in nodes.values() if n.name != self.own.name])
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -0,0 +1,87 @@
+"""Exchange of load between nodes, by small datagrams that may be lost."""
+
+from asyncio import DatagramProtocol, DatagramTransport, get_running_loop
+from typing import Any
+
+from mode import Service
+
+from lagoonhinge_core.forwarding.load_book import LoadNews
+from lagoonhinge_core.forwarding.site_store import NodeEntry
+from lagoonhinge_http.wire import BadMessage, decode, encode
+from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.logs import PartLogger
+
+TELL_INTERVAL_S = 0.05  # about the duration of an engine's pass
+QUIET_INTERVAL_S = 1.0  # a third of the time after which a silent peer is forgotten
+MAX_READINGS = 100  # of one message, which so stays within a datagram
+
+
+class LoadExchange(Service):
+    """Tells the other nodes of this node's sends, and hears of theirs.
+
+    Args:
+        state: What all requests share.
+        own: This node's entry.
+    """
+
+    def __init__(self, state: ServingState, own: NodeEntry):
+        super().__init__()
+        self.serving = state
+        self.own = own
+        self.peers: list[tuple[str, int]] = []
+        self.transport: DatagramTransport | None = None
+        self.told_s = 0.0
+        self.told_open: dict[str, Any] = {}
+        self.log_part = PartLogger("peers")
+
+    def follow_nodes(self, nodes: list[NodeEntry]) -> None:
+        """Take the list of the other nodes."""
+        self.peers = [(node.host, node.port) for node in nodes]
+
+    async def on_start(self) -> None:
+        """Open the socket."""
+        self.transport, _ = await get_running_loop().create_datagram_endpoint(
+            lambda: _Receiver(self), local_addr=(self.own.host, self.own.port)
+        )
+
+    async def on_stop(self) -> None:
+        """Close the socket."""
+        if self.transport is not None:
+            self.transport.close()
+
+    @Service.timer(TELL_INTERVAL_S)
+    async def tell(self) -> None:
+        """Send what has changed."""
+        load, now_s = self.serving.load, self.serving.clock()
+        is_quiet = not load.untold and load.own == self.told_open
+        if is_quiet and now_s - self.told_s < QUIET_INTERVAL_S:
+            return
+        news = load.news(self.own.name)
+        self.told_s, self.told_open = now_s, dict(load.own)
+        message = encode(
+            LoadNews(news.node, news.readings[-MAX_READINGS:], news.open_work)
+        )
+        if self.transport is not None:
+            for peer in self.peers:
+                self.transport.sendto(message, peer)
+
+    def hear(self, data: bytes) -> None:
+        """Take a datagram."""
+        try:
+            news = decode(data, LoadNews)
+        except BadMessage as error:
+            self.log_part.warning("Unreadable news.", reason=str(error))
+            return
+        self.serving.load.hear(news, self.serving.clock())
+
+
+class _Receiver(DatagramProtocol):
+    def __init__(self, exchange: LoadExchange):
+        self.exchange = exchange
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        self.exchange.hear(data)
+
+    def error_received(self, exc: Exception) -> None:
+        # A peer that is down refuses datagrams; its silence says the same.
+        return
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -0,0 +1,58 @@
+"""What all requests of a node share: beliefs about upstreams, budgets, clock."""
+
+from collections.abc import Callable
+from random import Random
+
+from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.forwarding.freshness import Freshness
+from lagoonhinge_core.forwarding.health import HealthBook
+from lagoonhinge_core.forwarding.load_book import LoadBook
+from lagoonhinge_core.forwarding.retry_window import RetryBound, RetryWindow
+from lagoonhinge_core.forwarding.upstreams import UpstreamDirectory
+
+
+class ServingState:
+    """Beliefs and counts of one node.
+
+    Args:
+        board: The blackboard.
+        freshness: How far the configuration can be relied on.
+        retries: Bound on repeated sends.
+        random: Generator of the node's random numbers.
+        clock: Returns the time, in seconds; goes on while the VM is suspended.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        freshness: Freshness,
+        retries: RetryBound,
+        random: Random,
+        clock: Callable[[], float],
+    ):
+        self.board = board
+        self.freshness = freshness
+        self.retry_bound = retries
+        self.random = random
+        self.clock = clock
+        self.directory = UpstreamDirectory()
+        self.load = LoadBook()
+        self.health = HealthBook()
+        self.retry_windows: dict[str, RetryWindow] = {}
+        self.known_nodes = 1
+        self.turn = 0
+        self.open_requests = 0
+        self.stopping_until_s: float | None = None
+
+    def retry_window(self, service: str) -> RetryWindow:
+        """Return the window of a service's repeated sends."""
+        window = self.retry_windows.get(service)
+        if window is None:
+            window = self.retry_windows[service] = RetryWindow(self.retry_bound)
+        return window
+
+    def allows_repeat(self, service: str) -> bool:
+        """Return whether one more repeated send to a service is allowed."""
+        # Unheard nodes count too, so that lost contact never raises the part.
+        nodes = max(self.known_nodes, self.load.nodes_heard(self.clock()))
+        return self.retry_window(service).allows_repeat(self.clock(), nodes)
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -0,0 +1,168 @@
+"""Sends of requests to upstreams; each one over a connection of its own.
+
+A kept connection may have been dropped by the upstream, or may hold the late bytes of
+an earlier answer. Neither can be told from outside, and either would make the outcome
+of a request unknown that must not be repeated.
+"""
+
+from asyncio import get_running_loop
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientPayloadError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+)
+from aiohttp.client_proto import ResponseHandler
+from multidict import CIMultiDict
+from returns.result import Failure, Result, Success
+from yarl import URL
+
+from lagoonhinge_core.forwarding.messages import (
+    AnswerHead,
+    CallerRequest,
+    HeaderCodec,
+    SendOptions,
+)
+from lagoonhinge_core.forwarding.sends import (
+    Declined,
+    Lost,
+    NotDelivered,
+    SendFailure,
+)
+from lagoonhinge_core.forwarding.upstreams import Upstream
+from lagoonhinge_http.session import ConnectionLost, open_session
+
+CONNECT_LIMIT_S = 0.4  # a hundred round trips between availability zones
+MAX_ANSWER_BYTES = 8 << 20  # twice the largest body that callers may send
+AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+MISDIRECTED = 421
+# Statuses that promise that the request did not run.
+REFUSING_STATUSES = (408, 421, 429, 503)
+
+
+class _ResetAwareHandler(ResponseHandler):
+    """Tells an answer that was reset from one that ends with its connection."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f"reset by the upstream: {exc}"))
+        super().connection_lost(exc)
+
+
+def open_upstream_session() -> ClientSession:
+    """Return a session whose connections serve one request each."""
+    session = open_session(reuse=False)
+    connector = session.connector
+    assert connector is not None
+    factory: Any = partial(_ResetAwareHandler, loop=get_running_loop())
+    connector._factory = factory
+    return session
+
+
+@dataclass
+class UpstreamAnswer:
+    """An answer whose head has arrived.
+
+    Attributes:
+        head: Status and headers.
+        response: Source of the body.
+    """
+
+    head: AnswerHead
+    response: ClientResponse
+
+    async def next_data(self) -> Result[bytes, Lost]:
+        """Return the next bytes of the body; none at its end."""
+        try:
+            return Success(await self.response.content.readany())
+        except (ConnectionLost, ClientError, OSError) as error:
+            return Failure(Lost(repr(error)))
+
+    async def whole_body(self) -> Result[bytes, Lost]:
+        """Return the whole body."""
+        body = bytearray()
+        while True:
+            match await self.next_data():
+                case Success(b""):
+                    return Success(bytes(body))
+                case Success(data):
+                    body += data
+                    if len(body) > MAX_ANSWER_BYTES:
+                        return Failure(Lost(f"over {MAX_ANSWER_BYTES} bytes"))
+                case Failure(lost):
+                    return Failure(lost)
+
+    def close(self) -> None:
+        """Drop the connection, which ends the upstream's work."""
+        self.response.close()
+
+
+class UpstreamClient:
+    """Sends requests to upstreams.
+
+    Args:
+        session: Session from `open_upstream_session`.
+        codec: Translation of headers.
+    """
+
+    def __init__(self, session: ClientSession, codec: HeaderCodec):
+        self.session = session
+        self.codec = codec
+
+    async def send(
+        self, upstream: Upstream, request: CallerRequest, options: SendOptions
+    ) -> Result[UpstreamAnswer, SendFailure]:
+        """Send a request once and return its answer when the head has arrived.
+
+        The answer is checked to be of this request and vouched for; any answer whose
+        status promises that the request did not run is believed only if the upstream
+        says so in its own way.
+        """
+        # The target must reach the upstream as it came; nothing may be encoded again.
+        url = URL(f"http://{upstream.address()}{request.target}", encoded=True)
+        try:
+            response = await self.session.request(
+                request.method,
+                url,
+                headers=CIMultiDict(self.codec.request_headers(request, options)),
+                skip_auto_headers=AUTOMATIC_HEADERS,
+                data=request.body or None,
+                allow_redirects=False,
+                timeout=ClientTimeout(total=None, sock_connect=CONNECT_LIMIT_S),
+            )
+        except (ClientConnectorError, ConnectionTimeoutError) as error:
+            return Failure(NotDelivered(repr(error)))
+        except (ConnectionLost, ClientError, OSError) as error:
+            return Failure(Lost(repr(error)))
+        head = self.codec.read_answer(
+            response.status, response.reason or "", response.raw_headers
+        )
+        failure = _fault_of(head, request)
+        if failure is not None:
+            response.close()
+            return Failure(failure)
+        return Success(UpstreamAnswer(head, response))
+
+
+def _fault_of(head: AnswerHead, request: CallerRequest) -> SendFailure | None:
+    if head.request_id not in (None, request.request_id):
+        return Lost("the answer is of another request")
+    if head.status == MISDIRECTED:
+        return Declined(head.status, True, head.culprit)
+    if head.not_run:
+        return Declined(head.status, False, head.culprit)
+    if head.encoded:
+        return Lost("the answer is encoded")
+    if not head.stamped:
+        return Lost(f"an answer without a stamp, status {head.status}")
+    if head.status in REFUSING_STATUSES:
+        return Lost(f"status {head.status} from an upstream that may have run it")
+    return None
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/listener.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/listener.py
@@ -8,7 +8,7 @@
 from aiohttp import hdrs, web
 from returns.result import Failure, Result, Success
 
-from lagoonhinge_node.settings import Address
+from lagoonhinge_node.addresses import Address
 
 BACKLOG = 1024
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/settings.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/settings.py
@@ -8,38 +8,9 @@
 from cappa import Arg, Env, command
 from returns.result import Failure, Result, Success
 
-ENV_PREFIX = "LAGOONHINGE_"
-
-
-@dataclass(frozen=True)
-class Address:
-    """Host and port of a listener."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return `host:port`."""
-        return f"{self.host}:{self.port}"
-
+from lagoonhinge_node.addresses import Address, SettingError, parse_address
 
-@dataclass(frozen=True)
-class SettingError:
-    """One bad setting.
-
-    Attributes:
-        flag: The flag, with its environment variable.
-        value: The offending value; empty for secrets.
-        reason: What is wrong with it.
-    """
-
-    flag: str
-    value: str
-    reason: str
-
-    def __str__(self) -> str:
-        """Return the error as one line."""
-        return f"{self.flag}: {self.value!r} {self.reason}"
+ENV_PREFIX = "LAGOONHINGE_"
 
 
 @dataclass(frozen=True)
@@ -97,14 +68,6 @@
 MIN_SECRET_CHARACTERS = 16
 
 
-def parse_address(raw: str) -> Address:
-    """Return `host:port` as an address; raises `ValueError` saying what is wrong."""
-    host, _, port = raw.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError("is not HOST:PORT")
-    return Address(host, int(port))
-
-
 def _parse_addresses(raw: str) -> tuple[Address, ...]:
     return tuple(parse_address(part.strip()) for part in raw.split(",") if part.strip())
 
