--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/health.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/health.py
@@ -1,11 +1,14 @@
 """Which upstreams to avoid, judged by the outcomes of sends to them."""
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
 
-FIRST_REST_S = 1.0  # about the time in which a restarted upstream is listed again
-LONGEST_REST_S = 8.0
+FIRST_REST_S = 0.5  # about what a connection that was reset needs to be possible again
+LONGEST_REST_S = 4.0
 FAILURE_WEIGHT = 0.25  # of the newest outcome in the share of failed ones
 SUSPECT_SHARE = 0.45  # services fail some calls of their own; more is a fault
+# If more of a service than this seems bad, the fault is overload or this node's own.
+MOST_SUSPECT_SHARE = 0.5
 
 
 @dataclass(frozen=True)
@@ -14,13 +17,15 @@
 
     Attributes:
         failed_share: Share of failed sends, the newest weighing most.
-        losses: Sends in a row that got no answer.
+        losses: Sends in a row that could not be delivered or broke off.
         rest_until_s: Until when it is avoided, in seconds.
+        unreachable: Whether the last connection to it could not be opened.
     """
 
     failed_share: float = 0.0
     losses: int = 0
     rest_until_s: float = 0.0
+    unreachable: bool = False
 
 
 CLEAN = Record()
@@ -32,10 +37,27 @@
     def __init__(self) -> None:
         self.records: dict[str, Record] = {}
 
-    def is_suspect(self, instance: str, now_s: float) -> bool:
-        """Return whether an upstream should be avoided if another one will do."""
-        record = self.records.get(instance)
-        return record is not None and now_s < record.rest_until_s
+    def suspects(self, instances: Iterable[str], now_s: float) -> frozenset[str]:
+        """Return which of a service's upstreams to avoid.
+
+        Args:
+            instances: The service's upstreams.
+            now_s: The time, in seconds.
+        """
+        asked = tuple(instances)
+        unreachable = frozenset(
+            name for name in asked if self.records.get(name, CLEAN).unreachable
+        )
+        found = frozenset(
+            name for name in asked if now_s < self.records.get(name, CLEAN).rest_until_s
+        )
+        if len(found) > MOST_SUSPECT_SHARE * len(asked):
+            return unreachable
+        return found | unreachable
+
+    def unreachable(self) -> tuple[str, ...]:
+        """Return the upstreams whose last connection could not be opened."""
+        return tuple(name for name, entry in self.records.items() if entry.unreachable)
 
     def answered(self, instance: str, failed: bool, now_s: float) -> None:
         """Count an answer of the upstream itself.
@@ -46,24 +68,56 @@
             now_s: The time, in seconds.
         """
         record = self.records.get(instance, CLEAN)
-        share = record.failed_share + FAILURE_WEIGHT * (failed - record.failed_share)
+        share = _blend(record.failed_share, failed)
         if not failed and share < FAILURE_WEIGHT / 2:
             self.records.pop(instance, None)
             return
-        until_s = record.rest_until_s
-        if failed and share > SUSPECT_SHARE:
-            until_s = now_s + FIRST_REST_S
-        self.records[instance] = Record(share, 0, until_s if failed else 0.0)
+        rest_until_s = now_s + FIRST_REST_S if failed and share > SUSPECT_SHARE else 0.0
+        self.records[instance] = Record(share, 0, rest_until_s)
 
-    def lost(self, instance: str, now_s: float) -> None:
-        """Count a send that got no answer, or not its own."""
+    def silent(self, instance: str, now_s: float) -> None:
+        """Count a send that was given up because the upstream was silent.
+
+        One silence may be a long queue there, so only several of them count.
+        """
         record = self.records.get(instance, CLEAN)
-        losses = record.losses + 1
-        rest_s = min(LONGEST_REST_S, FIRST_REST_S * 2 ** (losses - 1))
-        share = record.failed_share + FAILURE_WEIGHT * (1 - record.failed_share)
-        self.records[instance] = Record(share, losses, now_s + rest_s)
+        share = _blend(record.failed_share, True)
+        rest_s = FIRST_REST_S if share > SUSPECT_SHARE else 0.0
+        until_s = max(record.rest_until_s, now_s + rest_s)
+        self.records[instance] = replace(
+            record, failed_share=share, rest_until_s=until_s
+        )
+
+    def lost(self, instance: str, now_s: float) -> None:
+        """Count a send that broke off, or got an answer that is not its own."""
+        self.records[instance] = _after_loss(self.records.get(instance, CLEAN), now_s)
+
+    def not_reached(self, instance: str, now_s: float) -> None:
+        """Count a connection that could not be opened."""
+        record = _after_loss(self.records.get(instance, CLEAN), now_s)
+        self.records[instance] = replace(record, unreachable=True)
+
+    def reached(self, instance: str) -> None:
+        """Count a connection that could be opened."""
+        record = self.records.get(instance)
+        if record is not None and record.unreachable:
+            self.records[instance] = replace(record, unreachable=False, losses=0)
 
     def forget_all_but(self, instances: frozenset[str]) -> None:
         """Drop the records of upstreams that are no longer listed."""
         for instance in [name for name in self.records if name not in instances]:
             del self.records[instance]
+
+
+def _blend(share: float, failed: bool) -> float:
+    return share + FAILURE_WEIGHT * (failed - share)
+
+
+def _after_loss(record: Record, now_s: float) -> Record:
+    rest_s = min(LONGEST_REST_S, FIRST_REST_S * 2.0**record.losses)
+    return Record(
+        _blend(record.failed_share, True),
+        min(record.losses + 1, 10),
+        now_s + rest_s,
+        record.unreachable,
+    )
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_book.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_book.py
@@ -1,25 +1,33 @@
 """Predicted work on each upstream, from the sends of this node and of its peers.
 
 Load reports are late and cost a call, so every node predicts from what was sent: when
-an upstream will have read the prompts given to it, and how many requests it serves.
+an upstream will have read the prompts given to it, and how many requests it serves. A
+stream's first event tells that its prompt has been read, wherever its parts were.
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 PEER_SILENCE_S = 3.0  # a peer that is silent for longer no longer counts
+# An engine that is behind the prediction still has at least this share of it to do.
+OVERDUE_SHARE = 0.15
+# Times its predicted duration after which a reading counts as over, whatever was heard.
+EXPIRY_FACTOR = 3.0
+EXPIRY_S = 1.0
 
 
 @dataclass(frozen=True)
-class ReadingNews:
+class Reading:
     """Prompt processing that a node gave to an upstream.
 
     Attributes:
+        number: Number of the prompt at the node that sent it.
         instance: The upstream.
         read_s: Time that it takes there, in seconds.
         is_long: Whether it delays short answers beside it noticeably.
     """
 
+    number: int
     instance: str
     read_s: float
     is_long: bool
@@ -45,11 +53,13 @@
     Attributes:
         node: Name of the node.
         readings: Prompt processing given out since the last news.
+        read: Numbers of the prompts that have been read or given up since.
         open_work: Its open requests by upstream.
     """
 
     node: str
-    readings: tuple[ReadingNews, ...]
+    readings: tuple[Reading, ...]
+    read: tuple[int, ...]
     open_work: dict[str, OpenWork]
 
 
@@ -67,31 +77,67 @@
 
     Attributes:
         reading_s: Time until the prompts given to it are read, in seconds.
-        long_s: Time until the last long one of these is read, in seconds.
-        since_long_s: Time since it was last given a long one, in seconds.
+        since_long_s: Time since it last read a long one, in seconds.
         requests: Open requests of all nodes.
         tokens: Memory of these, in tokens.
     """
 
-    reading_s: float
-    long_s: float
-    since_long_s: float
-    requests: int
-    tokens: int
+    reading_s: float = 0.0
+    since_long_s: float = float("inf")
+    requests: int = 0
+    tokens: int = 0
 
 
 NO_WORK = OpenWork()
+ReadingKey = tuple[str, int]
+
+
+@dataclass
+class UpstreamReadings:
+    """Readings of one upstream that are not known to be over, in order of arrival.
+
+    Attributes:
+        pending: Predicted time of each and when it was given, by node and number.
+        last_long_s: When a long one was last pending.
+    """
+
+    pending: dict[ReadingKey, tuple[Reading, float]] = field(default_factory=dict)
+    last_long_s: float = float("-inf")
+
+    def reading_s(self, now_s: float) -> float:
+        """Return the time until all are over, in seconds; drops expired ones."""
+        end_s, whole_s = float("-inf"), 0.0
+        expired: list[ReadingKey] = []
+        for key, (reading, given_s) in self.pending.items():
+            end_s = max(end_s, given_s) + reading.read_s
+            if now_s - end_s > EXPIRY_S + (EXPIRY_FACTOR - 1) * reading.read_s:
+                expired.append(key)
+                continue
+            whole_s += reading.read_s
+            if reading.is_long:
+                self.last_long_s = now_s
+        for key in expired:
+            del self.pending[key]
+        if not self.pending:
+            return 0.0
+        return max(end_s - now_s, OVERDUE_SHARE * whole_s)
 
 
 class LoadBook:
-    """Keeps the predictions of one node."""
+    """Keeps the predictions of one node.
+
+    Args:
+        node: Name of the node.
+    """
 
-    def __init__(self) -> None:
-        self.read_until_s: dict[str, float] = {}
-        self.long_until_s: dict[str, float] = {}
+    def __init__(self, node: str = ""):
+        self.node = node
+        self.readings: dict[str, UpstreamReadings] = {}
         self.own: dict[str, OpenWork] = {}
         self.peers: dict[str, PeerWork] = {}
-        self.untold: list[ReadingNews] = []
+        self.untold: list[Reading] = []
+        self.untold_read: list[int] = []
+        self.prompts = 0
 
     def start(self, instance: str, tokens: int) -> None:
         """Count a request from its send to an upstream."""
@@ -101,27 +147,38 @@
         """Stop counting a request."""
         self._add(instance, -1, -tokens)
 
-    def give_reading(self, news: ReadingNews, now_s: float) -> None:
+    def hold(self, instance: str, tokens: int) -> None:
+        """Count memory set aside on an upstream; negative when it is freed."""
+        self._add(instance, 0, tokens)
+
+    def next_number(self) -> int:
+        """Return the number of the next prompt."""
+        self.prompts += 1
+        return self.prompts
+
+    def give_reading(self, reading: Reading, now_s: float) -> None:
         """Count prompt processing that this node gives to an upstream."""
-        self._take_reading(news, now_s)
-        self.untold.append(news)
+        self._take_reading(self.node, reading, now_s)
+        self.untold.append(reading)
 
-    def all_read(self, instance: str, now_s: float) -> None:
-        """Correct a prediction: the upstream has begun to answer its last prompt."""
-        if self.own.get(instance, NO_WORK).requests <= 1:
-            until_s = self.read_until_s.get(instance, 0.0)
-            self.read_until_s[instance] = min(until_s, now_s)
+    def end_reading(self, number: int, instances: Iterable[str]) -> None:
+        """Count a prompt of this node as read, or given up, on its upstreams."""
+        self._end_reading((self.node, number), instances)
+        self.untold_read.append(number)
 
     def hear(self, news: LoadNews, now_s: float) -> None:
         """Take a peer's news."""
         for reading in news.readings:
-            self._take_reading(reading, now_s)
+            self._take_reading(news.node, reading, now_s)
+        for number in news.read:
+            self._end_reading((news.node, number), tuple(self.readings))
         self.peers[news.node] = PeerWork(now_s, news.open_work)
 
-    def news(self, node: str) -> LoadNews:
+    def news(self) -> LoadNews:
         """Return what peers have not been told yet."""
         readings, self.untold = tuple(self.untold), []
-        return LoadNews(node, readings, dict(self.own))
+        read, self.untold_read = tuple(self.untold_read), []
+        return LoadNews(self.node, readings, read, dict(self.own))
 
     def load(self, instance: str, now_s: float) -> Load:
         """Return the predicted load of an upstream."""
@@ -132,14 +189,11 @@
                 theirs = peer.open_work.get(instance, NO_WORK)
                 requests += theirs.requests
                 tokens += theirs.tokens
-        long_until_s = self.long_until_s.get(instance, float("-inf"))
-        return Load(
-            reading_s=max(0.0, self.read_until_s.get(instance, 0.0) - now_s),
-            long_s=max(0.0, long_until_s - now_s),
-            since_long_s=max(0.0, now_s - long_until_s),
-            requests=requests,
-            tokens=tokens,
-        )
+        readings = self.readings.get(instance)
+        if readings is None:
+            return Load(requests=requests, tokens=tokens)
+        reading_s = readings.reading_s(now_s)
+        return Load(reading_s, now_s - readings.last_long_s, requests, tokens)
 
     def nodes_heard(self, now_s: float) -> int:
         """Return how many nodes share the upstreams, this one included."""
@@ -149,20 +203,23 @@
     def forget_all_but(self, instances: Iterable[str]) -> None:
         """Drop the predictions of upstreams that are no longer listed."""
         listed = frozenset(instances)
-        for times in (self.read_until_s, self.long_until_s):
-            for instance in [name for name in times if name not in listed]:
-                del times[instance]
+        for instance in [name for name in self.readings if name not in listed]:
+            del self.readings[instance]
+
+    def _take_reading(self, node: str, reading: Reading, now_s: float) -> None:
+        readings = self.readings.setdefault(reading.instance, UpstreamReadings())
+        readings.pending[(node, reading.number)] = (reading, now_s)
 
-    def _take_reading(self, news: ReadingNews, now_s: float) -> None:
-        begin_s = max(now_s, self.read_until_s.get(news.instance, 0.0))
-        self.read_until_s[news.instance] = begin_s + news.read_s
-        if news.is_long:
-            self.long_until_s[news.instance] = begin_s + news.read_s
+    def _end_reading(self, key: ReadingKey, instances: Iterable[str]) -> None:
+        for instance in instances:
+            readings = self.readings.get(instance)
+            if readings is not None:
+                readings.pending.pop(key, None)
 
     def _add(self, instance: str, requests: int, tokens: int) -> None:
         old = self.own.get(instance, NO_WORK)
         new = OpenWork(old.requests + requests, old.tokens + tokens)
-        if new.requests:
+        if new.requests or new.tokens:
             self.own[instance] = new
         else:
             self.own.pop(instance, None)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from returns.result import Result
+
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 
 
@@ -49,6 +51,19 @@
     last_event: str | None
 
 
+@dataclass(frozen=True)
+class Helper:
+    """An engine that reads a part of a prompt for another one.
+
+    Attributes:
+        address: Its host and port.
+        ticket: Memory set aside there that the prompt fills; empty for none.
+    """
+
+    address: str
+    ticket: str = ""
+
+
 @dataclass(frozen=True)
 class SendOptions:
     """What this system adds to a request for one send.
@@ -57,14 +72,14 @@
         instance: The upstream meant; another one declines.
         account: Name of the client account; `None` on public routes without a key.
         time_limit_s: How long the upstream may work, in seconds.
-        helpers: Addresses of engines that read parts of the prompt.
+        helpers: Engines that read parts of the prompt.
         last_event: Event after which the answer is to go on.
     """
 
     instance: str
     account: str | None
     time_limit_s: float
-    helpers: tuple[str, ...] = ()
+    helpers: tuple[Helper, ...] = ()
     last_event: str | None = None
 
 
@@ -113,3 +128,15 @@
         self, request_id: str, retry_after_s: float | None
     ) -> list[tuple[str, str]]:
         """Return the headers of an answer of this system's own."""
+
+
+class EngineMemory(Protocol):
+    """Memory of engines that is set aside before a request uses it."""
+
+    async def reserve(
+        self, address: str, ticket: str, tokens: int, hold_s: float
+    ) -> Result[None, str]:
+        """Set memory aside, or keep it longer; fails with a reason if not free."""
+
+    async def release(self, address: str, ticket: str) -> Result[None, str]:
+        """Free memory that was set aside; also succeeds if there is none."""
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/patience.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/patience.py
@@ -15,16 +15,13 @@
 FOREVER_S = float("inf")
 
 
-def answer_limit_s(route: Route, predicted_s: float, may_repeat: bool) -> float:
+def answer_limit_s(route: Route, predicted_s: float) -> float:
     """Return how long to wait for an answer, or for a stream's first event.
 
     Args:
         route: The route.
         predicted_s: Predicted time to the first event, in seconds.
-        may_repeat: Whether the request could be sent elsewhere after that.
     """
-    if not may_repeat:
-        return FOREVER_S
     match route.kind:
         case Idempotent():
             return CALL_TARGETS * route.target_s
@@ -35,8 +32,6 @@
             return max(least_s, FIRST_EVENT_TARGETS * predicted_s)
 
 
-def pause_limit_s(kind: EventStream, may_repeat: bool) -> float:
+def pause_limit_s(kind: EventStream) -> float:
     """Return how long to wait for the next event of a stream, in seconds."""
-    if not may_repeat:
-        return FOREVER_S
     return max(LEAST_PAUSE_S, PAUSE_LIMITS * kind.pause_limit_s)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
@@ -3,11 +3,12 @@
 from dataclasses import dataclass
 
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
-from lagoonhinge_core.forwarding.load_book import ReadingNews
+from lagoonhinge_core.forwarding.load_book import Reading
 from lagoonhinge_core.forwarding.messages import CallerRequest
 from lagoonhinge_core.forwarding.plain_placement import ServerChoice, place_call
 from lagoonhinge_core.forwarding.prompt_placement import (
     EngineChoice,
+    Holding,
     Placement,
     Prompt,
     place_prompt,
@@ -26,9 +27,10 @@
         upstream: The upstream that answers.
         helpers: Upstreams that read parts of the prompt.
         part_s: Predicted time to read one part, in seconds.
-        waiting_s: Predicted time until the upstream begins on it, in seconds.
+        waiting_s: Predicted time until all of them begin on it, in seconds.
         is_long: Whether its reading delays short answers noticeably.
         tokens: Memory it takes, in tokens.
+        holdings: Memory to set aside on helpers.
     """
 
     upstream: Upstream
@@ -37,14 +39,19 @@
     waiting_s: float = 0.0
     is_long: bool = False
     tokens: int = 0
+    holdings: tuple[Holding, ...] = ()
 
-    def readings(self) -> list[ReadingNews]:
+    def instances(self) -> list[str]:
+        """Return the upstreams that take part."""
+        return [upstream.instance for upstream in (self.upstream, *self.helpers)]
+
+    def readings(self, number: int) -> list[Reading]:
         """Return the prompt processing that the send gives to upstreams."""
         if not self.part_s:
             return []
         return [
-            ReadingNews(upstream.instance, self.part_s, self.is_long)
-            for upstream in (self.upstream, *self.helpers)
+            Reading(number, instance, self.part_s, self.is_long)
+            for instance in self.instances()
         ]
 
 
@@ -63,7 +70,7 @@
     def choose(
         self, request: CallerRequest, route: Route, service: str, tried: set[str]
     ) -> Choice | None:
-        """Return where to send a request, or `None` if no upstream is left.
+        """Return where to send a request, or `None` if no upstream has room.
 
         Args:
             request: The request.
@@ -72,11 +79,16 @@
             tried: Instances that it was sent to.
         """
         usable = self.state.directory.usable(service)
+        suspects = self.state.health.suspects(
+            (entry.instance for entry in usable), self.state.clock()
+        )
         left = tuple(entry for entry in usable if entry.instance not in tried)
         profile = self._profile(service)
-        if profile is not None and request.size is not None:
-            return self._choose_engine(request, route, profile, left)
-        return self._choose_server(left)
+        if profile is None or request.size is None:
+            return self._choose_server(left, suspects)
+        size = request.size
+        prompt = Prompt(size.prompt_tokens, size.answer_tokens, route.target_s)
+        return self._choose_engine(prompt, profile, left, suspects)
 
     def _profile(self, service: str) -> EngineProfile | None:
         config = self.state.board.read(SiteConfigSection).config
@@ -85,24 +97,21 @@
 
     def _choose_engine(
         self,
-        request: CallerRequest,
-        route: Route,
+        prompt: Prompt,
         profile: EngineProfile,
         left: tuple[Upstream, ...],
+        suspects: frozenset[str],
     ) -> Choice | None:
-        assert request.size is not None
         now_s = self.state.clock()
-        load, health = self.state.load, self.state.health
+        load = self.state.load
         engines = tuple(
             EngineChoice(
                 entry.instance,
                 load.load(entry.instance, now_s),
-                health.is_suspect(entry.instance, now_s),
+                entry.instance in suspects,
             )
             for entry in left
         )
-        size = request.size
-        prompt = Prompt(size.prompt_tokens, size.answer_tokens, route.target_s)
         placement = place_prompt(profile, engines, prompt)
         if placement is None:
             return None
@@ -112,16 +121,20 @@
         known = self.state.directory.by_instance
         readers = (placement.instance, *placement.helpers)
         waiting_s = max(self.state.load.load(r, now_s).reading_s for r in readers)
+        held = sum(holding.tokens for holding in placement.holdings)
         return Choice(
             known[placement.instance],
             tuple(known[instance] for instance in placement.helpers),
             placement.part_s,
             waiting_s,
             placement.is_long,
-            prompt.tokens + prompt.answer_tokens,
+            prompt.size() - held,
+            placement.holdings,
         )
 
-    def _choose_server(self, left: tuple[Upstream, ...]) -> Choice | None:
+    def _choose_server(
+        self, left: tuple[Upstream, ...], suspects: frozenset[str]
+    ) -> Choice | None:
         state = self.state
         state.turn += 1
         now_s = state.clock()
@@ -131,7 +144,7 @@
                 state.load.load(entry.instance, now_s).requests,
                 entry.slots,
                 entry.zone == self.zone,
-                state.health.is_suspect(entry.instance, now_s),
+                entry.instance in suspects,
             )
             for entry in left
         )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
@@ -1,10 +1,10 @@
 """The node that forwards requests: its parts, their start, and a graceful stop."""
 
 from asyncio import sleep
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 from time import CLOCK_BOOTTIME, clock_gettime
-from typing import Any
 
 from aiohttp import ClientSession, web
 from mode import Service
@@ -12,7 +12,7 @@
 
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.forwarding.freshness import Freshness, FreshnessLimits, Standing
-from lagoonhinge_core.forwarding.messages import HeaderCodec
+from lagoonhinge_core.forwarding.messages import EngineMemory, HeaderCodec
 from lagoonhinge_core.forwarding.retry_window import RetryBound
 from lagoonhinge_core.forwarding.site_store import NodeEntry, SiteStore
 from lagoonhinge_node.addresses import Address
@@ -24,6 +24,7 @@
     UpstreamFollower,
 )
 from lagoonhinge_node.forwarding.load_exchange import LoadExchange
+from lagoonhinge_node.forwarding.reachability import ReachabilityController
 from lagoonhinge_node.forwarding.request_run import RequestRunner
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.upstream_client import (
@@ -73,20 +74,33 @@
     retries: RetryBound
 
 
+@dataclass(frozen=True)
+class Adapters:
+    """What connects a node with the world around it.
+
+    Attributes:
+        codec: Translation of headers.
+        open_store: Builds the client of the platform's store.
+        open_memory: Builds the client for orders to engines.
+    """
+
+    codec: HeaderCodec
+    open_store: Callable[[], SiteStore]
+    open_memory: Callable[[], EngineMemory]
+
+
 class EntryNode(Service):
     """Root service of a forwarding node.
 
     Args:
         settings: Its settings.
-        codec: Translation of headers.
-        open_store: Builds the client of the platform's store.
+        adapters: Its connections with the world.
     """
 
-    def __init__(self, settings: EntrySettings, codec: HeaderCodec, open_store: Any):
+    def __init__(self, settings: EntrySettings, adapters: Adapters):
         super().__init__()
         self.settings = settings
-        self.codec = codec
-        self.open_store = open_store
+        self.adapters = adapters
         self.log_part = PartLogger("node")
         self.runners: list[web.BaseRunner] = []
         self.sessions: list[ClientSession] = []
@@ -103,14 +117,16 @@
             settings.retries,
             Random(),
             suspend_aware_s,
+            settings.entry.name,
         )
-        store: SiteStore = self.open_store()
+        store = self.adapters.open_store()
         exchange = LoadExchange(self.serving, settings.entry)
         return [
             ConfigFollower(self.serving, store),
             UpstreamFollower(self.serving, store),
             exchange,
             NodeFollower(self.serving, store, settings.entry, exchange.follow_nodes),
+            ReachabilityController(self.serving),
         ]
 
     async def on_started(self) -> None:
@@ -120,9 +136,12 @@
         runner = RequestRunner(
             self.serving,
             Chooser(self.serving, self.settings.entry.zone),
-            UpstreamClient(session, self.codec),
+            UpstreamClient(session, self.adapters.codec),
+            self.adapters.open_memory(),
         )
-        self.callers = CallerInterface(self.serving, self.codec, runner).server()
+        self.callers = CallerInterface(
+            self.serving, self.adapters.codec, runner
+        ).server()
         await self._listen(self.callers, self.settings.callers)
         checks = web.Server(self._answer_check, access_log=None)
         await self._listen(checks, self.settings.readiness)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -53,13 +53,18 @@
     async def tell(self) -> None:
         """Send what has changed."""
         load, now_s = self.serving.load, self.serving.clock()
-        is_quiet = not load.untold and load.own == self.told_open
+        is_quiet = not (load.untold or load.untold_read) and load.own == self.told_open
         if is_quiet and now_s - self.told_s < QUIET_INTERVAL_S:
             return
-        news = load.news(self.own.name)
+        news = load.news()
         self.told_s, self.told_open = now_s, dict(load.own)
         message = encode(
-            LoadNews(news.node, news.readings[-MAX_READINGS:], news.open_work)
+            LoadNews(
+                news.node,
+                news.readings[-MAX_READINGS:],
+                news.read[-MAX_READINGS:],
+                news.open_work,
+            )
         )
         if self.transport is not None:
             for peer in self.peers:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
@@ -1,6 +1,6 @@
 """One request's way: choose an upstream, send, relay, and send elsewhere on trouble."""
 
-from asyncio import Timeout, get_running_loop, timeout
+from asyncio import sleep, timeout
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -10,6 +10,8 @@
 from lagoonhinge_core.forwarding.messages import (
     AnswerHead,
     CallerRequest,
+    EngineMemory,
+    Helper,
     SendOptions,
 )
 from lagoonhinge_core.forwarding.patience import answer_limit_s, pause_limit_s
@@ -25,6 +27,8 @@
     after_failure,
 )
 from lagoonhinge_node.forwarding.choosing import Choice, Chooser
+from lagoonhinge_node.forwarding.held_memory import HeldMemory
+from lagoonhinge_node.forwarding.patience import Patience
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.upstream_client import (
     UpstreamAnswer,
@@ -34,6 +38,10 @@
 
 SHORT_RETRY_AFTER_S = 0.25  # another node, or the next entry of an upstream, may serve
 ERROR_STATUS = 500
+ROOM_WAIT_SHARE = 0.5  # of the target time; beyond it the answer would be late anyway
+ROOM_CHECK_S = 0.03  # less than an engine's pass, in which room may become free
+# A request is not moved from a silent upstream to one that is as busy.
+MOST_WAIT_AFTER_MOVE_S = 0.3
 
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -99,6 +107,29 @@
     failed_answer: tuple[AnswerHead, bytes] | None = None
 
 
+@dataclass
+class Relay:
+    """One stream on its way to the caller.
+
+    Attributes:
+        job: The request.
+        choice: Where it was sent.
+        number: Number of its prompt.
+        answer: The upstream's answer.
+        sink: The caller's end.
+        patience: Limit on the upstream's silence.
+        longest_pause_s: Longest pause between events so far, in seconds.
+    """
+
+    job: Job
+    choice: Choice
+    number: int
+    answer: UpstreamAnswer
+    sink: CallerSink
+    patience: Patience
+    longest_pause_s: float = 0.0
+
+
 class RequestRunner:
     """Runs requests.
 
@@ -106,10 +137,18 @@
         state: What all requests share.
         chooser: Chooses upstreams.
         client: Sends to them.
+        memory: Sets memory of engines aside.
     """
 
-    def __init__(self, state: ServingState, chooser: Chooser, client: UpstreamClient):
+    def __init__(
+        self,
+        state: ServingState,
+        chooser: Chooser,
+        client: UpstreamClient,
+        memory: EngineMemory,
+    ):
         self.state = state
+        self.memory = memory
         self.chooser = chooser
         self.client = client
         self.log_part = PartLogger("request")
@@ -126,9 +165,9 @@
 
     async def _send_until_done(self, job: Job, sink: CallerSink) -> None:
         while True:
-            choice = self.chooser.choose(job.request, job.route, job.service, job.tried)
+            choice = await self._choose(job)
             if choice is None:
-                self._log(job, "No upstream is left.", sends=job.sends)
+                self._log(job, "No upstream has room.", sends=job.sends)
                 await self._give_up(job, sink, Verdict.REFUSE)
                 return
             match await self._send(job, choice, sink):
@@ -141,16 +180,28 @@
                 return
             self.state.retry_window(job.service).count_repeat(self.state.clock())
 
+    async def _choose(self, job: Job) -> Choice | None:
+        """Return where to send a request; waits a little for room."""
+        until_s = self.state.clock() + ROOM_WAIT_SHARE * job.route.target_s
+        while True:
+            choice = self.chooser.choose(job.request, job.route, job.service, job.tried)
+            if choice is not None or self.state.clock() >= until_s:
+                return choice
+            await sleep(ROOM_CHECK_S)
+
     def _judge(self, job: Job, choice: Choice, failure: SendFailure) -> Verdict:
         now_s = self.state.clock()
         instance = choice.upstream.instance
         match failure:
             case NotDelivered():
                 job.declined += 1
-                self.state.health.lost(instance, now_s)
+                self.state.health.not_reached(instance, now_s)
             case Declined():
                 job.declined += 1
                 self._blame_decline(choice, failure)
+            case Lost(timed_out=True):
+                job.runs += 1
+                self.state.health.silent(instance, now_s)
             case Lost():
                 job.runs += 1
                 self.state.health.lost(instance, now_s)
@@ -187,47 +238,70 @@
     async def _send(
         self, job: Job, choice: Choice, sink: CallerSink
     ) -> Result[None, SendFailure]:
-        load, instance = self.state.load, choice.upstream.instance
+        state, instance = self.state, choice.upstream.instance
         job.sends += 1
         job.tried.add(instance)
-        job.may_be_running = True
-        load.start(instance, choice.tokens)
-        now_s = self.state.clock()
-        for reading in choice.readings():
-            load.give_reading(reading, now_s)
+        number = state.load.next_number()
+        held = HeldMemory(state, self.memory, f"{state.load.node}.{number}")
+        try:
+            if choice.holdings and not await held.take(choice.holdings):
+                return Failure(NotDelivered("no memory on the helpers"))
+            job.may_be_running = True
+            state.load.start(instance, choice.tokens)
+            for reading in choice.readings(number):
+                state.load.give_reading(reading, state.clock())
+            self._log_send(job, choice)
+            try:
+                result = await self._exchange(job, choice, sink, number)
+            finally:
+                state.load.finish(instance, choice.tokens)
+                state.load.end_reading(number, choice.instances())
+        finally:
+            held.free()
+        # Not reached on a timeout, after which the send may still have run.
+        if not isinstance(result, Success):
+            unrun = isinstance(result.failure(), NotDelivered | Declined)
+            job.may_be_running = job.runs > 0 or not unrun
+        return result
+
+    def _log_send(self, job: Job, choice: Choice) -> None:
+        load = self.state.load.load(choice.upstream.instance, self.state.clock())
         self._log(
             job,
             "Sent.",
-            upstream=instance,
+            upstream=choice.upstream.instance,
             helpers=len(choice.helpers),
+            holdings=len(choice.holdings),
             waiting_s=choice.waiting_s,
             part_s=choice.part_s,
-            open=load.load(instance, now_s).requests,
+            open=load.requests,
             send=job.sends,
         )
-        try:
-            result = await self._exchange(job, choice, sink)
-        finally:
-            load.finish(instance, choice.tokens)
-        # Not reached on a timeout, after which the send may still have run.
-        if not isinstance(result, Success):
-            unrun = isinstance(result.failure(), NotDelivered | Declined)
-            job.may_be_running = job.runs > 0 or not unrun
-        return result
 
     async def _exchange(
-        self, job: Job, choice: Choice, sink: CallerSink
+        self, job: Job, choice: Choice, sink: CallerSink, number: int
     ) -> Result[None, SendFailure]:
+        tickets = {
+            h.instance: f"{self.state.load.node}.{number}" for h in choice.holdings
+        }
         options = SendOptions(
             choice.upstream.instance,
             job.account,
             self._remaining_s(job),
-            tuple(helper.address() for helper in choice.helpers),
+            # Tickets are filled in turn, so they stand first.
+            tuple(
+                Helper(helper.address(), tickets.get(helper.instance, ""))
+                for helper in sorted(
+                    choice.helpers, key=lambda h: h.instance not in tickets
+                )
+            ),
             job.last_event,
         )
-        limit_s = self._answer_limit_s(job, choice)
+        limit = timeout(None)
+        patience = Patience(limit, lambda: self._may_move(job))
+        predicted_s = choice.waiting_s + choice.part_s
+        patience.expect_within(answer_limit_s(job.route, predicted_s))
         answer: UpstreamAnswer | None = None
-        limit = timeout(None if limit_s == float("inf") else limit_s)
         try:
             async with limit:
                 match await self.client.send(choice.upstream, job.request, options):
@@ -237,13 +311,15 @@
                         answer = found
                 assert answer is not None
                 if isinstance(job.route.kind, EventStream) and answer.head.status < 300:
-                    return await self._relay(job, choice, answer, sink, limit)
+                    relay = Relay(job, choice, number, answer, sink, patience)
+                    return await self._relay(relay)
                 return await self._pass_whole(job, choice, answer, sink)
         except TimeoutError:
             if not limit.expired():
                 raise
-            return Failure(Lost(f"silent for {limit_s:.2f} s", True))
+            return Failure(Lost("silent for too long", True))
         finally:
+            patience.stop()
             if answer is not None:
                 answer.close()
 
@@ -264,21 +340,13 @@
         await sink.reply(answer.head, body)
         return Success(None)
 
-    async def _relay(
-        self,
-        job: Job,
-        choice: Choice,
-        answer: UpstreamAnswer,
-        sink: CallerSink,
-        limit: Timeout,
-    ) -> Result[None, SendFailure]:
-        kind = job.route.kind
+    async def _relay(self, relay: Relay) -> Result[None, SendFailure]:
+        job, sink, kind = relay.job, relay.sink, relay.job.route.kind
         assert isinstance(kind, EventStream)
         splitter = EventSplitter()
-        load, instance = self.state.load, choice.upstream.instance
-        is_first = True
+        last_s: float | None = None
         while True:
-            match await answer.next_data():
+            match await relay.answer.next_data():
                 case Failure(lost):
                     return Failure(lost)
                 case Success(data):
@@ -288,43 +356,51 @@
             events = splitter.feed(data)
             if not events:
                 continue
-            if is_first:
-                is_first = False
-                load.all_read(instance, self.state.clock())
-                self._log(job, "First event.", took_s=self._took(job))
+            now_s = self.state.clock()
+            if last_s is None:
+                self._note_first_event(relay)
+            else:
+                relay.longest_pause_s = max(relay.longest_pause_s, now_s - last_s)
+            last_s = now_s
             if not sink.begun:
-                await sink.begin(answer.head)
+                await sink.begin(relay.answer.head)
             for event in events:
                 if event.event_id is not None:
                     job.last_event = event.event_id
             await sink.write(b"".join(event.raw for event in events))
-            self._set_limit(limit, pause_limit_s(kind, self._may_go_on(job)))
+            relay.patience.expect_within(pause_limit_s(kind))
         if splitter.rest:
             return Failure(Lost("the stream ended within an event"))
-        self.state.health.answered(instance, False, self.state.clock())
-        self._log(job, "Stream done.", took_s=self._took(job), sends=job.sends)
+        self.state.health.answered(
+            relay.choice.upstream.instance, False, self.state.clock()
+        )
+        self._log(
+            job,
+            "Stream done.",
+            took_s=self._took(job),
+            sends=job.sends,
+            longest_pause_s=relay.longest_pause_s,
+        )
         if not sink.begun:
-            await sink.begin(answer.head)
+            await sink.begin(relay.answer.head)
         await sink.finish()
         return Success(None)
 
-    def _set_limit(self, limit: Timeout, after_s: float) -> None:
-        when = limit.when()
-        if after_s == float("inf"):
-            if when is not None:
-                limit.reschedule(None)
-            return
-        limit.reschedule(get_running_loop().time() + after_s)
+    def _note_first_event(self, relay: Relay) -> None:
+        """Count the prompt as read."""
+        self.state.load.end_reading(relay.number, relay.choice.instances())
+        predicted_s = relay.choice.waiting_s + relay.choice.part_s
+        took_s = self._took(relay.job)
+        self._log(relay.job, "First event.", took_s=took_s, predicted_s=predicted_s)
 
-    def _answer_limit_s(self, job: Job, choice: Choice) -> float:
-        predicted_s = choice.waiting_s + choice.part_s
-        return answer_limit_s(job.route, predicted_s, self._may_go_on(job))
-
-    def _may_go_on(self, job: Job) -> bool:
-        """Return whether the request could be sent elsewhere after this send."""
+    def _may_move(self, job: Job) -> bool:
+        """Return whether another upstream could go on with the request soon."""
         if job.runs + 1 >= job.route.max_upstreams or not job.route.may_repeat():
             return False
-        return self.state.allows_repeat(job.service)
+        if not self.state.allows_repeat(job.service):
+            return False
+        choice = self.chooser.choose(job.request, job.route, job.service, job.tried)
+        return choice is not None and choice.waiting_s <= MOST_WAIT_AFTER_MOVE_S
 
     async def _give_up(self, job: Job, sink: CallerSink, verdict: Verdict) -> None:
         if sink.begun:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -1,7 +1,9 @@
 """What all requests of a node share: beliefs about upstreams, budgets, clock."""
 
-from collections.abc import Callable
+from asyncio import Task, create_task
+from collections.abc import Callable, Coroutine
 from random import Random
+from typing import Any
 
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.forwarding.freshness import Freshness
@@ -20,6 +22,7 @@
         retries: Bound on repeated sends.
         random: Generator of the node's random numbers.
         clock: Returns the time, in seconds; goes on while the VM is suspended.
+        node: Name of the node.
     """
 
     def __init__(
@@ -29,6 +32,7 @@
         retries: RetryBound,
         random: Random,
         clock: Callable[[], float],
+        node: str,
     ):
         self.board = board
         self.freshness = freshness
@@ -36,7 +40,8 @@
         self.random = random
         self.clock = clock
         self.directory = UpstreamDirectory()
-        self.load = LoadBook()
+        self.load = LoadBook(node)
+        self.background: set[Task[None]] = set()
         self.health = HealthBook()
         self.retry_windows: dict[str, RetryWindow] = {}
         self.known_nodes = 1
@@ -44,6 +49,12 @@
         self.open_requests = 0
         self.stopping_until_s: float | None = None
 
+    def run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run work that outlives its request."""
+        task = create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
     def retry_window(self, service: str) -> RetryWindow:
         """Return the window of a service's repeated sends."""
         window = self.retry_windows.get(service)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -39,7 +39,7 @@
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_http.session import ConnectionLost, open_session
 
-CONNECT_LIMIT_S = 0.4  # a hundred round trips between availability zones
+CONNECT_LIMIT_S = 0.15  # fifty round trips between availability zones
 MAX_ANSWER_BYTES = 8 << 20  # twice the largest body that callers may send
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 MISDIRECTED = 421
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
@@ -87,7 +87,8 @@
     FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(LEVELS[level])
-    logging.set_stderrthreshold(logging.DEBUG)
+    # With another stream, absl would write what reaches the threshold twice.
+    logging.set_stderrthreshold(logging.FATAL if to_stdout else logging.DEBUG)
     if to_stdout:
         logging.get_absl_handler().python_handler.stream = stdout
     if as_json:
