Small parts spread over all engines, long prompts on a fixed part, hopeless ones on few

Cause: a prompt of 900,000 tokens read in 17 parts stalled every engine for 4 s, and long prompts' parts reached engines of short answers. Change as in the title.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -1,10 +1,12 @@
 """Which engines read a prompt, which one answers it, and which ones hold its memory.
 
-Long prompts are read by several engines at once, each a part. What an engine reads in
-a pass delays the answers it writes meanwhile, so long prompts go to a part of the
-engines, the same on all nodes, and short prompts keep away from these while long ones
-are about. When no long ones come, short prompts use all engines. A prompt that is
-larger than the free memory of any engine is held by several of them.
+What an engine reads in a pass delays the answers it writes meanwhile. Prompts that can
+be read in small parts are spread over the engines with the least to do. Long prompts,
+whose parts are felt by short answers, are read by a fixed part of the engines, the same
+on all nodes; short prompts keep away from these while long ones are about, and use all
+engines when none come. A prompt that is too long for its target time in any case is
+read by few engines, so that the others go on. A prompt that is larger than the free
+memory of any engine is held by several of them.
 """
 
 from dataclasses import dataclass
@@ -12,12 +14,13 @@
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
 from lagoonhinge_core.forwarding.load_book import Load
 
-LONG_READ_S = 0.12  # reads beyond this lengthen a pass to over half a 250 ms pause
-LONG_PART_S = 0.08  # a part that a pass of some 45 ms takes in unnoticed
-TARGET_SHARE = 0.35  # of the time to the first event, for reading a part
-LONG_SHARE = 0.5  # of the engines, which read long prompts
-LONG_MEMORY_S = 1.5  # for which an engine counts as busy with long prompts
-LONG_NEIGHBOUR_S = 0.1  # cost of a short prompt beside long ones, in seconds
+SMALL_PART_S = 0.09  # with a pass of some 45 ms, well within a pause of 250 ms
+MOST_SMALL_PARTS_SHARE = 0.5  # of the engines, over which small parts are spread
+LONG_SHARE = 0.7  # of the engines, which read long prompts
+TARGET_SHARE = 0.6  # of the target time, within which the parts are to be read
+LIMIT_SHARE = 0.5  # of the time limit, for a prompt that misses its target anyway
+LONG_MEMORY_S = 2.0  # about the duration of a short answer
+LONG_NEIGHBOUR_S = 0.15  # cost of a short prompt beside long ones, in seconds
 FULL_COST_S = 1.0  # cost of an engine without a free slot or memory, in seconds
 REQUEST_COST_S = 0.004  # each open request lengthens the steps a little
 USABLE_MEMORY = 0.9  # of an engine's free memory; requests unheard of take the rest
@@ -46,11 +49,13 @@
         tokens: Its length, in tokens.
         answer_tokens: Longest answer, in tokens.
         target_s: Wanted time to its first event, in seconds.
+        limit_s: Time left to the end of the answer, in seconds.
     """
 
     tokens: int
     answer_tokens: int
     target_s: float
+    limit_s: float
 
     def size(self) -> int:
         """Return the memory that the prompt and its answer take, in tokens."""
@@ -103,25 +108,34 @@
     usable = sound or engines
     if not usable:
         return None
-    whole_s = profile.read_s(prompt.tokens)
-    if whole_s <= LONG_READ_S:
-        chosen = min(usable, key=lambda e: _short_cost(profile, e, prompt))
-        return Placement(chosen.instance, (), whole_s, False)
     if prompt.size() > USABLE_MEMORY * profile.kv_tokens:
         return _place_huge(profile, usable, prompt)
+    most = max(1, int(len(usable) * MOST_SMALL_PARTS_SHARE))
+    parts = profile.parts_within(prompt.tokens, SMALL_PART_S, most)
+    if profile.read_s(prompt.tokens, parts) <= SMALL_PART_S:
+        return _place_small(profile, usable, prompt, parts)
     return _place_long(profile, usable, prompt)
 
 
+def _place_small(
+    profile: EngineProfile,
+    usable: tuple[EngineChoice, ...],
+    prompt: Prompt,
+    parts: int,
+) -> Placement:
+    if parts == 1:
+        first = min(usable, key=lambda e: _small_cost(profile, e, prompt.size()))
+        return _shared(profile, prompt, first, [first])
+    readers = sorted(usable, key=lambda e: _small_cost(profile, e, 0))[:parts]
+    first = min(readers, key=lambda e: _small_cost(profile, e, prompt.size()))
+    return _shared(profile, prompt, first, readers)
+
+
 def _place_long(
     profile: EngineProfile, usable: tuple[EngineChoice, ...], prompt: Prompt
 ) -> Placement:
-    share = max(1, round(len(usable) * LONG_SHARE))
-    parts = profile.parts_within(prompt.tokens, LONG_PART_S, share)
-    limit_s = prompt.target_s * TARGET_SHARE
-    if profile.read_s(prompt.tokens, parts) > limit_s:
-        parts = profile.parts_within(prompt.tokens, limit_s, len(usable))
-        parts = max(parts, share)
-    pool = usable[:share] if parts <= share else usable
+    pool = usable[: max(1, round(len(usable) * LONG_SHARE))]
+    parts = _long_parts(profile, prompt, len(pool))
     readers = sorted(pool, key=lambda e: e.load.reading_s + _full_cost(profile, e, 0))
     readers = readers[:parts]
     first = min(
@@ -133,23 +147,33 @@
 def _place_huge(
     profile: EngineProfile, usable: tuple[EngineChoice, ...], prompt: Prompt
 ) -> Placement | None:
-    """Place a prompt that is held by several engines and read by most of them."""
-    limit_s = prompt.target_s * TARGET_SHARE
-    parts = profile.parts_within(prompt.tokens, limit_s, len(usable))
-    emptiest = sorted(usable, key=lambda e: e.load.tokens)
-    first, *others = emptiest[:parts]
-    missing = prompt.size() - _free_tokens(profile, first)
+    """Place a prompt that several engines hold; they read it as well."""
+    pool = usable[: max(1, round(len(usable) * LONG_SHARE))]
+    parts = _long_parts(profile, prompt, len(pool))
+    emptiest = sorted(pool, key=lambda e: (e.load.tokens, e.load.reading_s))
+    readers: list[EngineChoice] = []
     holdings: list[Holding] = []
-    for engine in others:
-        if missing <= 0:
+    missing = prompt.size()
+    for engine in emptiest:
+        if missing <= 0 and len(readers) >= parts:
             break
         tokens = min(missing, _free_tokens(profile, engine))
-        if tokens > 0:
+        # The first engine keeps what the others do not hold.
+        if readers and tokens > 0:
             holdings.append(Holding(engine.instance, tokens))
-            missing -= tokens
+        readers.append(engine)
+        missing -= tokens
     if missing > 0:
         return None
-    return _shared(profile, prompt, first, [first, *others], tuple(holdings))
+    return _shared(profile, prompt, readers[0], readers, tuple(holdings))
+
+
+def _long_parts(profile: EngineProfile, prompt: Prompt, most: int) -> int:
+    """Return in how many parts to read a prompt whose parts are not small."""
+    parts = profile.parts_within(prompt.tokens, SMALL_PART_S, most)
+    if profile.read_s(prompt.tokens, parts) <= TARGET_SHARE * prompt.target_s:
+        return parts
+    return profile.parts_within(prompt.tokens, LIMIT_SHARE * prompt.limit_s, most)
 
 
 def _shared(
@@ -161,15 +185,16 @@
 ) -> Placement:
     helpers = tuple(e.instance for e in readers if e is not first)
     part_s = profile.read_s(prompt.tokens, len(readers))
-    return Placement(first.instance, helpers, part_s, True, holdings)
+    is_long = part_s > SMALL_PART_S
+    return Placement(first.instance, helpers, part_s, is_long, holdings)
 
 
-def _short_cost(profile: EngineProfile, engine: EngineChoice, prompt: Prompt) -> float:
+def _small_cost(profile: EngineProfile, engine: EngineChoice, tokens: int) -> float:
     load = engine.load
     cost_s = load.reading_s + load.requests * REQUEST_COST_S
     if load.since_long_s < LONG_MEMORY_S:
         cost_s += LONG_NEIGHBOUR_S
-    return cost_s + _full_cost(profile, engine, prompt.size())
+    return cost_s + _full_cost(profile, engine, tokens)
 
 
 def _full_cost(profile: EngineProfile, engine: EngineChoice, tokens: int) -> float:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
@@ -68,7 +68,12 @@
         self.zone = zone
 
     def choose(
-        self, request: CallerRequest, route: Route, service: str, tried: set[str]
+        self,
+        request: CallerRequest,
+        route: Route,
+        service: str,
+        tried: set[str],
+        remaining_s: float,
     ) -> Choice | None:
         """Return where to send a request, or `None` if no upstream has room.
 
@@ -77,6 +82,7 @@
             route: Its route.
             service: The service that the split gave it.
             tried: Instances that it was sent to.
+            remaining_s: Time left for it, in seconds.
         """
         usable = self.state.directory.usable(service)
         suspects = self.state.health.suspects(
@@ -87,7 +93,9 @@
         if profile is None or request.size is None:
             return self._choose_server(left, suspects)
         size = request.size
-        prompt = Prompt(size.prompt_tokens, size.answer_tokens, route.target_s)
+        prompt = Prompt(
+            size.prompt_tokens, size.answer_tokens, route.target_s, remaining_s
+        )
         return self._choose_engine(prompt, profile, left, suspects)
 
     def _profile(self, service: str) -> EngineProfile | None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
@@ -180,11 +180,16 @@
                 return
             self.state.retry_window(job.service).count_repeat(self.state.clock())
 
+    def _choose_now(self, job: Job) -> Choice | None:
+        return self.chooser.choose(
+            job.request, job.route, job.service, job.tried, self._remaining_s(job)
+        )
+
     async def _choose(self, job: Job) -> Choice | None:
         """Return where to send a request; waits a little for room."""
         until_s = self.state.clock() + ROOM_WAIT_SHARE * job.route.target_s
         while True:
-            choice = self.chooser.choose(job.request, job.route, job.service, job.tried)
+            choice = self._choose_now(job)
             if choice is not None or self.state.clock() >= until_s:
                 return choice
             await sleep(ROOM_CHECK_S)
@@ -399,7 +404,7 @@
             return False
         if not self.state.allows_repeat(job.service):
             return False
-        choice = self.chooser.choose(job.request, job.route, job.service, job.tried)
+        choice = self._choose_now(job)
         return choice is not None and choice.waiting_s <= MOST_WAIT_AFTER_MOVE_S
 
     async def _give_up(self, job: Job, sink: CallerSink, verdict: Verdict) -> None:
