--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -18,9 +18,12 @@
 MOST_SMALL_PARTS_SHARE = 0.5  # of the engines, over which small parts are spread
 LONG_SHARE = 0.7  # of the engines, which read long prompts
 TARGET_SHARE = 0.6  # of the target time, within which the parts are to be read
+SPARING_SHARE = 0.35  # of it, within which engines that write answers are spared
 LIMIT_SHARE = 0.5  # of the time limit, for a prompt that misses its target anyway
 LONG_MEMORY_S = 2.0  # about the duration of a short answer
 LONG_NEIGHBOUR_S = 0.15  # cost of a short prompt beside long ones, in seconds
+# Cost of a short prompt where long ones may come, in seconds: that of five requests.
+LONG_SET_S = 0.02
 FULL_COST_S = 1.0  # cost of an engine without a free slot or memory, in seconds
 REQUEST_COST_S = 0.004  # each open request lengthens the steps a little
 USABLE_MEMORY = 0.9  # of an engine's free memory; requests unheard of take the rest
@@ -108,13 +111,14 @@
     usable = sound or engines
     if not usable:
         return None
+    pool = usable[: max(1, round(len(usable) * LONG_SHARE))]
     if prompt.size() > USABLE_MEMORY * profile.kv_tokens:
-        return _place_huge(profile, usable, prompt)
+        return _place_huge(profile, pool, prompt)
     most = max(1, int(len(usable) * MOST_SMALL_PARTS_SHARE))
     parts = profile.parts_within(prompt.tokens, SMALL_PART_S, most)
     if profile.read_s(prompt.tokens, parts) <= SMALL_PART_S:
         return _place_small(profile, usable, prompt, parts)
-    return _place_long(profile, usable, prompt)
+    return _place_long(profile, pool, prompt)
 
 
 def _place_small(
@@ -123,21 +127,29 @@
     prompt: Prompt,
     parts: int,
 ) -> Placement:
+    long_set = round(len(usable) * LONG_SHARE) if len(usable) > 1 else 0
+
+    def cost_s(index: int, tokens: int) -> float:
+        extra_s = LONG_SET_S if index < long_set else 0.0
+        return extra_s + _small_cost(profile, usable[index], tokens)
+
+    ranked = sorted(range(len(usable)), key=lambda index: cost_s(index, 0))[:parts]
     if parts == 1:
-        first = min(usable, key=lambda e: _small_cost(profile, e, prompt.size()))
-        return _shared(profile, prompt, first, [first])
-    readers = sorted(usable, key=lambda e: _small_cost(profile, e, 0))[:parts]
-    first = min(readers, key=lambda e: _small_cost(profile, e, prompt.size()))
-    return _shared(profile, prompt, first, readers)
+        ranked = list(range(len(usable)))
+    first = min(ranked, key=lambda index: cost_s(index, prompt.size()))
+    readers = [usable[index] for index in ranked] if parts > 1 else [usable[first]]
+    return _shared(profile, prompt, usable[first], readers)
 
 
 def _place_long(
-    profile: EngineProfile, usable: tuple[EngineChoice, ...], prompt: Prompt
+    profile: EngineProfile, pool: tuple[EngineChoice, ...], prompt: Prompt
 ) -> Placement:
-    pool = usable[: max(1, round(len(usable) * LONG_SHARE))]
-    parts = _long_parts(profile, prompt, len(pool))
-    readers = sorted(pool, key=lambda e: e.load.reading_s + _full_cost(profile, e, 0))
-    readers = readers[:parts]
+    ranked = sorted(pool, key=lambda e: e.load.reading_s + _full_cost(profile, e, 0))
+    # Reading stalls whatever is written beside it, so engines that write are spared.
+    silent = [engine for engine in ranked if not engine.load.requests]
+    readers = silent[: _long_parts(profile, prompt, len(silent))]
+    if _first_event_s(profile, prompt, readers) > SPARING_SHARE * prompt.target_s:
+        readers = ranked[: _long_parts(profile, prompt, len(ranked))]
     first = min(
         readers, key=lambda e: (_full_cost(profile, e, prompt.size()), e.load.tokens)
     )
@@ -145,10 +157,9 @@
 
 
 def _place_huge(
-    profile: EngineProfile, usable: tuple[EngineChoice, ...], prompt: Prompt
+    profile: EngineProfile, pool: tuple[EngineChoice, ...], prompt: Prompt
 ) -> Placement | None:
     """Place a prompt that several engines hold; they read it as well."""
-    pool = usable[: max(1, round(len(usable) * LONG_SHARE))]
     parts = _long_parts(profile, prompt, len(pool))
     emptiest = sorted(pool, key=lambda e: (e.load.tokens, e.load.reading_s))
     readers: list[EngineChoice] = []
@@ -176,6 +187,16 @@
     return profile.parts_within(prompt.tokens, LIMIT_SHARE * prompt.limit_s, most)
 
 
+def _first_event_s(
+    profile: EngineProfile, prompt: Prompt, readers: list[EngineChoice]
+) -> float:
+    """Return the predicted time until the last part is read, in seconds."""
+    if not readers:
+        return float("inf")
+    waiting_s = max(engine.load.reading_s for engine in readers)
+    return waiting_s + profile.read_s(prompt.tokens, len(readers))
+
+
 def _shared(
     profile: EngineProfile,
     prompt: Prompt,
