Zones that seem cut off are avoided; sends that reached no upstream are no repeats

Cause: beside a partition each request tried cut-off upstreams one by one, and a node whose small retry part was spent refused after one connection that had not opened.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/sends.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/sends.py
@@ -71,18 +71,21 @@
 
     Attributes:
         runs: Upstreams that may have run it.
-        declined: Sends that surely did not run.
+        declined: Sends that upstreams declined.
+        not_delivered: Sends that reached no upstream.
         may_repeat_send: Whether the retry bound allows one more send.
         remaining_s: Time left, in seconds.
     """
 
     runs: int
     declined: int
+    not_delivered: int
     may_repeat_send: bool
     remaining_s: float
 
 
-MAX_DECLINED = 4  # sends that did not run, before the client is told to come back
+MAX_DECLINED = 4  # before the client is told to come back
+MAX_NOT_DELIVERED = 6  # as many cost a second, when an availability zone is cut off
 LEAST_USEFUL_S = 0.05  # a send with less time left can't be answered
 
 
@@ -98,7 +101,16 @@
     """
     may_send = history.may_repeat_send and history.remaining_s > LEAST_USEFUL_S
     match failure:
-        case NotDelivered() | Declined():
+        case NotDelivered():
+            # No upstream has seen it, so the next send is no repeat to them.
+            is_first = not history.runs and not history.declined
+            has_time = history.remaining_s > LEAST_USEFUL_S
+            if (may_send or (is_first and has_time)) and (
+                history.not_delivered <= MAX_NOT_DELIVERED
+            ):
+                return Verdict.SEND_AGAIN
+            return Verdict.FAIL if history.runs else Verdict.REFUSE
+        case Declined():
             if may_send and history.declined <= MAX_DECLINED:
                 return Verdict.SEND_AGAIN
             return Verdict.FAIL if history.runs else Verdict.REFUSE
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
@@ -118,6 +118,7 @@
             Random(),
             suspend_aware_s,
             settings.entry.name,
+            settings.entry.zone,
         )
         store = self.adapters.open_store()
         exchange = LoadExchange(self.serving, settings.entry)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
@@ -279,4 +279,5 @@
             nodes[entry.name] = entry
         self.writer.post(NodeListSection(nodes))
         self.serving.known_nodes = max(1, len(nodes))
+        self.serving.zone_of_node = {node.name: node.zone for node in nodes.values()}
         self.on_listed([n for n in nodes.values() if n.name != self.own.name])
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -12,7 +12,7 @@
 from lagoonhinge_node.logs import PartLogger
 
 TELL_INTERVAL_S = 0.05  # about the duration of an engine's pass
-QUIET_INTERVAL_S = 1.0  # a third of the time after which a silent peer is forgotten
+QUIET_INTERVAL_S = 0.2  # a third of the silence that tells of a partition
 MAX_READINGS = 100  # of one message, which so stays within a datagram
 
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
@@ -12,7 +12,7 @@
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.logs import PartLogger
 
-CHECK_INTERVAL_S = 0.5  # short beside the seconds that a partition or restart lasts
+CHECK_INTERVAL_S = 0.3  # short beside the seconds that a partition or restart lasts
 CONNECT_LIMIT_S = 0.3  # a hundred round trips between availability zones
 
 
@@ -28,6 +28,10 @@
     async def check(self) -> None:
         """Try all upstreams that could not be reached."""
         listed = self.serving.directory.by_instance
+        # Doubtful zones are tried below with the rest, and avoided until then.
+        for zone in {upstream.zone for upstream in listed.values()}:
+            if self.serving.avoid_zone_if_cut_off(zone):
+                self.log_part.warning("A zone seems to be cut off.", zone=zone)
         names = self.serving.health.unreachable()
         await gather(*(self._try(listed[name]) for name in names if name in listed))
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
@@ -86,7 +86,8 @@
         tried: Instances that it was sent to.
         sends: Sends so far.
         runs: Sends that may have run.
-        declined: Sends that surely did not run.
+        declined: Sends that upstreams declined.
+        not_delivered: Sends that reached no upstream.
         may_be_running: Whether a send is open that may run.
         last_event: Last event passed on, or the one that the caller had.
         failed_answer: An upstream's failure to pass on if no other will do.
@@ -102,6 +103,7 @@
     sends: int = 0
     runs: int = 0
     declined: int = 0
+    not_delivered: int = 0
     may_be_running: bool = False
     last_event: str | None = None
     failed_answer: tuple[AnswerHead, bytes] | None = None
@@ -178,7 +180,8 @@
             if verdict is not Verdict.SEND_AGAIN:
                 await self._give_up(job, sink, verdict)
                 return
-            self.state.retry_window(job.service).count_repeat(self.state.clock())
+            if job.runs or job.declined:
+                self.state.retry_window(job.service).count_repeat(self.state.clock())
 
     def _choose_now(self, job: Job) -> Choice | None:
         return self.chooser.choose(
@@ -199,8 +202,8 @@
         instance = choice.upstream.instance
         match failure:
             case NotDelivered():
-                job.declined += 1
-                self.state.health.not_reached(instance, now_s)
+                job.not_delivered += 1
+                self.state.note_not_reached(choice.upstream)
             case Declined():
                 job.declined += 1
                 self._blame_decline(choice, failure)
@@ -216,6 +219,7 @@
         history = RequestHistory(
             job.runs,
             job.declined,
+            job.not_delivered,
             self.state.allows_repeat(job.service),
             self._remaining_s(job),
         )
@@ -250,7 +254,7 @@
         held = HeldMemory(state, self.memory, f"{state.load.node}.{number}")
         try:
             if choice.holdings and not await held.take(choice.holdings):
-                return Failure(NotDelivered("no memory on the helpers"))
+                return Failure(Declined(UNAVAILABLE))
             job.may_be_running = True
             state.load.start(instance, choice.tokens)
             for reading in choice.readings(number):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -10,7 +10,8 @@
 from lagoonhinge_core.forwarding.health import HealthBook
 from lagoonhinge_core.forwarding.load_book import LoadBook
 from lagoonhinge_core.forwarding.retry_window import RetryBound, RetryWindow
-from lagoonhinge_core.forwarding.upstreams import UpstreamDirectory
+from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamDirectory
+from lagoonhinge_core.forwarding.zone_faults import ZoneSigns, seems_cut_off
 
 
 class ServingState:
@@ -23,6 +24,7 @@
         random: Generator of the node's random numbers.
         clock: Returns the time, in seconds; goes on while the VM is suspended.
         node: Name of the node.
+        zone: Availability zone of the node.
     """
 
     def __init__(
@@ -33,6 +35,7 @@
         random: Random,
         clock: Callable[[], float],
         node: str,
+        zone: str,
     ):
         self.board = board
         self.freshness = freshness
@@ -45,6 +48,8 @@
         self.health = HealthBook()
         self.retry_windows: dict[str, RetryWindow] = {}
         self.known_nodes = 1
+        self.zone = zone
+        self.zone_of_node: dict[str, str] = {}
         self.turn = 0
         self.open_requests = 0
         self.stopping_until_s: float | None = None
@@ -67,3 +72,35 @@
         # Unheard nodes count too, so that lost contact never raises the part.
         nodes = max(self.known_nodes, self.load.nodes_heard(self.clock()))
         return self.retry_window(service).allows_repeat(self.clock(), nodes)
+
+    def note_not_reached(self, upstream: Upstream) -> None:
+        """Count a connection that could not be opened; it may tell of its whole zone."""
+        self.health.not_reached(upstream.instance, self.clock())
+        self.avoid_zone_if_cut_off(upstream.zone)
+
+    def avoid_zone_if_cut_off(self, zone: str) -> bool:
+        """Avoid all upstreams of a zone that seems to be cut off from this one.
+
+        Returns:
+            Whether any upstream is avoided that was not before.
+        """
+        if zone == self.zone:
+            return False
+        listed = [u for u in self.directory.by_instance.values() if u.zone == zone]
+        unreachable = frozenset(self.health.unreachable())
+        now_s = self.clock()
+        signs = ZoneSigns(
+            len(listed),
+            sum(entry.instance in unreachable for entry in listed),
+            tuple(
+                now_s - peer.heard_s
+                for name, peer in self.load.peers.items()
+                if self.zone_of_node.get(name) == zone
+            ),
+        )
+        if not seems_cut_off(signs):
+            return False
+        new = [entry for entry in listed if entry.instance not in unreachable]
+        for entry in new:
+            self.health.not_reached(entry.instance, now_s)
+        return bool(new)
