--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -74,7 +74,7 @@
         return self.retry_window(service).allows_repeat(self.clock(), nodes)
 
     def note_not_reached(self, upstream: Upstream) -> None:
-        """Count a connection that could not be opened; it may tell of its whole zone."""
+        """Count a failed connection; it may tell of the whole zone."""
         self.health.not_reached(upstream.instance, self.clock())
         self.avoid_zone_if_cut_off(upstream.zone)
 
