--- /dev/null
+++ b/features/platform_node.feature
@@ -0,0 +1,114 @@
+Feature: A node on the platform answers and forwards exactly
+
+  Scenario Outline: A request that can't be served gets an exact answer
+    Given a node on the platform with two workers for each service
+    When a client sends <method> <target> with <change>
+    Then it gets status <status>, and no worker ran it
+
+    Examples:
+      | method | target     | change                | status |
+      | GET    | /read/1    | an unknown host       | 404    |
+      | GET    | /unknown/1 | nothing changed       | 404    |
+      | GET    | /read/1    | an unknown key        | 401    |
+      | GET    | /read/1    | no key                | 401    |
+      | GET    | /read/1    | no attempt identity   | 400    |
+      | POST   | /order/1   | a body over the limit | 413    |
+      | GET    | /read/1    | headers over the limit | 431   |
+
+  Scenario Outline: A forwarded request reaches the worker as it came
+    Given a node on the platform with two workers for each service
+    When a client sends <method> <target> with <change>
+    Then it gets the worker's own answer
+    And the worker got method, target and body unchanged, the account and no key
+
+    Examples:
+      | method | target             | change          |
+      | GET    | /read/a%2Fb/%C3%A9 | nothing changed |
+      | GET    | /read/1?           | nothing changed |
+      | GET    | /read/1?a=%20b&c=  | nothing changed |
+      | POST   | /order//1          | a body          |
+      | POST   | /order/../order/2  | a body          |
+      | POST   | /stream/1          | a body          |
+
+  Scenario Outline: A worker's fault never reaches the client as a false answer
+    Given a node on the platform with two workers for each service
+    When the next request meets the fault <fault>, and a client sends <method> <target>
+    Then it gets <answer> after <runs> runs
+
+    Examples:
+      | fault          | method | target    | answer           | runs |
+      | shed           | GET    | /read/1   | a whole answer   | 1    |
+      | shed           | POST   | /order/1  | a whole answer   | 1    |
+      | cut            | GET    | /read/1   | a whole answer   | 1    |
+      | cut            | POST   | /order/1  | status 502       | 0    |
+      | silent         | GET    | /read/1   | a whole answer   | 2    |
+      | silent         | POST   | /order/1  | status 504       | 1    |
+      | error          | GET    | /read/1   | a whole answer   | 2    |
+      | error          | POST   | /order/1  | status 500       | 1    |
+      | refusal        | POST   | /order/1  | status 502       | 1    |
+      | foreign        | GET    | /read/1   | a whole answer   | 2    |
+      | foreign        | POST   | /order/1  | status 502       | 1    |
+      | unstamped      | POST   | /order/1  | status 502       | 1    |
+      | encoded        | POST   | /order/1  | status 502       | 1    |
+      | unframed       | POST   | /order/1  | a whole answer   | 1    |
+      | unframed reset | GET    | /read/1   | a whole answer   | 2    |
+      | unframed reset | POST   | /order/1  | status 502       | 1    |
+      | truncated      | POST   | /order/1  | status 502       | 1    |
+      | extra          | GET    | /read/1   | a whole answer   | 1    |
+      | break          | POST   | /stream/1 | a whole stream   | 2    |
+      | break          | POST   | /stream/once/1 | no whole answer | 1 |
+      | stall          | POST   | /stream/1 | a whole stream   | 2    |
+
+  Scenario: The worker's work ends when the client leaves
+    Given a node on the platform with two workers for each service
+    When a client leaves while its call is silent at the worker
+    Then the worker's work ends within half a second
+
+  Scenario Outline: A node that can't confirm its configuration refuses truthfully
+    Given a node on the platform with two workers for each service
+    When the store is <fault> for 6 seconds
+    Then the node is not ready and refuses as not run, with a time to come back
+    And it serves again once the store answers
+
+    Examples:
+      | fault  |
+      | silent |
+      | reset  |
+      | busy   |
+
+  Scenario Outline: A change of the store is in force within two seconds
+    Given a node on the platform with two workers for each service
+    When <change>
+    Then within two seconds <effect>
+
+    Examples:
+      | change                           | effect                              |
+      | a route is added                 | the new route is served             |
+      | the key is taken away            | the key is refused with 401         |
+      | the history is lost and a route is added | the new route is served     |
+      | a worker of the desk is draining | only the other worker gets requests |
+      | a worker of the desk is removed  | only the other worker gets requests |
+      | a worker's entry is unreadable   | only the other worker gets requests |
+
+  Scenario: A node answers 503 before it knows a configuration
+    Given a node on the platform whose store has no configuration
+    When a client sends GET /read/1 with nothing changed
+    Then it gets status 503, and no worker ran it
+    And it is told when to come back
+
+  Scenario Outline: A prompt over one engine's memory is held by several
+    Given a node on the platform with four workers for models
+    When a client sends a prompt of <tokens> tokens <when>
+    Then memory was set aside for it, and all of it is free afterwards
+
+    Examples:
+      | tokens | when                           |
+      | 500000 | and reads the whole stream     |
+      | 900000 | and reads the whole stream     |
+      | 500000 | and leaves before the end      |
+      | 500000 | while a worker breaks off      |
+
+  Scenario: A planned stop finishes what runs
+    Given a node on the platform with two workers for each service
+    When the node is told to stop during a stream
+    Then the client gets the whole stream and the node exits with status 0
--- /dev/null
+++ b/features/steps/platform_node_steps.py
@@ -0,0 +1,308 @@
+"""Steps about the node on the platform, as real processes."""
+
+from threading import Thread
+from time import monotonic, sleep
+
+from behave import given, then, when
+
+from features.support.fleet import http
+from features.support.platform_fleet import (
+    ACCOUNT,
+    PlatformFleet,
+    client_headers,
+    config,
+    send,
+)
+from features.support.waiting import eventually
+from lagoonhinge_platform.names import (
+    ATTEMPT_ID,
+    AUTHORIZATION,
+    RETRY_AFTER,
+    TOKEN_COUNTS,
+)
+from stand_ins.platform_worker import EVENTS
+
+BODY = b'{"fixture": "T8"}'
+IN_FORCE_S = 2.0
+LEFT_S = 0.5
+MOST_TRIES = 10
+MARGIN_S = 0.3  # for the test's own calls
+WHOLE_STREAM = "".join(f"id: {n}\ndata: token {n}\n\n" for n in range(1, EVENTS + 1))
+CHANGES = {
+    "nothing changed": {},
+    "an unknown host": {"Host": "other.example"},
+    "an unknown key": {AUTHORIZATION: "Bearer unknown"},
+    "no key": {AUTHORIZATION: ""},
+    "no attempt identity": {ATTEMPT_ID: ""},
+    "headers over the limit": {"X-Long": "x" * 5000},
+    "a body over the limit": {},
+    "a body": {},
+}
+BODIES = {"a body over the limit": b"x" * 70_000, "a body": BODY}
+
+
+def _start(context, workers: dict[str, str], with_config: bool = True) -> None:
+    context.fleet = fleet = PlatformFleet()
+    fleet.start_store()
+    for instance in workers:
+        fleet.start_worker(instance)
+    context.node = fleet.start_platform_node()
+    fleet.wait_started()
+    if with_config:
+        fleet.put_config()
+    for instance, service in workers.items():
+        fleet.list_worker(instance, service)
+
+
+@given("a node on the platform with two workers for each service")
+def step_two_workers(context):
+    workers = {"d1": "desk", "d2": "desk", "m1": "models", "m2": "models"}
+    _start(context, workers)
+    context.fleet.wait_ready(context.node)
+
+
+@given("a node on the platform with four workers for models")
+def step_four_workers(context):
+    _start(context, {f"m{number}": "models" for number in range(4)})
+    context.fleet.wait_ready(context.node)
+
+
+@given("a node on the platform whose store has no configuration")
+def step_no_config(context):
+    _start(context, {"d1": "desk"}, with_config=False)
+    context.fleet.wait_listening(context.node)
+
+
+@when("a client sends {method} {target} with {change}")
+def step_send_changed(context, method, target, change):
+    context.sent = (method, target, BODIES.get(change, b""))
+    context.answer = send(context.node, *context.sent, CHANGES[change])
+
+
+@then("it gets status {status:d}, and no worker ran it")
+def step_status_not_run(context, status):
+    assert context.answer is not None
+    assert context.answer.status == status, context.answer
+    assert context.fleet.runs() == []
+
+
+@then("it is told when to come back")
+def step_retry_after(context):
+    assert float(context.answer.headers[RETRY_AFTER]) > 0
+
+
+@then("it gets the worker's own answer")
+def step_own_answer(context):
+    answer = context.answer
+    assert answer is not None and answer.status == 200, answer
+    _, target, _ = context.sent
+    if target.startswith("/stream/"):
+        assert answer.body.decode() == WHOLE_STREAM, answer
+    else:
+        assert answer.body.decode() == f"answer of {target}", answer
+
+
+@then("the worker got method, target and body unchanged, the account and no key")
+def step_unchanged(context):
+    (run,) = context.fleet.runs()
+    got = (run["method"], run["target"], run["body"].encode())
+    assert got == context.sent, (got, context.sent)
+    assert run["account"] == ACCOUNT and run["key"] is None, run
+    added = {"User-Agent", "Accept", "Accept-Encoding"} & set(run["names"])
+    assert not added, added
+
+
+@when("the next request meets the fault {fault}, and a client sends {method} {target}")
+def step_send_with_fault(context, fault, method, target):
+    fleet = context.fleet
+    services = ("m1", "m2") if target.startswith("/stream/") else ("d1", "d2")
+    context.sent = (method, target, BODY if method == "POST" else b"")
+    # Only one worker has the fault; requests that the other one gets do not count.
+    for tried in range(MOST_TRIES):
+        worker = services[tried % 2]
+        fleet.workers[worker].put_faults(how=fault, count=1)
+        runs_before = len(fleet.runs(services))
+        context.answer = send(context.node, *context.sent)
+        is_met = fleet.seen(worker)["faults_left"] == 0
+        fleet.workers[worker].put_faults()
+        if is_met:
+            context.run_count = len(fleet.runs(services)) - runs_before
+            return
+    raise AssertionError("no request met the fault")
+
+
+@then("it gets {answer} after {runs:d} runs")
+def step_answer_after(context, answer, runs):
+    got = context.answer
+    match answer.split():
+        case ["status", status]:
+            assert got is not None and got.status == int(status), got
+        case ["a", "whole", "stream"]:
+            assert got is not None and got.body.decode() == WHOLE_STREAM, got
+        case ["a", "whole", "answer"]:
+            _, target, _ = context.sent
+            assert got is not None and got.status == 200, got
+            assert got.body.decode() == f"answer of {target}", got
+        case _:
+            assert got is None, got
+    assert context.run_count == runs, context.run_count
+
+
+@when("a client leaves while its call is silent at the worker")
+def step_leave(context):
+    for instance in ("d1", "d2"):
+        context.fleet.workers[instance].put_faults(how="silent")
+    send(context.node, "POST", "/order/1", BODY, timeout_s=0.4)
+    context.left_s = monotonic()
+
+
+@then("the worker's work ends within half a second")
+def step_work_ends(context):
+    def check() -> None:
+        seen = [context.fleet.seen(name) for name in ("d1", "d2")]
+        assert sum(entry["ended"] for entry in seen) == 1, seen
+
+    eventually(check, LEFT_S + MARGIN_S)
+
+
+@when("the store is {fault} for {seconds:d} seconds")
+def step_store_down(context, fault, seconds):
+    context.fleet.store.put_faults(down=fault)
+    sleep(seconds)
+
+
+@then("the node is not ready and refuses as not run, with a time to come back")
+def step_refuses(context):
+    assert not context.fleet.is_ready(context.node)
+    answer = send(context.node, "GET", "/read/1")
+    assert answer is not None and answer.status == 503, answer
+    assert float(answer.headers[RETRY_AFTER]) > 0
+    assert context.fleet.runs() == []
+
+
+@then("it serves again once the store answers")
+def step_serves_again(context):
+    context.fleet.store.put_faults(down="")
+
+    def check() -> None:
+        answer = send(context.node, "GET", "/read/1")
+        assert answer is not None and answer.status == 200, answer
+
+    eventually(check)
+
+
+def _added_route() -> list[dict]:
+    routes = config()["routes"]
+    return [*routes, {**routes[0], "name": "new", "prefix": "/new/"}]
+
+
+@when("a route is added")
+def step_route_added(context):
+    context.fleet.put_config(version=2, routes=_added_route())
+
+
+@when("the key is taken away")
+def step_key_taken(context):
+    context.fleet.put_config(version=2, tenants=[{"name": ACCOUNT, "apiKeys": []}])
+
+
+@when("the history is lost and a route is added")
+def step_history_lost(context):
+    http("PUT", f"{context.fleet.store.url}/control/forget")
+    context.fleet.put_config(version=2, routes=_added_route())
+
+
+@when("a worker of the desk is draining")
+def step_draining(context):
+    context.fleet.list_worker("d1", "desk", state="draining")
+
+
+@when("a worker of the desk is removed")
+def step_removed(context):
+    context.fleet.drop_row("servers", "d1")
+
+
+@when("a worker's entry is unreadable")
+def step_unreadable(context):
+    context.fleet.put_row("servers", "d1", b"\xff not an entry")
+
+
+@then("within two seconds the new route is served")
+def step_new_route(context):
+    def check() -> None:
+        answer = send(context.node, "GET", "/new/1")
+        assert answer is not None and answer.status == 200, answer
+
+    eventually(check, IN_FORCE_S)
+
+
+@then("within two seconds the key is refused with 401")
+def step_key_refused(context):
+    def check() -> None:
+        answer = send(context.node, "GET", "/read/1")
+        assert answer is not None and answer.status == 401, answer
+
+    eventually(check, IN_FORCE_S)
+
+
+@then("within two seconds only the other worker gets requests")
+def step_other_worker(context):
+    sleep(IN_FORCE_S - MARGIN_S)
+    before = len(context.fleet.seen("d1")["runs"])
+    for number in range(8):
+        answer = send(context.node, "GET", f"/read/{number}")
+        assert answer is not None and answer.status == 200, answer
+    assert len(context.fleet.seen("d1")["runs"]) == before
+
+
+@when("a client sends a prompt of {tokens:d} tokens {when}")
+def step_huge_prompt(context, tokens, when):
+    fleet = context.fleet
+    headers = {**client_headers(), TOKEN_COUNTS: f"{tokens},100"}
+    timeout_s = 10.0
+    if when.startswith("and leaves"):
+        timeout_s = 0.5
+    for worker in fleet.workers.values():
+        if when.startswith("and leaves"):
+            worker.put_faults(pause_s=0.3)
+        if when.startswith("while"):
+            worker.put_faults(how="break", count=1)
+    send(context.node, "POST", "/stream/1", BODY, headers, timeout_s)
+
+
+@then("memory was set aside for it, and all of it is free afterwards")
+def step_memory_free(context):
+    def check() -> None:
+        seen = [context.fleet.seen(name) for name in context.fleet.workers]
+        assert any(entry["orders"] for entry in seen), seen
+        assert not any(entry["tickets"] for entry in seen), seen
+
+    eventually(check, 3.0)
+    (run, *_) = context.fleet.runs()
+    assert "/" in run["helpers"], run
+
+
+@when("the node is told to stop during a stream")
+def step_stop_during_stream(context):
+    for instance in ("m1", "m2"):
+        context.fleet.workers[instance].put_faults(pause_s=0.4)
+    found = []
+    caller = Thread(
+        target=lambda: found.append(send(context.node, "POST", "/stream/1", BODY))
+    )
+    caller.start()
+
+    def running() -> None:
+        assert context.fleet.runs()
+
+    eventually(running)
+    context.exit_status = context.node.terminate()
+    caller.join()
+    context.answer = found[0]
+
+
+@then("the client gets the whole stream and the node exits with status 0")
+def step_whole_after_stop(context):
+    assert context.answer is not None
+    assert context.answer.body.decode() == WHOLE_STREAM, context.answer
+    assert context.exit_status == 0, context.exit_status
--- /dev/null
+++ b/features/support/platform_fleet.py
@@ -0,0 +1,228 @@
+"""The node on the platform, with stand-ins of its store and workers, for a scenario."""
+
+from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
+
+from msgspec import json
+
+from features.support.fleet import PORTS, Fleet, HttpAnswer, Process, http
+from features.support.waiting import eventually
+from lagoonhinge_platform.names import (
+    ATTEMPT_ID,
+    AUTHORIZATION,
+    DEADLINE_MS,
+    READY_PATH,
+    SETTINGS_VARIABLE,
+    TOKEN_COUNTS,
+)
+
+HOST = "desk.example"
+ACCOUNT = "member-firm"
+KEY = "key-of-the-member-firm"
+ENGINE = {
+    "slots": 8,
+    "kvTokens": 400_000,
+    "stride": 34,
+    "step_ms": 1.31,
+    "read_per_s": 154_000.0,
+    "pairs_per_m": 0.162,
+    "chunk": 2048,
+}
+KINDS = {
+    "/read/": {"kind": "idempotent", "service": "desk", "maxAttempts": 2},
+    "/order/": {"kind": "non_idempotent", "service": "desk"},
+    "/stream/": {
+        "kind": "stream",
+        "service": "models",
+        "resumable": True,
+        "gapAimMs": 250,
+        "maxAttempts": 2,
+    },
+    "/stream/once/": {"kind": "stream", "service": "models", "gapAimMs": 250},
+}
+BOUNDS = {
+    "revokeMs": 5000,
+    "graceS": 8,
+    "drainMs": 2000,
+    "budgetWindowS": 10,
+    "budgetRatio": 0.2,
+    "budgetExtra": 106,
+}
+
+
+def config(version: int = 1, **changes) -> dict:
+    """Return a configuration as the operator writes it."""
+    routes = [
+        {
+            "name": prefix,
+            "host": HOST,
+            "prefix": prefix,
+            "timeoutMs": 3000,
+            "targetLatencyMs": 200,
+            "priority": 1,
+            "public": False,
+            **kind,
+        }
+        for prefix, kind in KINDS.items()
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "desk", "maxConnections": 100},
+            {"name": "models", "maxConnections": 100, "engine": ENGINE},
+        ],
+        "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65_536},
+        "tenants": [{"name": ACCOUNT, "apiKeys": [KEY]}],
+        **changes,
+    }
+
+
+@dataclass(eq=False)
+class PlatformFleet(Fleet):
+    """The processes of one scenario on the platform."""
+
+    workers: dict[str, Process] = field(default_factory=dict)
+    store: Process | None = None
+
+    def start_store(self) -> None:
+        """Start the store; `wait_started` says when it answers."""
+        self.store = self._start_stand_in("store", "platform_store", ())
+
+    def start_worker(self, instance: str) -> None:
+        """Start a worker; `wait_started` says when it answers."""
+        flags = (f"--instance={instance}",)
+        self.workers[instance] = self._start_stand_in(
+            instance, "platform_worker", flags
+        )
+
+    def list_worker(self, instance: str, service: str, **changes) -> None:
+        """Write a worker's entry."""
+        entry = {
+            "service": service,
+            "address": f"127.0.0.1:{self.workers[instance].port}",
+            "zone": "north",
+            "slots": 8,
+            "state": "ready",
+            "born": 1,
+            **changes,
+        }
+        self.put_row("servers", instance, json.encode(entry))
+
+    def put_row(self, table: str, key: str, value: bytes) -> None:
+        """Write a row of the store."""
+        url = f"{self.store.url}/control/rows/{table}/{key}"
+        assert http("PUT", url, value).status == 200
+
+    def drop_row(self, table: str, key: str) -> None:
+        """Remove a row of the store."""
+        url = f"{self.store.url}/control/rows/{table}/{key}"
+        assert http("DELETE", url).status == 200
+
+    def put_config(self, **changes) -> None:
+        """Write the configuration."""
+        self.put_row("op", "config", json.encode(config(**changes)))
+
+    def settings(self, name: str, **changes: str) -> str:
+        """Return the text of a node's settings file."""
+        fields = {
+            "node": name,
+            "ip": "127.0.0.1",
+            "zone": "north",
+            "heartbeatMs": "1200",
+            "platform.address": f"127.0.0.1:{self.store.port}",
+            **{f"bounds.{key}": str(value) for key, value in BOUNDS.items()},
+            **changes,
+        }
+        return "".join(f"{key}={value}\n" for key, value in fields.items())
+
+    def start_platform_node(self) -> Process:
+        """Start one node with a settings file."""
+        name = f"front-{len(self.nodes)}"
+        port, ready, control, peers = (PORTS.take() for _ in range(4))
+        path = self.path / f"{name}.conf"
+        path.write_text(
+            self.settings(
+                name,
+                **{
+                    "listen.front": f"127.0.0.1:{port}",
+                    "listen.ready": f"127.0.0.1:{ready}",
+                    "listen.control": f"127.0.0.1:{control}",
+                    "portRange": f"{peers},{peers + 1}",
+                },
+            )
+        )
+        node = self._spawn(
+            name,
+            port,
+            ("-m", "lagoonhinge_platform.main"),
+            {SETTINGS_VARIABLE: str(path)},
+        )
+        node.control_port = ready
+        self.nodes.append(node)
+        return node
+
+    def is_ready(self, node: Process) -> bool:
+        """Return whether a node says that it is ready."""
+        url = f"http://127.0.0.1:{node.control_port}{READY_PATH}"
+        return http("GET", url, timeout_s=2.0).status == 200
+
+    def wait_ready(self, node: Process) -> None:
+        """Wait until a node is ready and knows every worker."""
+
+        def check() -> None:
+            assert self.is_ready(node)
+            log = node.log.read_text()
+            assert all(f'"upstream":"{name}"' in log for name in self.workers)
+
+        eventually(check)
+
+    def wait_listening(self, node: Process) -> None:
+        """Wait until a node answers checks, ready or not."""
+        eventually(lambda: self.is_ready(node) or None)
+
+    def seen(self, instance: str) -> dict:
+        """Return what a worker has seen."""
+        return self.workers[instance].get_json("control/seen")
+
+    def runs(self, service_instances: tuple[str, ...] = ()) -> list[dict]:
+        """Return all runs of the named workers, or of all."""
+        names = service_instances or tuple(self.workers)
+        return [run for name in names for run in self.seen(name)["runs"]]
+
+
+def send(
+    node: Process,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> HttpAnswer | None:
+    """Send a client's request as it stands; `None` if it got no whole answer."""
+    connection = HTTPConnection("127.0.0.1", node.port, timeout=timeout_s)
+    connection.putrequest(method, target, skip_host=True, skip_accept_encoding=True)
+    sent = {"Host": HOST, **client_headers(), **(headers or {})}
+    for name, value in sent.items():
+        if value:
+            connection.putheader(name, value)
+    if body:
+        connection.putheader("Content-Length", str(len(body)))
+    try:
+        connection.endheaders(body or None)
+        answer = connection.getresponse()
+        return HttpAnswer(answer.status, dict(answer.getheaders()), answer.read())
+    except (HTTPException, OSError):
+        return None
+    finally:
+        connection.close()
+
+
+def client_headers(request_id: str = "attempt-1", limit_ms: int = 2500) -> dict:
+    """Return the headers that clients of the platform send."""
+    return {
+        ATTEMPT_ID: request_id,
+        DEADLINE_MS: str(limit_ms),
+        AUTHORIZATION: f"Bearer {KEY}",
+        TOKEN_COUNTS: "4960,100",
+    }
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
@@ -26,6 +26,7 @@
 from lagoonhinge_node.forwarding.load_exchange import LoadExchange
 from lagoonhinge_node.forwarding.reachability import ReachabilityController
 from lagoonhinge_node.forwarding.request_run import RequestRunner
+from lagoonhinge_node.forwarding.server_listener import ServerListener
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.upstream_client import (
     UpstreamClient,
@@ -39,8 +40,7 @@
 # Time in which the balancer notices that the node is not ready, in seconds: two checks
 # a second apart, and one for their answers.
 BALANCER_LAG_S = 3.0
-STOP_MARGIN_S = 0.6  # before the process is killed
-STOP_CHECK_S = 0.05
+STOP_MARGIN_S = 1.2  # before the process is killed, for its own end
 READY, NOT_READY = 200, 503
 
 
@@ -102,7 +102,8 @@
         self.settings = settings
         self.adapters = adapters
         self.log_part = PartLogger("node")
-        self.runners: list[web.BaseRunner] = []
+        self.callers: ServerListener | None = None
+        self.checks: ServerListener | None = None
         self.sessions: list[ClientSession] = []
 
     def on_init_dependencies(self) -> list[ServiceT]:
@@ -140,30 +141,29 @@
             UpstreamClient(session, self.adapters.codec),
             self.adapters.open_memory(),
         )
-        self.callers = CallerInterface(
-            self.serving, self.adapters.codec, runner
-        ).server()
-        await self._listen(self.callers, self.settings.callers)
+        interface = CallerInterface(self.serving, self.adapters.codec, runner)
+        self.callers = ServerListener(interface.server(), self.settings.callers)
+        await self.callers.start()
         checks = web.Server(self._answer_check, access_log=None)
-        await self._listen(checks, self.settings.readiness)
+        self.checks = ServerListener(checks, self.settings.readiness)
+        await self.checks.start()
         self.log_part.info("Started.", node=self.settings.entry.name)
 
     async def on_stop(self) -> None:
         """Let the balancer look away, then finish every running request."""
-        stop_s = self.serving.clock()
-        self.serving.stopping_until_s = stop_s + self.settings.grace_s - STOP_MARGIN_S
+        until_s = self.serving.clock() + self.settings.grace_s - STOP_MARGIN_S
+        self.serving.stopping_until_s = until_s
         self.log_part.info("Stopping.", open=self.serving.open_requests)
-        await sleep(min(BALANCER_LAG_S, self.settings.grace_s / 2))
-        for connection in self.callers.connections:
-            connection.close()
-        while self.serving.open_requests and not self._is_out_of_grace():
-            await sleep(STOP_CHECK_S)
+        if self.callers is not None:
+            await sleep(min(BALANCER_LAG_S, self.settings.grace_s / 2))
+            # Idle connections end now, the others with their answers.
+            await self.callers.stop(max(0.0, until_s - self.serving.clock()))
         self.log_part.info("Stopped.", open=self.serving.open_requests)
 
     async def on_shutdown(self) -> None:
         """Close what is open."""
-        for runner in self.runners:
-            await runner.cleanup()
+        if self.checks is not None:
+            await self.checks.stop(0.0)
         for session in self.sessions:
             await session.close()
 
@@ -176,14 +176,3 @@
     async def _answer_check(self, request: web.BaseRequest) -> web.StreamResponse:
         is_check = request.path == self.settings.readiness_path
         return web.Response(status=READY if is_check and self.is_ready() else NOT_READY)
-
-    async def _listen(self, server: web.Server, address: Address) -> None:
-        runner = web.ServerRunner(server, shutdown_timeout=0.1)
-        await runner.setup()
-        self.runners.append(runner)
-        site = web.TCPSite(runner, address.host, address.port, backlog=1024)
-        await site.start()
-
-    def _is_out_of_grace(self) -> bool:
-        assert self.serving.stopping_until_s is not None
-        return self.serving.clock() >= self.serving.stopping_until_s
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
@@ -26,7 +26,10 @@
 
 FOLLOW_WAIT_S = 2.0  # well under the time within which a revoked key must be unused
 NODES_WAIT_S = 20.0  # nodes come and go seldom, and a late list only costs accuracy
-CHANGE_PAUSE_S = 0.15  # changes come in bursts; one call reads several
+# Changes come in bursts; after these pauses one call reads several.
+CONFIG_PAUSE_S = 0.15  # under a tenth of the time within which it is in force
+UPSTREAMS_PAUSE_S = 0.5  # a quarter of the time within which a leaving one is unused
+NODES_PAUSE_S = 3.0  # a start of the whole system takes about as long
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.5  # a quarter of the time within which a change is in force
 RETRY_JITTER = 0.5
@@ -85,7 +88,7 @@
                     backoff.answered()
                     self._take(update, self._confirmed_s(asked_s, after, update))
                     if update.version != after:
-                        await sleep(CHANGE_PAUSE_S)
+                        await sleep(CONFIG_PAUSE_S)
                     after = update.version
                 case Failure(HistoryLost()):
                     self.log_part.info("The history was lost; reading all.")
@@ -150,7 +153,7 @@
                     self._note_outage()
                     self._take(update, after is None)
                     if update.version != after:
-                        await sleep(CHANGE_PAUSE_S)
+                        await sleep(UPSTREAMS_PAUSE_S)
                     after = update.version
                 case Failure(HistoryLost()):
                     self.log_part.info("The history was lost; reading all.")
@@ -262,7 +265,7 @@
                     backoff.answered()
                     self._take(update, after is None)
                     if update.version != after:
-                        await sleep(CHANGE_PAUSE_S)
+                        await sleep(NODES_PAUSE_S)
                     after = update.version
                 case Failure(HistoryLost()):
                     after = None
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/server_listener.py
@@ -0,0 +1,43 @@
+"""A listener of a bare HTTP server that stops gracefully."""
+
+from asyncio import wait_for
+
+from aiohttp import web
+
+from lagoonhinge_node.addresses import Address
+from lagoonhinge_node.listener import BACKLOG, MAX_STOP_S
+
+
+class ServerListener:
+    """Serves on one address.
+
+    Args:
+        server: The server.
+        address: Where it listens.
+    """
+
+    def __init__(self, server: web.Server, address: Address):
+        self.runner = web.ServerRunner(server, shutdown_timeout=MAX_STOP_S)
+        self.address = address
+
+    async def start(self) -> None:
+        """Listen."""
+        await self.runner.setup()
+        address = self.address
+        site = web.TCPSite(self.runner, address.host, address.port, backlog=BACKLOG)
+        await site.start()
+
+    async def stop(self, limit_s: float) -> bool:
+        """Stop listening, end idle connections, and wait for running requests.
+
+        Args:
+            limit_s: Longest wait, in seconds.
+
+        Returns:
+            Whether every request was finished.
+        """
+        try:
+            await wait_for(self.runner.cleanup(), limit_s)
+        except TimeoutError:
+            return False
+        return True
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -126,8 +126,14 @@
         status promises that the request did not run is believed only if the upstream
         says so in its own way.
         """
-        # The target must reach the upstream as it came; nothing may be encoded again.
-        url = URL(f"http://{upstream.address()}{request.target}", encoded=True)
+        # As a path, even an empty query reaches the upstream as it came.
+        url = URL.build(
+            scheme="http",
+            host=upstream.host,
+            port=upstream.port,
+            path=request.target,
+            encoded=True,
+        )
         try:
             response = await self.session.request(
                 request.method,
--- /dev/null
+++ b/stand_ins/platform_store.py
@@ -0,0 +1,221 @@
+"""Stand-in of the platform's store: tables with conditions, changes and history."""
+
+from asyncio import Event, sleep, wait_for
+from base64 import b64encode
+from dataclasses import dataclass, field
+from time import monotonic
+from typing import Annotated, Any
+
+from aiohttp import web
+from cappa import Arg, command, parse
+from msgspec import json
+
+from lagoonhinge_http.wire import decode
+from lagoonhinge_platform.names import ROWS_FEED_PATH, ROWS_GET_PATH, ROWS_TX_PATH
+from stand_ins.serving import cut_connection, start
+
+SILENCE_S = 3600.0
+
+
+@dataclass(frozen=True)
+class StoreFaults:
+    """Faults in force.
+
+    Attributes:
+        down: How calls fail: `""`, `busy`, `many`, `reset` or `silent`.
+        slow_s: Delay before each answer, in seconds.
+        lose_replies: Writes still to be applied and then cut, instead of answered.
+    """
+
+    down: str = ""
+    slow_s: float = 0.0
+    lose_replies: int = 0
+
+
+@dataclass(frozen=True)
+class Change:
+    """A row as changed by one write; `value` is `None` for a removal."""
+
+    table: str
+    key: str
+    value: str | None
+    version: int
+
+    def message(self) -> dict[str, Any]:
+        """Return the row as the store tells it."""
+        row = {"table": self.table, "part": "", "key": self.key, "ver": self.version}
+        if self.value is None:
+            return {**row, "deleted": True}
+        return {**row, "value": self.value}
+
+
+@dataclass
+class StoreState:
+    """Everything that the store keeps."""
+
+    rows: dict[tuple[str, str], Change] = field(default_factory=dict)
+    history: list[Change] = field(default_factory=list)
+    version: int = 0
+    oldest: int = 0
+    faults: StoreFaults = StoreFaults()
+    changed: Event = field(default_factory=Event)
+    calls: int = 0
+
+    def write(self, table: str, key: str, value: str | None) -> None:
+        """Write or remove a row, in the present transaction."""
+        change = Change(table, key, value, self.version)
+        self.history.append(change)
+        if value is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[(table, key)] = change
+        self.changed.set()
+        self.changed = Event()
+
+
+STATE = web.AppKey("store", StoreState)
+
+
+def _answer(state: StoreState, status: int = 200, **fields: Any) -> web.Response:
+    message = {**fields, "ver": state.version, "nowMs": int(monotonic() * 1000)}
+    return web.Response(body=json.encode(message), status=status)
+
+
+@web.middleware
+async def _fail(request: web.Request, handler: Any) -> web.StreamResponse:
+    state = request.app[STATE]
+    if request.path.startswith("/control/"):
+        return await handler(request)
+    state.calls += 1
+    faults = state.faults
+    match faults.down:
+        case "busy":
+            return web.Response(status=503)
+        case "many":
+            return web.Response(status=429)
+        case "reset":
+            cut_connection(request)
+        case "silent":
+            await sleep(SILENCE_S)
+    await sleep(faults.slow_s)
+    return await handler(request)
+
+
+async def _get(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    table, first = request.query["table"], request.query.get("from", "")
+    rows = [
+        change.message()
+        for (name, key), change in sorted(state.rows.items())
+        if name == table and key >= first
+    ]
+    return _answer(state, rows=rows, hasMore=False)
+
+
+async def _feed(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    after, wait_s = int(request.query["after"]), int(request.query["waitMs"]) / 1000
+    until_s = monotonic() + wait_s
+    while True:
+        if after < state.oldest:
+            return web.Response(status=410)
+        rows = [
+            change.message()
+            for change in state.history
+            if change.version > after and change.table == request.query["table"]
+        ]
+        left_s = until_s - monotonic()
+        if rows or left_s <= 0 or state.faults.down:
+            return _answer(state, rows=rows)
+        try:
+            await wait_for(state.changed.wait(), left_s)
+        except TimeoutError:
+            # Nothing changed; the answer says so.
+            continue
+
+
+async def _transact(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    call = json.decode(await request.read())
+    for row in call["expected"]:
+        known = state.rows.get((row["table"], row["key"]))
+        if (known.version if known else 0) != row["ver"]:
+            return _answer(state, 412, rows=[known.message()] if known else [])
+    state.version += 1
+    for row in call["writes"]:
+        state.write(row["table"], row["key"], row["value"])
+    for row in call["remove"]:
+        state.write(row["table"], row["key"], None)
+    if state.faults.lose_replies:
+        state.faults = StoreFaults(lose_replies=state.faults.lose_replies - 1)
+        cut_connection(request)
+    return _answer(state)
+
+
+async def _put_row(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    state.version += 1
+    value = b64encode(await request.read()).decode()
+    state.write(request.match_info["table"], request.match_info["key"], value)
+    return _answer(state)
+
+
+async def _drop_row(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    state.version += 1
+    state.write(request.match_info["table"], request.match_info["key"], None)
+    return _answer(state)
+
+
+async def _forget(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    state.oldest = state.version + 1
+    state.history = []
+    state.version += 1
+    state.changed.set()
+    state.changed = Event()
+    return _answer(state)
+
+
+async def _set_faults(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    state.faults = decode(await request.read(), StoreFaults)
+    state.changed.set()
+    state.changed = Event()
+    return _answer(state)
+
+
+async def _calls(request: web.Request) -> web.Response:
+    return _answer(request.app[STATE], calls=request.app[STATE].calls)
+
+
+def store_app() -> web.Application:
+    """Return the application; tests drive it under `/control/`."""
+    app = web.Application(middlewares=[_fail])
+    app[STATE] = StoreState()
+    app.add_routes(
+        [
+            web.get(ROWS_GET_PATH, _get),
+            web.get(ROWS_FEED_PATH, _feed),
+            web.post(ROWS_TX_PATH, _transact),
+            web.get("/healthz", _calls),
+            web.get("/control/calls", _calls),
+            web.put("/control/rows/{table}/{key}", _put_row),
+            web.delete("/control/rows/{table}/{key}", _drop_row),
+            web.put("/control/forget", _forget),
+            web.put("/control/faults", _set_faults),
+        ]
+    )
+    return app
+
+
+@command(name="stand-in-platform-store")
+@dataclass
+class StoreFlags:
+    """Serve the platform's store on loopback."""
+
+    port: Annotated[int, Arg(long=True)]
+
+
+if __name__ == "__main__":
+    start(store_app(), parse(StoreFlags).port)
--- /dev/null
+++ b/stand_ins/platform_worker.py
@@ -0,0 +1,234 @@
+"""Stand-in of a worker on the platform: calls, event streams, orders and faults."""
+
+from asyncio import sleep
+from dataclasses import dataclass, field
+from typing import Annotated, Any
+
+from aiohttp import web
+from cappa import Arg, command, parse
+from msgspec import Struct, json, structs
+
+from lagoonhinge_http.wire import decode
+from lagoonhinge_platform.names import (
+    ATTEMPT_ID,
+    AUTHORIZATION,
+    DEADLINE_MS,
+    EXPECT_INSTANCE,
+    HELPERS,
+    LAST_EVENT_ID,
+    NOT_EXECUTED,
+    ORDER_PATH,
+    RESPONSE_STAMP,
+    TENANT,
+)
+from stand_ins.serving import cut_connection, reset_connection, start
+
+EVENTS = 5
+EVENT_PAUSE_S = 0.02
+SILENCE_S = 3600.0
+
+
+class WorkerFaults(Struct, frozen=True):
+    """Faults in force.
+
+    Attributes:
+        how: What goes wrong with each request; empty for nothing.
+        count: Requests that it still goes wrong with; negative for all.
+        pause_s: Pause before each event or answer, in seconds.
+    """
+
+    how: str = ""
+    count: int = -1
+    pause_s: float = EVENT_PAUSE_S
+
+
+NO_FAULTS = WorkerFaults()
+
+
+@dataclass
+class WorkerState:
+    """What a worker has seen."""
+
+    instance: str
+    runs: list[dict[str, Any]] = field(default_factory=list)
+    ended: int = 0
+    tickets: dict[str, int] = field(default_factory=dict)
+    orders: list[dict[str, Any]] = field(default_factory=list)
+    faults: WorkerFaults = NO_FAULTS
+
+    def next_fault(self) -> str:
+        """Return the fault of the next request, and count it."""
+        faults = self.faults
+        if faults.count == 0:
+            return ""
+        if faults.count > 0:
+            self.faults = structs.replace(faults, count=faults.count - 1)
+        return faults.how
+
+
+STATE = web.AppKey("worker", WorkerState)
+
+
+async def _serve(request: web.Request) -> web.StreamResponse:
+    state = request.app[STATE]
+    body = await request.read()
+    headers = request.headers
+    if headers.get(EXPECT_INSTANCE, state.instance) != state.instance:
+        return web.Response(status=421)
+    fault = state.next_fault()
+    if fault == "shed":
+        return web.Response(status=503, headers={NOT_EXECUTED: "1"})
+    if fault == "cut":
+        cut_connection(request)
+        raise ConnectionResetError
+    state.runs.append(
+        {
+            "id": headers.get(ATTEMPT_ID),
+            "method": request.method,
+            "target": request.raw_path,
+            "body": body.decode(),
+            "account": headers.get(TENANT),
+            "key": headers.get(AUTHORIZATION),
+            "limit_ms": headers.get(DEADLINE_MS),
+            "helpers": headers.get(HELPERS),
+            "last_event": headers.get(LAST_EVENT_ID),
+            "names": sorted(str(name) for name in headers),
+        }
+    )
+    try:
+        if fault == "silent":
+            await sleep(SILENCE_S)
+        if request.path.startswith("/stream/"):
+            return await _stream(request, state, fault)
+        return await _call(request, state, fault)
+    finally:
+        state.ended += 1
+
+
+def _head(request: web.Request, fault: str) -> dict[str, str]:
+    attempt = "another" if fault == "foreign" else request.headers.get(ATTEMPT_ID, "")
+    head = {ATTEMPT_ID: attempt, "X-Served-By": request.app[STATE].instance}
+    if fault != "unstamped":
+        head[RESPONSE_STAMP] = f"stamp.{request.app[STATE].instance}"
+    if fault == "encoded":
+        head["Content-Encoding"] = "gzip"
+    return head
+
+
+async def _call(
+    request: web.Request, state: WorkerState, fault: str
+) -> web.StreamResponse:
+    await sleep(state.faults.pause_s)
+    body = f"answer of {request.raw_path}".encode()
+    head = _head(request, fault)
+    if fault == "error":
+        return web.Response(status=500, body=b"failed", headers=head)
+    if fault == "refusal":
+        return web.Response(status=503, body=b"ran, though", headers=head)
+    if fault in ("unframed", "truncated", "unframed reset", "extra"):
+        return await _raw(request, head, body, fault)
+    return web.Response(body=body, headers=head)
+
+
+async def _raw(
+    request: web.Request, head: dict[str, str], body: bytes, fault: str
+) -> web.StreamResponse:
+    assert request.transport is not None
+    lines = [f"{name}: {value}" for name, value in head.items()]
+    if fault in ("truncated", "extra"):
+        lines.append(f"Content-Length: {len(body)}")
+    answer = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
+    sent = body if fault in ("unframed", "extra") else body[:-3]
+    request.transport.write(answer + sent)
+    if fault == "extra":
+        request.transport.write(answer + body)
+    await sleep(0.02)
+    if fault == "unframed reset":
+        reset_connection(request)
+    request.transport.close()
+    raise web.HTTPInternalServerError
+
+
+async def _stream(
+    request: web.Request, state: WorkerState, fault: str
+) -> web.StreamResponse:
+    response = web.StreamResponse(headers=_head(request, fault))
+    response.content_type = "text/event-stream"
+    await response.prepare(request)
+    first = int(request.headers.get(LAST_EVENT_ID, "0")) + 1
+    for number in range(first, EVENTS + 1):
+        await sleep(state.faults.pause_s)
+        event = f"id: {number}\ndata: token {number}\n\n".encode()
+        if fault == "break" and number == 3:
+            await response.write(event[: len(event) // 2])
+            cut_connection(request)
+            raise ConnectionResetError
+        if fault == "stall" and number == 3:
+            await sleep(SILENCE_S)
+        await response.write(event)
+    await response.write_eof()
+    return response
+
+
+async def _order(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    order = json.decode(await request.read())
+    state.orders.append(order)
+    if state.faults.how == "no memory":
+        return web.Response(status=409)
+    if order["op"] == "reserve":
+        state.tickets[order["id"]] = order["tokens"]
+    else:
+        state.tickets.pop(order["id"], None)
+    return web.json_response({"free": 0})
+
+
+async def _healthz(_: web.Request) -> web.Response:
+    return web.Response()
+
+
+async def _seen(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    seen = {
+        "runs": state.runs,
+        "ended": state.ended,
+        "tickets": state.tickets,
+        "orders": state.orders,
+        "faults_left": state.faults.count,
+    }
+    return web.Response(body=json.encode(seen))
+
+
+async def _set_faults(request: web.Request) -> web.Response:
+    request.app[STATE].faults = decode(await request.read(), WorkerFaults)
+    return web.Response()
+
+
+def worker_app(instance: str) -> web.Application:
+    """Return the application; tests drive it under `/control/`."""
+    app = web.Application(client_max_size=16 << 20)
+    app[STATE] = WorkerState(instance)
+    app.add_routes(
+        [
+            web.get("/healthz", _healthz),
+            web.get("/control/seen", _seen),
+            web.put("/control/faults", _set_faults),
+            web.post(ORDER_PATH, _order),
+            web.route("*", "/{path:.*}", _serve),
+        ]
+    )
+    return app
+
+
+@command(name="stand-in-platform-worker")
+@dataclass
+class WorkerFlags:
+    """Serve one worker on loopback."""
+
+    port: Annotated[int, Arg(long=True)]
+    instance: Annotated[str, Arg(long=True)]
+
+
+if __name__ == "__main__":
+    flags = parse(WorkerFlags)
+    start(worker_app(flags.instance), flags.port)
--- a/stand_ins/serving.py
+++ b/stand_ins/serving.py
@@ -2,6 +2,8 @@
 
 from asyncio import Event, get_running_loop, run
 from signal import SIGTERM
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 
 from aiohttp import web
 
@@ -27,3 +29,12 @@
     """Close the connection without an answer."""
     assert request.transport is not None
     request.transport.abort()
+
+
+def reset_connection(request: web.Request) -> None:
+    """Reset the connection."""
+    assert request.transport is not None
+    connection = request.transport.get_extra_info("socket")
+    # With no time to linger, the system sends a reset instead of an end.
+    connection.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+    request.transport.abort()
