--- /dev/null
+++ b/features/forwarding_placement.feature
@@ -0,0 +1,79 @@
+Feature: Prompts of very unlike lengths are placed by predicted time
+
+  Scenario Outline: How many engines read a prompt
+    Given <engines> idle engines
+    When a prompt of <tokens> tokens with a target of <target> s is placed
+    Then <parts> engines read it, each for at most <part> s
+
+    Examples:
+      | engines | tokens | target | parts | part |
+      | 16      | 5000   | 0.3    | 1     | 0.09 |
+      | 16      | 23000  | 0.3    | 3     | 0.09 |
+      | 16      | 45000  | 1.5    | 6     | 0.09 |
+      | 16      | 182000 | 3.0    | 11    | 0.4  |
+      | 23      | 182000 | 3.0    | 16    | 0.3  |
+      | 2       | 182000 | 3.0    | 1     | 4.0  |
+
+  Scenario: A prompt that misses its target in any case is read by few engines
+    Given 16 idle engines
+    When a prompt of 380000 tokens with a target of 1.0 s is placed
+    Then 2 engines read it, each for at most 7.5 s
+
+  Scenario Outline: Short prompts keep away from what would delay them
+    Given 4 idle engines
+    And engine <busy> has <load>
+    When 8 short prompts are placed one after the other
+    Then engine <busy> gets <count> of them
+
+    Examples:
+      | busy | load                  | count |
+      | 3    | a long prompt to read | 0     |
+      | 3    | 8 open requests       | 0     |
+      | 3    | failed lately         | 0     |
+
+  Scenario: Of two equal loads a short prompt takes the engine without long prompts
+    Given 4 idle engines
+    And engine 3 has read a long prompt a second ago
+    When 2 short prompts are placed one after the other
+    Then engine 3 gets 0 of them
+
+  Scenario: Short prompts use all engines when no long ones come
+    Given 4 idle engines
+    When 20 short prompts are placed one after the other
+    Then every engine gets 3 of them at least
+
+  Scenario: Long prompts leave engines to the short ones
+    Given 10 idle engines
+    When 3 long prompts are placed one after the other
+    Then 3 engines at least read none of them
+
+  Scenario Outline: A prompt over one engine's memory is held by several
+    Given <engines> idle engines
+    When a prompt of <tokens> tokens with a target of 3.0 s is placed
+    Then it <result>
+
+    Examples:
+      | engines | tokens  | result                       |
+      | 8       | 390000  | is held by 2 engines at most |
+      | 8       | 900000  | is held by 3 engines at most |
+      | 2       | 900000  | finds no room                |
+      | 1       | 390000  | finds no room                |
+
+  Scenario Outline: Predictions end with what really happens
+    Given an upstream that reads a prompt of 2 s
+    When at the upstream <event>
+    Then its predicted reading is <left> s
+
+    Examples:
+      | event                                 | left |
+      | nothing happens for 0.5 s             | 1.5  |
+      | its first event comes                 | 0    |
+      | it is 1 s late                        | 0.3  |
+      | it is 6 s late and nothing was heard  | 0    |
+      | a peer gives it 1 s more              | 3.0  |
+      | a peer's prompt there is read         | 2.0  |
+
+  Scenario: A silent peer no longer counts
+    Given a peer with 3 requests open on an upstream
+    When nothing is heard of it for 3.1 s
+    Then the upstream has 0 open requests
--- /dev/null
+++ b/features/steps/forwarding_placement_steps.py
@@ -0,0 +1,191 @@
+"""Steps about the placement of prompts by predicted time."""
+
+from collections import Counter
+
+from behave import given, then, when
+
+from lagoonhinge_core.forwarding.engine_time import EngineProfile
+from lagoonhinge_core.forwarding.load_book import (
+    Load,
+    LoadBook,
+    LoadNews,
+    OpenWork,
+    Reading,
+)
+from lagoonhinge_core.forwarding.prompt_placement import (
+    EngineChoice,
+    Prompt,
+    place_prompt,
+)
+
+PROFILE = EngineProfile(8, 405_000, 0.00131, 154_000.0, 0.000162, 2048, 34)
+SHORT = Prompt(4960, 1266, 0.3, 10.0)
+LONG = Prompt(100_000, 1000, 3.0, 15.0)
+NOW_S = 100.0
+ROUNDING_S = 0.02
+
+
+@given("{count:d} idle engines")
+def step_engines(context, count):
+    context.book = LoadBook("node-1")
+    context.names = [f"e{number}" for number in range(1, count + 1)]
+    context.loads, context.suspects = {}, set()
+
+
+@given("engine {number:d} has {load}")
+def step_engine_load(context, number, load):
+    name = f"e{number}"
+    match load:
+        case "a long prompt to read":
+            context.book.give_reading(Reading(1, name, 1.0, True), NOW_S)
+        case "8 open requests":
+            for _ in range(8):
+                context.book.start(name, 5000)
+        case "failed lately":
+            context.suspects.add(name)
+        case "read a long prompt a second ago":
+            context.loads[name] = Load(since_long_s=1.0)
+        case _:
+            raise AssertionError(load)
+
+
+@given("engine {number:d} failed lately")
+def step_engine_failed(context, number):
+    context.suspects.add(f"e{number}")
+
+
+def _place(context, prompt: Prompt):
+    engines = tuple(
+        EngineChoice(
+            name,
+            context.loads.get(name) or context.book.load(name, NOW_S),
+            name in context.suspects,
+        )
+        for name in context.names
+    )
+    placement = place_prompt(PROFILE, engines, prompt)
+    if placement is None:
+        return None
+    number = context.book.next_number()
+    context.book.start(placement.instance, prompt.size())
+    for name in (placement.instance, *placement.helpers):
+        reading = Reading(number, name, placement.part_s, placement.is_long)
+        context.book.give_reading(reading, NOW_S)
+    return placement
+
+
+@when("a prompt of {tokens:d} tokens with a target of {target:g} s is placed")
+def step_place(context, tokens, target):
+    context.placement = _place(context, Prompt(tokens, 1000, target, 15.0))
+
+
+@then("{parts:d} engines read it, each for at most {part:g} s")
+def step_parts(context, parts, part):
+    placement = context.placement
+    assert 1 + len(placement.helpers) == parts, placement
+    assert placement.part_s <= part + ROUNDING_S, placement
+
+
+@when("{count:d} short prompts are placed one after the other")
+def step_short(context, count):
+    context.placements = [_place(context, SHORT) for _ in range(count)]
+
+
+@when("{count:d} long prompts are placed one after the other")
+def step_long(context, count):
+    context.placements = [_place(context, LONG) for _ in range(count)]
+
+
+def _readers(context) -> Counter[str]:
+    return Counter(
+        name for p in context.placements for name in (p.instance, *p.helpers)
+    )
+
+
+@then("engine {number:d} gets {count:d} of them")
+def step_gets(context, number, count):
+    assert _readers(context)[f"e{number}"] == count, _readers(context)
+
+
+@then("every engine gets {count:d} of them at least")
+def step_every(context, count):
+    readers = _readers(context)
+    assert all(readers[name] >= count for name in context.names), readers
+
+
+@then("{count:d} engines at least read none of them")
+def step_spared(context, count):
+    readers = _readers(context)
+    spared = [name for name in context.names if not readers[name]]
+    assert len(spared) >= count, readers
+
+
+@then("it is held by {count:d} engines at most")
+def step_held(context, count):
+    placement = context.placement
+    held = sum(holding.tokens for holding in placement.holdings)
+    assert placement.holdings and len(placement.holdings) + 1 <= count, placement
+    assert all(h.tokens <= PROFILE.kv_tokens for h in placement.holdings), placement
+    helpers = {holding.instance for holding in placement.holdings}
+    assert helpers <= set(placement.helpers), placement
+    assert held > 0
+
+
+@then("it finds no room")
+def step_no_room(context):
+    assert context.placement is None, context.placement
+
+
+@given("an upstream that reads a prompt of {seconds:g} s")
+def step_reading(context, seconds):
+    context.book = LoadBook("node-1")
+    context.book.give_reading(Reading(1, "e1", seconds, True), NOW_S)
+    context.now_s = NOW_S
+
+
+@when("at the upstream {event}")
+def step_event(context, event):
+    book = context.book
+    match event:
+        case "nothing happens for 0.5 s":
+            context.now_s += 0.5
+        case "its first event comes":
+            book.end_reading(1, ("e1",))
+        case "it is 1 s late":
+            context.now_s += 3.0
+        case "it is 6 s late and nothing was heard":
+            context.now_s += 8.0
+        case "a peer gives it 1 s more":
+            reading = Reading(7, "e1", 1.0, True)
+            book.hear(LoadNews("node-2", (reading,), (), {}), NOW_S)
+        case "a peer's prompt there is read":
+            reading = Reading(7, "e1", 1.0, True)
+            book.hear(LoadNews("node-2", (reading,), (), {}), NOW_S)
+            book.hear(LoadNews("node-2", (), (7,), {}), NOW_S)
+        case _:
+            raise AssertionError(event)
+
+
+@then("its predicted reading is {left:g} s")
+def step_predicted(context, left):
+    found = context.book.load("e1", context.now_s).reading_s
+    assert abs(found - left) < ROUNDING_S, found
+
+
+@given("a peer with {count:d} requests open on an upstream")
+def step_peer(context, count):
+    context.book = LoadBook("node-1")
+    work = {"e1": OpenWork(count, 1000)}
+    context.book.hear(LoadNews("node-2", (), (), work), NOW_S)
+    assert context.book.load("e1", NOW_S).requests == count
+    context.now_s = NOW_S
+
+
+@when("nothing is heard of it for {seconds:g} s")
+def step_silence(context, seconds):
+    context.now_s += seconds
+
+
+@then("the upstream has {count:d} open requests")
+def step_open(context, count):
+    assert context.book.load("e1", context.now_s).requests == count
--- /dev/null
+++ b/features/steps/platform_adapter_steps.py
@@ -0,0 +1,209 @@
+"""Steps about the adapter to the platform."""
+
+from base64 import b64encode
+from importlib import import_module
+from os import environ
+from pathlib import Path
+from subprocess import run
+from sys import executable
+from sysconfig import get_path
+from tempfile import TemporaryDirectory
+
+from behave import then, when
+from msgspec import json
+from returns.result import Failure, Success
+
+from features.support.platform_fleet import BOUNDS, config
+from lagoonhinge_platform import names
+from lagoonhinge_platform.headers import PlatformHeaders
+from lagoonhinge_platform.settings import parse_settings
+from lagoonhinge_platform.site_rows import StoreRow, config_of, upstream_of
+
+ROOT = Path(__file__).parents[2]
+SETTINGS = {
+    "node": "front-1",
+    "ip": "127.0.0.1",
+    "zone": "north",
+    "heartbeatMs": "1200",
+    "portRange": "7340,7355",
+    "listen.front": "127.0.0.1:1",
+    "listen.ready": "127.0.0.1:2",
+    "listen.control": "127.0.0.1:3",
+    "platform.address": "127.0.0.1:4",
+    **{f"bounds.{key}": str(value) for key, value in BOUNDS.items()},
+}
+ENTRY = {
+    "service": "desk",
+    "address": "10.0.0.1:80",
+    "zone": "north",
+    "slots": 8,
+    "state": "ready",
+    "born": 1,
+}
+ENTRY_CHANGES = {
+    "nothing changed": {},
+    "a draining state": {"state": "draining"},
+    "an unknown state": {"state": "asleep"},
+    "no address": {"address": None},
+    "an address as number": {"address": 80},
+    "no slots": {"slots": None},
+    "an unknown field": {"colour": "blue"},
+    "no start": {"born": None},
+}
+PACKAGES = (ROOT / "packages", ROOT / "tools", ROOT / "bench")
+# Names that are also words of the product's own interface.
+SHARED_NAMES = {names.RETRY_AFTER, names.LAST_EVENT_ID, names.AUTHORIZATION}
+
+
+def _text(settings: dict[str, str]) -> str:
+    return "".join(f"{key}={value}\n" for key, value in settings.items())
+
+
+@when('the platform\'s settings have {key} set to "{value}"')
+@when('the platform\'s settings have {key} set to ""')
+def step_setting(context, key, value=""):
+    assert isinstance(parse_settings(_text(SETTINGS)), Success)
+    context.result = parse_settings(_text({**SETTINGS, key: value}))
+
+
+@when('the platform\'s settings are "{text}" alone')
+def step_settings_alone(context, text):
+    context.result = parse_settings(text)
+
+
+@then('the settings errors name {key} and "{reason}"')
+def step_setting_error(context, key, reason):
+    (error,) = context.result.failure()
+    assert error.flag == key and reason in error.reason, error
+
+
+@then("the settings errors name {first}, {second}, {third} and {fourth}")
+def step_setting_errors(context, first, second, third, fourth):
+    named = {error.flag for error in context.result.failure()}
+    assert {first, second, third, fourth} <= named, named
+
+
+@when("a worker's entry has {change}")
+def step_entry(context, change):
+    match change:
+        case "bytes that are no JSON":
+            value = b64encode(b"\xff{").decode()
+        case "a value not in base64":
+            value = "not base64!"
+        case _:
+            fields = {**ENTRY, **ENTRY_CHANGES[change]}
+            kept = {key: value for key, value in fields.items() if value is not None}
+            value = b64encode(json.encode(kept)).decode()
+    context.upstream = upstream_of(StoreRow("i-1", value, 7))
+
+
+@then("the entry names {result}")
+def step_names(context, result):
+    upstream = context.upstream
+    match result:
+        case "none":
+            assert upstream is None, upstream
+        case "a ready one":
+            assert upstream.instance == "i-1" and not upstream.leaving, upstream
+        case _:
+            assert upstream.leaving, upstream
+
+
+@when("a configuration has {change}")
+def step_config(context, change):
+    text = json.decode(json.encode(config()))
+    match change:
+        case "an unknown kind":
+            text["routes"][0]["kind"] = "sometimes"
+        case "a route without host":
+            del text["routes"][0]["host"]
+        case "no limits":
+            del text["limits"]
+        case _:
+            text["version"] = "seven"
+    value = b64encode(json.encode(text)).decode()
+    context.result = config_of(StoreRow("config", value, 7))
+
+
+@then('the configuration is refused with "{reason}"')
+def step_refused(context, reason):
+    assert isinstance(context.result, Failure), context.result
+    assert reason in context.result.failure(), context.result
+
+
+@when("a request comes with {header}")
+def step_header(context, header):
+    name, _, value = header.partition(": ")
+    headers = [(b"Host", b"desk.example"), (b"X-Hop", b"1")]
+    headers.append((name.encode(), value.encode()))
+    context.request = PlatformHeaders().read_request(
+        "GET", "/read/1", tuple(headers), b""
+    )
+
+
+@then("the adapter {effect}")
+def step_effect(context, effect):
+    request = context.request
+    kept = {name.decode() for name, _ in request.headers}
+    match effect.split():
+        case ["reads", "a", "limit", *_]:
+            assert request.time_limit_s == 2.5, request
+        case ["reads", "no", "limit"]:
+            assert request.time_limit_s is None, request
+        case ["reads", tokens, "prompt", "tokens"]:
+            assert request.size.prompt_tokens == int(tokens), request
+        case ["reads", "no", "size"]:
+            assert request.size is None, request
+        case ["reads", "the", "key", key]:
+            assert request.key == key and names.AUTHORIZATION not in kept, request
+        case ["reads", "no", "key"]:
+            assert request.key is None and names.AUTHORIZATION not in kept, request
+        case ["drops", name]:
+            assert name not in kept, request
+        case ["keeps", name]:
+            assert name in kept, request
+
+
+@then("no other source names a header, a path or a table of the platform")
+def step_names_stay(context):
+    words = {
+        value
+        for name, value in vars(names).items()
+        if name.isupper() and isinstance(value, str) and len(value) > 8
+    } - SHARED_NAMES
+    sources = [path for folder in PACKAGES for path in folder.rglob("*.py")]
+    found = [
+        (str(path), word)
+        for path in sources
+        for word in words
+        if word in path.read_text()
+    ]
+    assert sources and not found, found
+
+
+@then('the module "{name}" is the standard library\'s')
+def step_module(context, name):
+    path = Path(import_module(name).__file__)
+    assert path.is_relative_to(get_path("stdlib")), path
+
+
+@when("a node on the platform is started with a settings file that is empty")
+def step_empty_settings(context):
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.conf"
+        path.write_text("")
+        context.finished = run(
+            (executable, "-m", "lagoonhinge_platform.main"),
+            env={**environ, names.SETTINGS_VARIABLE: str(path)},
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=False,
+        )
+
+
+@then("the node exits with status {status:d}, naming {first} and {second}")
+def step_exits(context, status, first, second):
+    finished = context.finished
+    assert finished.returncode == status, finished
+    assert all(f"{name}: " in finished.stderr for name in (first, second)), finished
