--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/callers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/callers.py
@@ -16,7 +16,9 @@
 )
 from lagoonhinge_core.forwarding.routes import Route
 from lagoonhinge_core.forwarding.site_config import SiteConfig
-from lagoonhinge_node.forwarding.request_run import Job, RequestRunner
+from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
+from lagoonhinge_node.forwarding.request_job import Job
+from lagoonhinge_node.forwarding.request_run import RequestRunner
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.state import SiteConfigSection
 from lagoonhinge_node.logs import PartLogger
@@ -141,9 +143,17 @@
         state: What all requests share.
         codec: Translation of headers.
         runner: Runs requests.
+        metrics: The metrics.
     """
 
-    def __init__(self, state: ServingState, codec: HeaderCodec, runner: RequestRunner):
+    def __init__(
+        self,
+        state: ServingState,
+        codec: HeaderCodec,
+        runner: RequestRunner,
+        metrics: ForwardingMetrics,
+    ):
+        self.metrics = metrics
         self.state = state
         self.codec = codec
         self.runner = runner
@@ -173,6 +183,7 @@
             job = await self._admit(request, arrived_s)
             await self.runner.run(job, sink)
         except Refusal as refusal:
+            self.metrics.refusals.labels(str(refusal.status)).inc()
             self.log_part.info(
                 "Refused.",
                 sink.request_id or "-",
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
@@ -11,9 +11,8 @@
 from mode.types import ServiceT
 
 from lagoonhinge_core.blackboard import Blackboard
-from lagoonhinge_core.forwarding.freshness import Freshness, FreshnessLimits, Standing
+from lagoonhinge_core.forwarding.freshness import Freshness, Standing
 from lagoonhinge_core.forwarding.messages import EngineMemory, HeaderCodec
-from lagoonhinge_core.forwarding.retry_window import RetryBound
 from lagoonhinge_core.forwarding.site_store import NodeEntry, SiteStore
 from lagoonhinge_node.addresses import Address
 from lagoonhinge_node.forwarding.callers import CallerInterface
@@ -23,20 +22,26 @@
     NodeFollower,
     UpstreamFollower,
 )
+from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.load_exchange import LoadExchange
+from lagoonhinge_node.forwarding.operators import OperatorInterface
 from lagoonhinge_node.forwarding.reachability import ReachabilityController
+from lagoonhinge_node.forwarding.request_job import JobLog
 from lagoonhinge_node.forwarding.request_run import RequestRunner
+from lagoonhinge_node.forwarding.sending import Sender
 from lagoonhinge_node.forwarding.server_listener import ServerListener
 from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.settings_controller import (
+    LiveSettings,
+    ReadSettings,
+    SettingsController,
+)
 from lagoonhinge_node.forwarding.upstream_client import (
     UpstreamClient,
     open_upstream_session,
 )
 from lagoonhinge_node.logs import PartLogger
 
-# Parts of the time within which a revoked key must be out of use.
-SERVE_SHARE = 0.9  # leaves a request on its way time to arrive
-DENY_SHARE = 0.52  # a little over the longest wait for a confirmation
 # Time in which the balancer notices that the node is not ready, in seconds: two checks
 # a second apart, and one for their answers.
 BALANCER_LAG_S = 3.0
@@ -59,9 +64,7 @@
         readiness: Listening address for readiness checks.
         readiness_path: Path of these checks.
         metrics: Listening address for metrics and the state dump.
-        revoke_s: Time within which a revoked key must be out of use, in seconds.
-        grace_s: Time from the signal to stop until the process is killed, in seconds.
-        retries: Bound on repeated sends over all nodes.
+        live: What may change while the node runs.
     """
 
     entry: NodeEntry
@@ -69,9 +72,7 @@
     readiness: Address
     readiness_path: str
     metrics: Address
-    revoke_s: float
-    grace_s: float
-    retries: RetryBound
+    live: LiveSettings
 
 
 @dataclass(frozen=True)
@@ -82,11 +83,13 @@
         codec: Translation of headers.
         open_store: Builds the client of the platform's store.
         open_memory: Builds the client for orders to engines.
+        read_settings: Reads the settings again.
     """
 
     codec: HeaderCodec
     open_store: Callable[[], SiteStore]
     open_memory: Callable[[], EngineMemory]
+    read_settings: ReadSettings
 
 
 class EntryNode(Service):
@@ -102,20 +105,19 @@
         self.settings = settings
         self.adapters = adapters
         self.log_part = PartLogger("node")
+        self.metrics = ForwardingMetrics()
         self.callers: ServerListener | None = None
         self.checks: ServerListener | None = None
+        self.operators: ServerListener | None = None
         self.sessions: list[ClientSession] = []
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """Build the parts; returns the services among them."""
         settings = self.settings
-        limits = FreshnessLimits(
-            DENY_SHARE * settings.revoke_s, SERVE_SHARE * settings.revoke_s
-        )
         self.serving = ServingState(
             Blackboard(),
-            Freshness(limits),
-            settings.retries,
+            Freshness(settings.live.freshness),
+            settings.live.retries,
             Random(),
             suspend_aware_s,
             settings.entry.name,
@@ -123,47 +125,64 @@
         )
         store = self.adapters.open_store()
         exchange = LoadExchange(self.serving, settings.entry)
+        self.live = SettingsController(
+            self.serving, self.adapters.read_settings, settings.live
+        )
         return [
             ConfigFollower(self.serving, store),
             UpstreamFollower(self.serving, store),
             exchange,
             NodeFollower(self.serving, store, settings.entry, exchange.follow_nodes),
             ReachabilityController(self.serving),
+            self.live,
         ]
 
     async def on_started(self) -> None:
         """Open the listeners."""
         session = open_upstream_session()
         self.sessions.append(session)
+        self.metrics.watch(self.serving)
+        client = UpstreamClient(session, self.adapters.codec)
+        memory = self.adapters.open_memory()
+        log = JobLog(self.serving)
         runner = RequestRunner(
             self.serving,
             Chooser(self.serving, self.settings.entry.zone),
-            UpstreamClient(session, self.adapters.codec),
-            self.adapters.open_memory(),
+            Sender(self.serving, client, memory, self.metrics, log),
+            self.metrics,
+            log,
+        )
+        interface = CallerInterface(
+            self.serving, self.adapters.codec, runner, self.metrics
         )
-        interface = CallerInterface(self.serving, self.adapters.codec, runner)
         self.callers = ServerListener(interface.server(), self.settings.callers)
         await self.callers.start()
         checks = web.Server(self._answer_check, access_log=None)
         self.checks = ServerListener(checks, self.settings.readiness)
         await self.checks.start()
-        self.log_part.info("Started.", node=self.settings.entry.name)
+        operators = OperatorInterface(self.serving, self.metrics)
+        self.operators = ServerListener(operators.server(), self.settings.metrics)
+        await self.operators.start()
+        self.log_part.info(
+            "Started.", node=self.settings.entry.name, zone=self.settings.entry.zone
+        )
 
     async def on_stop(self) -> None:
         """Let the balancer look away, then finish every running request."""
-        until_s = self.serving.clock() + self.settings.grace_s - STOP_MARGIN_S
+        until_s = self.serving.clock() + self.live.known.grace_s - STOP_MARGIN_S
         self.serving.stopping_until_s = until_s
         self.log_part.info("Stopping.", open=self.serving.open_requests)
         if self.callers is not None:
-            await sleep(min(BALANCER_LAG_S, self.settings.grace_s / 2))
+            await sleep(min(BALANCER_LAG_S, self.live.known.grace_s / 2))
             # Idle connections end now, the others with their answers.
             await self.callers.stop(max(0.0, until_s - self.serving.clock()))
         self.log_part.info("Stopped.", open=self.serving.open_requests)
 
     async def on_shutdown(self) -> None:
         """Close what is open."""
-        if self.checks is not None:
-            await self.checks.stop(0.0)
+        for listener in (self.checks, self.operators):
+            if listener is not None:
+                await listener.stop(0.0)
         for session in self.sessions:
             await session.close()
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
@@ -1,10 +1,10 @@
 """Controllers that follow the platform's store and post what they learn."""
 
-from asyncio import sleep
+from asyncio import FIRST_COMPLETED, create_task, sleep, wait
 from collections.abc import Callable
 
 from mode import Service
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.forwarding.site_store import (
     ConfigUpdate,
@@ -25,6 +25,8 @@
 from lagoonhinge_node.logs import PartLogger
 
 FOLLOW_WAIT_S = 2.0  # well under the time within which a revoked key must be unused
+# The list is read again at once when the other follower finds the store in trouble.
+UPSTREAMS_WAIT_S = 6.0
 NODES_WAIT_S = 20.0  # nodes come and go seldom, and a late list only costs accuracy
 # Changes come in bursts; after these pauses one call reads several.
 CONFIG_PAUSE_S = 0.15  # under a tenth of the time within which it is in force
@@ -94,6 +96,7 @@
                     self.log_part.info("The history was lost; reading all.")
                     after = None
                 case Failure(fault):
+                    self.serving.tell_store_trouble()
                     await backoff.failed(fault)
 
     def _confirmed_s(
@@ -147,7 +150,9 @@
         backoff = Backoff(self.serving, "upstreams")
         after: int | None = None
         while not self.should_stop:
-            match await self.store.read_upstreams(after, FOLLOW_WAIT_S):
+            match await self._read(after):
+                case None:
+                    continue
                 case Success(update):
                     backoff.answered()
                     self._note_outage()
@@ -161,6 +166,19 @@
                 case Failure(fault):
                     await backoff.failed(fault)
 
+    async def _read(
+        self, after: int | None
+    ) -> Result[UpstreamUpdate, StoreFault | HistoryLost] | None:
+        """Return an update, or `None` if the store's trouble ended the wait."""
+        reading = create_task(self.store.read_upstreams(after, UPSTREAMS_WAIT_S))
+        trouble = create_task(self.serving.store_trouble.wait())
+        try:
+            await wait((reading, trouble), return_when=FIRST_COMPLETED)
+            return reading.result() if reading.done() else None
+        finally:
+            reading.cancel()
+            trouble.cancel()
+
     @Service.timer(0.2)
     async def drop_lapsed(self) -> None:
         """Drop upstreams that did not come back after the store did."""
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -0,0 +1,122 @@
+"""Metrics of the forwarding path; labels never name accounts, upstreams or requests."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    generate_latest,
+)
+
+from lagoonhinge_core.forwarding.messages import CallerRequest
+from lagoonhinge_core.forwarding.routes import (
+    AtMostOnce,
+    EventStream,
+    Idempotent,
+    RouteKind,
+)
+from lagoonhinge_core.length_class import length_class
+from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.state import SiteConfigSection
+from lagoonhinge_node.metrics import FIRST_TOKEN_BUCKETS_S
+
+PAUSE_BUCKETS_S = (0.05, 0.1, 0.15, 0.2, 0.25, 0.4, 0.6, 1.0, 2.0, 5.0)
+
+
+def kind_label(kind: RouteKind) -> str:
+    """Return the label of a route's kind."""
+    match kind:
+        case Idempotent():
+            return "idempotent"
+        case AtMostOnce():
+            return "at_most_once"
+        case EventStream():
+            return "stream"
+
+
+def size_label(request: CallerRequest) -> str:
+    """Return the label of a prompt's length class."""
+    size = request.size
+    return "none" if size is None else length_class(size.prompt_tokens)
+
+
+class ForwardingMetrics:
+    """The metrics in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
+        self.ends = Counter(
+            "lagoonhinge_requests",
+            "Requests by kind of route, length class and how they ended.",
+            ("kind", "length", "end"),
+            registry=self.registry,
+        )
+        self.sends = Counter(
+            "lagoonhinge_sends",
+            "Sends to upstreams by result and whether the zone is the node's own.",
+            ("result", "same_zone"),
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "lagoonhinge_refusals",
+            "Requests that were not admitted, by status.",
+            ("status",),
+            registry=self.registry,
+        )
+        self.first_event = Histogram(
+            "lagoonhinge_first_event_seconds",
+            "From a request's arrival to its first event or whole answer.",
+            ("kind", "length"),
+            buckets=FIRST_TOKEN_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.pause = Histogram(
+            "lagoonhinge_longest_pause_seconds",
+            "Longest pause between two events of a stream.",
+            ("length",),
+            buckets=PAUSE_BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def watch(self, state: ServingState) -> None:
+        """Show what the node believes now."""
+        now_s = state.clock
+        gauges = {
+            "lagoonhinge_open_requests": (
+                "Requests being served.",
+                lambda: state.open_requests,
+            ),
+            "lagoonhinge_upstreams": (
+                "Listed upstreams.",
+                lambda: len(state.directory.by_instance),
+            ),
+            "lagoonhinge_unreachable_upstreams": (
+                "Upstreams that could not be reached.",
+                lambda: len(state.health.unreachable()),
+            ),
+            "lagoonhinge_nodes_heard": (
+                "Nodes that share the upstreams, this one included.",
+                lambda: state.load.nodes_heard(now_s()),
+            ),
+            "lagoonhinge_config_age_seconds": (
+                "Age of the last confirmation of the configuration.",
+                lambda: state.freshness.age_s(now_s()),
+            ),
+            "lagoonhinge_config_version": (
+                "Version of the configuration in force.",
+                lambda: _config_version(state),
+            ),
+        }
+        for name, (text, read) in gauges.items():
+            Gauge(name, text, registry=self.registry).set_function(read)
+
+    def render(self) -> bytes:
+        """Return the metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
+
+
+def _config_version(state: ServingState) -> int:
+    config = state.board.read(SiteConfigSection).config
+    return 0 if config is None else config.version
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operators.py
@@ -0,0 +1,83 @@
+"""The operators' interface of a forwarding node: metrics and the state dump."""
+
+from typing import Any
+
+from aiohttp import web
+from msgspec import json, to_builtins
+
+from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
+from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.state import NodeListSection, SiteConfigSection
+
+METRICS_PATH = "/metrics"
+STATE_PATH = "/state"
+
+
+class OperatorInterface:
+    """Answers operators.
+
+    Args:
+        state: What all requests share.
+        metrics: The metrics.
+    """
+
+    def __init__(self, state: ServingState, metrics: ForwardingMetrics):
+        self.state = state
+        self.metrics = metrics
+
+    def server(self) -> web.Server:
+        """Return the server for the operators' listener."""
+        return web.Server(self.handle, access_log=None)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        match request.path:
+            case path if path == METRICS_PATH:
+                return web.Response(
+                    body=self.metrics.render(), content_type="text/plain"
+                )
+            case path if path == STATE_PATH:
+                body = json.encode(self.dump())
+                return web.Response(body=body, content_type="application/json")
+            case _:
+                return web.Response(status=404)
+
+    def dump(self) -> dict[str, Any]:
+        """Return what the node believes, without any key."""
+        state, now_s = self.state, self.state.clock()
+        section = state.board.read(SiteConfigSection)
+        config = section.config
+        listed = state.directory.by_instance
+        return {
+            "node": state.load.node,
+            "zone": state.zone,
+            "open_requests": state.open_requests,
+            "config": {
+                "version": None if config is None else config.version,
+                "fault": section.fault,
+                "standing": state.freshness.standing(now_s).value,
+                "age_s": str(round(state.freshness.age_s(now_s), 3)),
+                "hosts": {}
+                if config is None
+                else {
+                    host: sorted(routes)
+                    for host, routes in config.routes.by_host.items()
+                },
+            },
+            "upstreams": to_builtins(listed),
+            "load": {
+                name: {
+                    "reading_s": round(load.reading_s, 3),
+                    "requests": load.requests,
+                    "tokens": load.tokens,
+                }
+                for name in listed
+                for load in (state.load.load(name, now_s),)
+            },
+            "health": to_builtins(state.health.records),
+            "nodes": to_builtins(state.board.read(NodeListSection).nodes),
+            "peers_heard_s": {
+                name: round(now_s - peer.heard_s, 3)
+                for name, peer in state.load.peers.items()
+            },
+        }
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -1,6 +1,6 @@
 """What all requests of a node share: beliefs about upstreams, budgets, clock."""
 
-from asyncio import Task, create_task
+from asyncio import Event, Task, create_task
 from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Any
@@ -48,6 +48,7 @@
         self.health = HealthBook()
         self.retry_windows: dict[str, RetryWindow] = {}
         self.known_nodes = 1
+        self.store_trouble = Event()
         self.zone = zone
         self.zone_of_node: dict[str, str] = {}
         self.turn = 0
@@ -60,6 +61,11 @@
         self.background.add(task)
         task.add_done_callback(self.background.discard)
 
+    def tell_store_trouble(self) -> None:
+        """End the waits for the store's changes; their connections may be dead too."""
+        self.store_trouble.set()
+        self.store_trouble = Event()
+
     def retry_window(self, service: str) -> RetryWindow:
         """Return the window of a service's repeated sends."""
         window = self.retry_windows.get(service)
@@ -67,6 +73,12 @@
             window = self.retry_windows[service] = RetryWindow(self.retry_bound)
         return window
 
+    def use_retry_bound(self, bound: RetryBound) -> None:
+        """Take a changed bound on repeated sends; what was counted stays."""
+        self.retry_bound = bound
+        for window in self.retry_windows.values():
+            window.bound = bound
+
     def allows_repeat(self, service: str) -> bool:
         """Return whether one more repeated send to a service is allowed."""
         # Unheard nodes count too, so that lost contact never raises the part.
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
@@ -1,6 +1,8 @@
 """Logs: short sentences with a fixed prefix for each part, as text or JSON lines."""
 
-from logging import Formatter, LogRecord, getLogger
+from logging import Formatter, LogRecord, StreamHandler, getLogger
+from logging.handlers import QueueHandler, QueueListener
+from queue import Full, Queue
 from sys import stdout
 from typing import Any
 
@@ -14,6 +16,7 @@
     "warning": logging.WARNING,
     "error": logging.ERROR,
 }
+MAX_QUEUED_LINES = 10_000  # some seconds of a node's lines at full load
 FORMAT = "[%s] [%s] %s%s"
 
 
@@ -75,24 +78,74 @@
     return value
 
 
-def set_up_logs(level: str, as_json: bool, to_stdout: bool = False) -> None:
-    """Direct all logs to one stream in the chosen form.
+class _DroppingQueueHandler(QueueHandler):
+    """Queues records for a thread that writes them; drops them if it is behind.
+
+    A reader of the stream that is slow or stopped must never hold up a request.
+    """
+
+    def __init__(self, lines: Queue[LogRecord]):
+        super().__init__(lines)
+        self.dropped = 0
+
+    def prepare(self, record: LogRecord) -> LogRecord:
+        return record
+
+    def enqueue(self, record: LogRecord) -> None:
+        try:
+            self.queue.put_nowait(record)
+        except Full:
+            self.dropped += 1
+            return
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
+            logging.warning(
+                FORMAT, "logs", "-", "Lines were dropped.", Inputs(count=dropped)
+            )
+
+
+def set_up_logs(level: str, as_json: bool) -> None:
+    """Direct all logs to standard error in the chosen form.
 
     Args:
         level: One of `LEVELS`.
         as_json: Whether to write one JSON object a line.
-        to_stdout: Whether to write to standard output and not to standard error.
     """
     # absl's own flags are not used; unparsed, they cost a line that is not JSON.
     FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(LEVELS[level])
-    # With another stream, absl would write what reaches the threshold twice.
-    logging.set_stderrthreshold(logging.FATAL if to_stdout else logging.DEBUG)
-    if to_stdout:
-        logging.get_absl_handler().python_handler.stream = stdout
+    logging.set_stderrthreshold(logging.DEBUG)
     if as_json:
         logging.get_absl_handler().setFormatter(_JsonFormatter())
+    _quieten_mode()
+
+
+def set_up_queued_logs(level: str) -> QueueListener:
+    """Direct all logs to standard output as JSON lines, written by a thread.
+
+    Args:
+        level: One of `LEVELS`.
+
+    Returns:
+        The thread's owner; its `stop` writes what is queued.
+    """
+    FLAGS.mark_as_parsed()
+    logging.set_verbosity(LEVELS[level])
+    writer = StreamHandler(stdout)
+    writer.setFormatter(_JsonFormatter())
+    lines: Queue[LogRecord] = Queue(MAX_QUEUED_LINES)
+    root = getLogger()
+    for handler in list(root.handlers):
+        root.removeHandler(handler)
+    root.addHandler(_DroppingQueueHandler(lines))
+    _quieten_mode()
+    listener = QueueListener(lines, writer)
+    listener.start()
+    return listener
+
+
+def _quieten_mode() -> None:
     # mode logs each service's life at info, without the prefix of a part, under its
     # own name and those of the services' modules.
     for name in ("mode", "lagoonhinge_node"):
