--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -17,7 +17,6 @@
 SMALL_PART_S = 0.09  # with a pass of some 45 ms, well within a pause of 250 ms
 MOST_SMALL_PARTS_SHARE = 0.5  # of the engines, over which small parts are spread
 LONG_SHARE = 0.7  # of the engines, which read long prompts
-LONG_PART_S = 0.09  # of a long prompt, if there are engines enough
 TARGET_SHARE = 0.6  # of the target time, within which the parts are to be read
 SPARING_SHARE = 0.35  # of it, within which engines that write answers are spared
 LIMIT_SHARE = 0.5  # of the time limit, for a prompt that misses its target anyway
@@ -25,7 +24,6 @@
 LONG_NEIGHBOUR_S = 0.15  # cost of a short prompt beside long ones, in seconds
 # Cost of a short prompt where long ones may come, in seconds: that of five requests.
 LONG_SET_S = 0.02
-STALLED_REQUEST_S = 0.0  # cost of each answer that a long prompt stalls, in seconds
 FULL_COST_S = 1.0  # cost of an engine without a free slot or memory, in seconds
 REQUEST_COST_S = 0.004  # each open request lengthens the steps a little
 USABLE_MEMORY = 0.9  # of an engine's free memory; requests unheard of take the rest
@@ -146,7 +144,7 @@
 def _place_long(
     profile: EngineProfile, pool: tuple[EngineChoice, ...], prompt: Prompt
 ) -> Placement:
-    ranked = sorted(pool, key=lambda e: _long_cost(profile, e))
+    ranked = sorted(pool, key=lambda e: e.load.reading_s + _full_cost(profile, e, 0))
     # Reading stalls whatever is written beside it, so engines that write are spared.
     silent = [engine for engine in ranked if not engine.load.requests]
     readers = silent[: _long_parts(profile, prompt, len(silent))]
@@ -183,7 +181,7 @@
 
 def _long_parts(profile: EngineProfile, prompt: Prompt, most: int) -> int:
     """Return in how many parts to read a prompt whose parts are not small."""
-    parts = profile.parts_within(prompt.tokens, LONG_PART_S, most)
+    parts = profile.parts_within(prompt.tokens, SMALL_PART_S, most)
     if profile.read_s(prompt.tokens, parts) <= TARGET_SHARE * prompt.target_s:
         return parts
     return profile.parts_within(prompt.tokens, LIMIT_SHARE * prompt.limit_s, most)
@@ -220,12 +218,6 @@
     return cost_s + _full_cost(profile, engine, tokens)
 
 
-def _long_cost(profile: EngineProfile, engine: EngineChoice) -> float:
-    load = engine.load
-    cost_s = load.reading_s + load.requests * STALLED_REQUEST_S
-    return cost_s + _full_cost(profile, engine, 0)
-
-
 def _full_cost(profile: EngineProfile, engine: EngineChoice, tokens: int) -> float:
     load = engine.load
     is_full = load.requests >= profile.slots
