Long prompts take more engines than they need only where nothing is written; exceptions in logs

Also: a stop past its limit ends the connections that are left, which had answered 500 on a closed session.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -18,7 +18,8 @@
 MOST_SMALL_PARTS_SHARE = 0.5  # of the engines, over which small parts are spread
 LONG_SHARE = 0.7  # of the engines, which read long prompts
 TARGET_SHARE = 0.6  # of the target time, within which the parts are to be read
-SPARING_SHARE = 0.35  # of it, within which engines that write answers are spared
+PART_SHARE = 0.3  # of it, for a part where reading stalls answers
+STALLED_REQUEST_S = 0.05  # cost of each answer that a long prompt stalls, in seconds
 LIMIT_SHARE = 0.5  # of the time limit, for a prompt that misses its target anyway
 LONG_MEMORY_S = 2.0  # about the duration of a short answer
 LONG_NEIGHBOUR_S = 0.15  # cost of a short prompt beside long ones, in seconds
@@ -144,12 +145,19 @@
 def _place_long(
     profile: EngineProfile, pool: tuple[EngineChoice, ...], prompt: Prompt
 ) -> Placement:
-    ranked = sorted(pool, key=lambda e: e.load.reading_s + _full_cost(profile, e, 0))
-    # Reading stalls whatever is written beside it, so engines that write are spared.
-    silent = [engine for engine in ranked if not engine.load.requests]
-    readers = silent[: _long_parts(profile, prompt, len(silent))]
-    if _first_event_s(profile, prompt, readers) > SPARING_SHARE * prompt.target_s:
-        readers = ranked[: _long_parts(profile, prompt, len(ranked))]
+    ranked = sorted(pool, key=lambda e: _long_cost(profile, e))
+    most = _long_parts(profile, prompt, len(ranked))
+    limit_s = PART_SHARE * prompt.target_s
+    fewest = min(most, profile.parts_within(prompt.tokens, limit_s, len(ranked)))
+    readers = ranked[:fewest]
+    waiting_s = max(engine.load.reading_s for engine in readers)
+    # Reading stalls what is written beside it, so only idle engines are added.
+    idle = [
+        engine
+        for engine in ranked[fewest:]
+        if not engine.load.requests and engine.load.reading_s <= waiting_s
+    ]
+    readers += idle[: most - fewest]
     first = min(
         readers, key=lambda e: (_full_cost(profile, e, prompt.size()), e.load.tokens)
     )
@@ -187,16 +195,6 @@
     return profile.parts_within(prompt.tokens, LIMIT_SHARE * prompt.limit_s, most)
 
 
-def _first_event_s(
-    profile: EngineProfile, prompt: Prompt, readers: list[EngineChoice]
-) -> float:
-    """Return the predicted time until the last part is read, in seconds."""
-    if not readers:
-        return float("inf")
-    waiting_s = max(engine.load.reading_s for engine in readers)
-    return waiting_s + profile.read_s(prompt.tokens, len(readers))
-
-
 def _shared(
     profile: EngineProfile,
     prompt: Prompt,
@@ -218,6 +216,12 @@
     return cost_s + _full_cost(profile, engine, tokens)
 
 
+def _long_cost(profile: EngineProfile, engine: EngineChoice) -> float:
+    load = engine.load
+    cost_s = load.reading_s + load.requests * STALLED_REQUEST_S
+    return cost_s + _full_cost(profile, engine, 0)
+
+
 def _full_cost(profile: EngineProfile, engine: EngineChoice, tokens: int) -> float:
     load = engine.load
     is_full = load.requests >= profile.slots
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/server_listener.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/server_listener.py
@@ -17,6 +17,7 @@
     """
 
     def __init__(self, server: web.Server, address: Address):
+        self.server = server
         self.runner = web.ServerRunner(server, shutdown_timeout=MAX_STOP_S)
         self.address = address
 
@@ -39,5 +40,7 @@
         try:
             await wait_for(self.runner.cleanup(), limit_s)
         except TimeoutError:
+            for connection in self.server.connections:
+                connection.force_close()
             return False
         return True
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
@@ -66,6 +66,8 @@
             "request_id": request_id,
             "message": record.getMessage() if sentence is None else sentence,
         }
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
         assert isinstance(inputs, dict)
         line.update((name, _shown(value)) for name, value in inputs.items())
         return json.encode(line).decode()
