--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/engine_time.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/engine_time.py
@@ -53,7 +53,8 @@
             Seconds of the engine's time.
         """
         pairs = prompt_tokens * prompt_tokens / 2 / MILLION
-        whole_s = prompt_tokens / self.read_tokens_per_s
+        steps = prompt_tokens / self.chunk
+        whole_s = prompt_tokens / self.read_tokens_per_s + steps * self.step_s
         whole_s += pairs * self.pairs_s_per_million
         return whole_s / parts
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -11,15 +11,16 @@
 
 from dataclasses import dataclass
 
-from lagoonhinge_core.forwarding.engine_time import EngineProfile
+from lagoonhinge_core.forwarding.engine_time import MAX_HELPERS, EngineProfile
 from lagoonhinge_core.forwarding.load_book import Load
 
 SMALL_PART_S = 0.09  # with a pass of some 45 ms, well within a pause of 250 ms
 MOST_SMALL_PARTS_SHARE = 0.5  # of the engines, over which small parts are spread
 LONG_SHARE = 0.7  # of the engines, which read long prompts
 TARGET_SHARE = 0.6  # of the target time, within which the parts are to be read
-PART_SHARE = 0.3  # of it, for a part where reading stalls answers
-STALLED_REQUEST_S = 0.05  # cost of each answer that a long prompt stalls, in seconds
+# Costs of a long prompt's reader, in seconds of the prompt's own time.
+STALLED_REQUEST_S = 0.1  # for each answer that it stalls
+OUTSIDE_SET_S = 0.1  # for an engine that short prompts prefer
 LIMIT_SHARE = 0.5  # of the time limit, for a prompt that misses its target anyway
 LONG_MEMORY_S = 2.0  # about the duration of a short answer
 LONG_NEIGHBOUR_S = 0.15  # cost of a short prompt beside long ones, in seconds
@@ -112,14 +113,13 @@
     usable = sound or engines
     if not usable:
         return None
-    pool = usable[: max(1, round(len(usable) * LONG_SHARE))]
     if prompt.size() > USABLE_MEMORY * profile.kv_tokens:
-        return _place_huge(profile, pool, prompt)
+        return _place_huge(profile, usable, prompt)
     most = max(1, int(len(usable) * MOST_SMALL_PARTS_SHARE))
     parts = profile.parts_within(prompt.tokens, SMALL_PART_S, most)
     if profile.read_s(prompt.tokens, parts) <= SMALL_PART_S:
         return _place_small(profile, usable, prompt, parts)
-    return _place_long(profile, pool, prompt)
+    return _place_long(profile, usable, prompt)
 
 
 def _place_small(
@@ -143,21 +143,9 @@
 
 
 def _place_long(
-    profile: EngineProfile, pool: tuple[EngineChoice, ...], prompt: Prompt
+    profile: EngineProfile, usable: tuple[EngineChoice, ...], prompt: Prompt
 ) -> Placement:
-    ranked = sorted(pool, key=lambda e: _long_cost(profile, e))
-    most = _long_parts(profile, prompt, len(ranked))
-    limit_s = PART_SHARE * prompt.target_s
-    fewest = min(most, profile.parts_within(prompt.tokens, limit_s, len(ranked)))
-    readers = ranked[:fewest]
-    waiting_s = max(engine.load.reading_s for engine in readers)
-    # Reading stalls what is written beside it, so only idle engines are added.
-    idle = [
-        engine
-        for engine in ranked[fewest:]
-        if not engine.load.requests and engine.load.reading_s <= waiting_s
-    ]
-    readers += idle[: most - fewest]
+    readers = _long_readers(profile, usable, prompt)
     first = min(
         readers, key=lambda e: (_full_cost(profile, e, prompt.size()), e.load.tokens)
     )
@@ -165,16 +153,19 @@
 
 
 def _place_huge(
-    profile: EngineProfile, pool: tuple[EngineChoice, ...], prompt: Prompt
+    profile: EngineProfile, usable: tuple[EngineChoice, ...], prompt: Prompt
 ) -> Placement | None:
     """Place a prompt that several engines hold; they read it as well."""
-    parts = _long_parts(profile, prompt, len(pool))
-    emptiest = sorted(pool, key=lambda e: (e.load.tokens, e.load.reading_s))
+    chosen = _long_readers(profile, usable, prompt)
+    names = {engine.instance for engine in chosen}
+    others = [engine for engine in usable if engine.instance not in names]
+    emptiest = sorted(chosen, key=lambda e: e.load.tokens)
+    emptiest += sorted(others, key=lambda e: e.load.tokens)
     readers: list[EngineChoice] = []
     holdings: list[Holding] = []
     missing = prompt.size()
     for engine in emptiest:
-        if missing <= 0 and len(readers) >= parts:
+        if missing <= 0 and len(readers) >= len(chosen):
             break
         tokens = min(missing, _free_tokens(profile, engine))
         # The first engine keeps what the others do not hold.
@@ -182,17 +173,41 @@
             holdings.append(Holding(engine.instance, tokens))
         readers.append(engine)
         missing -= tokens
-    if missing > 0:
+    if missing > 0 or len(readers) > MAX_HELPERS + 1:
         return None
     return _shared(profile, prompt, readers[0], readers, tuple(holdings))
 
 
-def _long_parts(profile: EngineProfile, prompt: Prompt, most: int) -> int:
-    """Return in how many parts to read a prompt whose parts are not small."""
-    parts = profile.parts_within(prompt.tokens, SMALL_PART_S, most)
-    if profile.read_s(prompt.tokens, parts) <= TARGET_SHARE * prompt.target_s:
-        return parts
-    return profile.parts_within(prompt.tokens, LIMIT_SHARE * prompt.limit_s, most)
+def _long_readers(
+    profile: EngineProfile, usable: tuple[EngineChoice, ...], prompt: Prompt
+) -> list[EngineChoice]:
+    """Return the engines that read a long prompt, by the least cost in all.
+
+    More engines finish sooner, but each of them may have to be waited for, and stalls
+    the answers that it writes.
+    """
+    in_set = {e.instance for e in usable[: max(1, round(len(usable) * LONG_SHARE))]}
+
+    def side_cost_s(engine: EngineChoice) -> float:
+        outside_s = 0.0 if engine.instance in in_set else OUTSIDE_SET_S
+        stalled_s = engine.load.requests * STALLED_REQUEST_S
+        return outside_s + stalled_s + _full_cost(profile, engine, 0)
+
+    ranked = sorted(usable, key=lambda e: e.load.reading_s + side_cost_s(e))
+    ranked = ranked[: MAX_HELPERS + 1]
+    best, best_s = 1, float("inf")
+    waiting_s = side_s = 0.0
+    for parts, engine in enumerate(ranked, 1):
+        waiting_s = max(waiting_s, engine.load.reading_s)
+        side_s += side_cost_s(engine)
+        part_s = profile.read_s(prompt.tokens, parts)
+        cost_s = waiting_s + part_s + (side_s if part_s > SMALL_PART_S else 0.0)
+        if cost_s < best_s:
+            best, best_s = parts, cost_s
+    if profile.read_s(prompt.tokens, len(ranked)) > TARGET_SHARE * prompt.target_s:
+        limit_s = LIMIT_SHARE * prompt.limit_s
+        best = profile.parts_within(prompt.tokens, limit_s, len(ranked))
+    return ranked[:best]
 
 
 def _shared(
@@ -216,12 +231,6 @@
     return cost_s + _full_cost(profile, engine, tokens)
 
 
-def _long_cost(profile: EngineProfile, engine: EngineChoice) -> float:
-    load = engine.load
-    cost_s = load.reading_s + load.requests * STALLED_REQUEST_S
-    return cost_s + _full_cost(profile, engine, 0)
-
-
 def _full_cost(profile: EngineProfile, engine: EngineChoice, tokens: int) -> float:
     load = engine.load
     is_full = load.requests >= profile.slots
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
@@ -1,6 +1,7 @@
 """One request's way: choose an upstream, send, and send elsewhere on trouble."""
 
 from asyncio import sleep, timeout
+from functools import partial
 
 from returns.result import Failure, Success
 
@@ -29,6 +30,7 @@
 ROOM_CHECK_S = 0.03  # less than an engine's pass, in which room may become free
 # A request is not moved from a silent upstream to one that is as busy.
 MOST_WAIT_AFTER_MOVE_S = 0.3
+MOST_BUSY_SILENCE_S = 1.6  # leaves time to move before callers leave, after 2 s
 
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -82,9 +84,10 @@
             if choice is None:
                 self.log.tell_failure(job, "No upstream has room.", sends=job.sends)
                 return await self._give_up(job, sink, Verdict.REFUSE)
-            match await self.sender.send(
-                job, choice, sink, lambda: self._may_move(job)
-            ):
+            sent = await self.sender.send(
+                job, choice, sink, partial(self._may_move, job, choice)
+            )
+            match sent:
                 case Success(_):
                     self._count_send(choice, "answered")
                     return "answered"
@@ -109,14 +112,18 @@
                 return choice
             await sleep(ROOM_CHECK_S)
 
-    def _may_move(self, job: Job) -> bool:
-        """Return whether another upstream could go on with the request soon."""
+    def _may_move(self, job: Job, choice: Choice, silent_s: float) -> bool:
+        """Return whether another upstream should go on with the request."""
+        load = self.state.load.load(choice.upstream.instance, self.state.clock())
+        if load.reading_s > 0 and silent_s < MOST_BUSY_SILENCE_S:
+            # It is silent because it reads a prompt, and will go on soon.
+            return False
         if job.runs + 1 >= job.route.max_upstreams or not job.route.may_repeat():
             return False
         if not self.state.allows_repeat(job.service):
             return False
-        choice = self._choose_now(job)
-        return choice is not None and choice.waiting_s <= MOST_WAIT_AFTER_MOVE_S
+        other = self._choose_now(job)
+        return other is not None and other.waiting_s <= MOST_WAIT_AFTER_MOVE_S
 
     def _judge(self, job: Job, choice: Choice, failure: SendFailure) -> Verdict:
         now_s = self.state.clock()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/sending.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/sending.py
@@ -88,7 +88,7 @@
         job: Job,
         choice: Choice,
         sink: CallerSink,
-        may_move: Callable[[], bool],
+        may_move: Callable[[float], bool],
     ) -> Result[None, SendFailure]:
         """Send a request once and pass its answer on.
 
@@ -96,7 +96,8 @@
             job: The request.
             choice: Where it goes.
             sink: The caller's end.
-            may_move: Tells whether another upstream could go on with it now.
+            may_move: Tells, after a silence in seconds, whether another upstream
+                should go on with it now.
 
         Returns:
             Success once the caller has the answer, or why it has not.
@@ -169,7 +170,7 @@
         choice: Choice,
         number: int,
         sink: CallerSink,
-        may_move: Callable[[], bool],
+        may_move: Callable[[float], bool],
     ) -> Result[None, SendFailure]:
         limit = timeout(None)
         send = Send(job, choice, number, sink, Patience(limit, may_move))
