--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
@@ -98,6 +98,11 @@
         )
         return self._choose_engine(prompt, profile, left, suspects)
 
+    def tried_all(self, service: str, tried: set[str]) -> bool:
+        """Return whether a service has upstreams, and all of them were tried."""
+        usable = self.state.directory.usable(service)
+        return bool(usable) and all(entry.instance in tried for entry in usable)
+
     def _profile(self, service: str) -> EngineProfile | None:
         config = self.state.board.read(SiteConfigSection).config
         entry = config.services.get(service) if config is not None else None
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
@@ -110,6 +110,8 @@
             choice = self._choose_now(job)
             if choice is not None or self.state.clock() >= until_s:
                 return choice
+            if self.chooser.tried_all(job.service, job.tried):
+                return None
             await sleep(ROOM_CHECK_S)
 
     def _may_move(self, job: Job, choice: Choice, silent_s: float) -> bool:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -84,7 +84,7 @@
         try:
             return Success(await self.response.content.readany())
         except (ConnectionLost, ClientError, OSError) as error:
-            return Failure(Lost(repr(error)))
+            return Failure(Lost(_told(error)))
 
     async def whole_body(self) -> Result[bytes, Lost]:
         """Return the whole body."""
@@ -145,9 +145,9 @@
                 timeout=ClientTimeout(total=None, sock_connect=CONNECT_LIMIT_S),
             )
         except (ClientConnectorError, ConnectionTimeoutError) as error:
-            return Failure(NotDelivered(repr(error)))
+            return Failure(NotDelivered(_told(error)))
         except (ConnectionLost, ClientError, OSError) as error:
-            return Failure(Lost(repr(error)))
+            return Failure(Lost(_told(error)))
         head = self.codec.read_answer(
             response.status, response.reason or "", response.raw_headers
         )
@@ -158,6 +158,10 @@
         return Success(UpstreamAnswer(head, response))
 
 
+def _told(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
+
+
 def _fault_of(head: AnswerHead, request: CallerRequest) -> SendFailure | None:
     if head.request_id not in (None, request.request_id):
         return Lost("the answer is of another request")
