--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -19,8 +19,8 @@
 LONG_SHARE = 0.7  # of the engines, which read long prompts
 TARGET_SHARE = 0.6  # of the target time, within which the parts are to be read
 # Costs of a long prompt's reader, in seconds of the prompt's own time.
-STALLED_REQUEST_S = 0.1  # for each answer that it stalls
-OUTSIDE_SET_S = 0.1  # for an engine that short prompts prefer
+STALLED_REQUEST_S = 0.25  # for each answer that it stalls
+OUTSIDE_SET_S = 0.3  # for an engine that short prompts prefer
 LIMIT_SHARE = 0.5  # of the time limit, for a prompt that misses its target anyway
 LONG_MEMORY_S = 2.0  # about the duration of a short answer
 LONG_NEIGHBOUR_S = 0.15  # cost of a short prompt beside long ones, in seconds
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -13,6 +13,10 @@
 
 TELL_INTERVAL_S = 0.05  # about the duration of an engine's pass
 QUIET_INTERVAL_S = 0.2  # a third of the silence that tells of a partition
+# Peers up to which news are told at these intervals; with more, they are told more
+# seldom, so that a node sends no more messages.
+FULL_RATE_PEERS = 8
+TIMER_SLACK = 0.9  # timers fire a little early or late
 MAX_READINGS = 100  # of one message, which so stays within a datagram
 
 
@@ -51,10 +55,13 @@
 
     @Service.timer(TELL_INTERVAL_S)
     async def tell(self) -> None:
-        """Send what has changed."""
+        """Send what has changed; long prompts at once, the rest within the rate."""
         load, now_s = self.serving.load, self.serving.clock()
+        is_urgent = any(reading.is_long for reading in load.untold)
         is_quiet = not (load.untold or load.untold_read) and load.own == self.told_open
-        if is_quiet and now_s - self.told_s < QUIET_INTERVAL_S:
+        pause_s = QUIET_INTERVAL_S if is_quiet else TELL_INTERVAL_S
+        crowd = max(1.0, len(self.peers) / FULL_RATE_PEERS)
+        if not is_urgent and now_s - self.told_s < pause_s * crowd * TIMER_SLACK:
             return
         news = load.news()
         self.told_s, self.told_open = now_s, dict(load.own)
