--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -20,6 +20,8 @@
 TARGET_SHARE = 0.6  # of the target time, within which the parts are to be read
 # Costs of a long prompt's reader, in seconds of the prompt's own time.
 STALLED_REQUEST_S = 0.25  # for each answer that it stalls
+LATE_COST = 1.2  # for missing the target, in times of its whole reading
+SAFE_TARGET_SHARE = 0.8  # of the target time, as predictions are not exact
 OUTSIDE_SET_S = 0.3  # for an engine that short prompts prefer
 LIMIT_SHARE = 0.5  # of the time limit, for a prompt that misses its target anyway
 LONG_MEMORY_S = 2.0  # about the duration of a short answer
@@ -195,6 +197,7 @@
 
     ranked = sorted(usable, key=lambda e: e.load.reading_s + side_cost_s(e))
     ranked = ranked[: MAX_HELPERS + 1]
+    late_s = LATE_COST * profile.read_s(prompt.tokens)
     best, best_s = 1, float("inf")
     waiting_s = side_s = 0.0
     for parts, engine in enumerate(ranked, 1):
@@ -202,6 +205,8 @@
         side_s += side_cost_s(engine)
         part_s = profile.read_s(prompt.tokens, parts)
         cost_s = waiting_s + part_s + (side_s if part_s > SMALL_PART_S else 0.0)
+        if waiting_s + part_s > SAFE_TARGET_SHARE * prompt.target_s:
+            cost_s += late_s
         if cost_s < best_s:
             best, best_s = parts, cost_s
     if profile.read_s(prompt.tokens, len(ranked)) > TARGET_SHARE * prompt.target_s:
