Readers of long prompts by least cost in all: waiting, stalled answers, lateness

Cause: long prompts took a fixed part of the engines whatever was written there; in bursts of short prompts one audit made 35 answers late, and a fixed smaller number made audits late. The check that three long prompts leave three of ten idle engines is replaced by one where these engines write answers, since idle ones are rightly used; tables of the new weighing are added.

--- a/features/forwarding_placement.feature
+++ b/features/forwarding_placement.feature
@@ -42,11 +42,25 @@
     When 20 short prompts are placed one after the other
     Then every engine gets 3 of them at least
 
-  Scenario: Long prompts leave engines to the short ones
+  Scenario: Long prompts leave the engines to the short ones that these prefer
     Given 10 idle engines
+    And engines 8 to 10 write 2 answers each
     When 3 long prompts are placed one after the other
     Then 3 engines at least read none of them
 
+  Scenario Outline: A long prompt weighs its target against the answers it stalls
+    Given 10 idle engines
+    And engines 1 to 10 write <answers> answers each
+    When a prompt of <tokens> tokens with a target of 3.0 s is placed
+    Then from <least> to <most> engines read it, within <seconds> s
+
+    Examples:
+      | answers | tokens | least | most | seconds |
+      | 0       | 182000 | 7     | 10   | 0.7     |
+      | 1       | 182000 | 2     | 5    | 2.4     |
+      | 6       | 182000 | 2     | 2    | 2.4     |
+      | 6       | 300000 | 4     | 6    | 2.4     |
+
   Scenario Outline: A prompt over one engine's memory is held by several
     Given <engines> idle engines
     When a prompt of <tokens> tokens with a target of 3.0 s is placed
--- a/features/steps/forwarding_placement_steps.py
+++ b/features/steps/forwarding_placement_steps.py
@@ -49,6 +49,13 @@
             raise AssertionError(load)
 
 
+@given("engines {first:d} to {last:d} write {count:d} answers each")
+def step_engines_write(context, first, last, count):
+    for number in range(first, last + 1):
+        for _ in range(count):
+            context.book.start(f"e{number}", 5000)
+
+
 @given("engine {number:d} failed lately")
 def step_engine_failed(context, number):
     context.suspects.add(f"e{number}")
@@ -86,6 +93,13 @@
     assert placement.part_s <= part + ROUNDING_S, placement
 
 
+@then("from {least:d} to {most:d} engines read it, within {seconds:g} s")
+def step_readers(context, least, most, seconds):
+    placement = context.placement
+    assert least <= 1 + len(placement.helpers) <= most, placement
+    assert placement.part_s <= seconds + ROUNDING_S, placement
+
+
 @when("{count:d} short prompts are placed one after the other")
 def step_short(context, count):
     context.placements = [_place(context, SHORT) for _ in range(count)]
