--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -112,3 +112,30 @@
     Given a node on the platform with two workers for each service
     When the node is told to stop during a stream
     Then the client gets the whole stream and the node exits with status 0
+
+  Scenario Outline: Changed settings are taken while the node runs
+    Given a node on the platform with two workers for each service
+    When its settings file gets <change><signal>
+    Then the log tells "<line>" and the node still serves
+
+    Examples:
+      | change               | signal             | line                      |
+      | a shorter revocation | and it gets SIGHUP | Settings are in force     |
+      | a shorter revocation |                    | Settings are in force     |
+      | a bad revocation     | and it gets SIGHUP | Bad setting; kept the old |
+
+  Scenario: Metrics and the state dump show what happened, and no key
+    Given a node on the platform with two workers for each service
+    When a client sends GET /read/1 with nothing changed
+    Then metrics and state dump tell of the request and hold no key
+
+  Scenario: A reader of the log that stops holds up no request
+    Given a node on the platform whose log nobody reads
+    When 600 requests are sent to it
+    Then all of them are answered
+    And the node still ends when told to
+
+  Scenario: A request's story stands in the log as JSON
+    Given a node on the platform with two workers for each service
+    When the next request meets the fault cut, and a client sends GET /read/1
+    Then the log's lines of that request are "Sent.", "A send failed.", "Sent." and "Answered."
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -1,13 +1,16 @@
 """Steps about the node on the platform, as real processes."""
 
+from signal import SIGHUP
 from threading import Thread
 from time import monotonic, sleep
 
 from behave import given, then, when
+from msgspec import json
 
 from features.support.fleet import http
 from features.support.platform_fleet import (
     ACCOUNT,
+    KEY,
     PlatformFleet,
     client_headers,
     config,
@@ -41,12 +44,17 @@
 BODIES = {"a body over the limit": b"x" * 70_000, "a body": BODY}
 
 
-def _start(context, workers: dict[str, str], with_config: bool = True) -> None:
+def _start(
+    context,
+    workers: dict[str, str],
+    with_config: bool = True,
+    unread_log: bool = False,
+) -> None:
     context.fleet = fleet = PlatformFleet()
     fleet.start_store()
     for instance in workers:
         fleet.start_worker(instance)
-    context.node = fleet.start_platform_node()
+    context.node = fleet.start_platform_node(unread_log)
     fleet.wait_started()
     if with_config:
         fleet.put_config()
@@ -306,3 +314,91 @@
     assert context.answer is not None
     assert context.answer.body.decode() == WHOLE_STREAM, context.answer
     assert context.exit_status == 0, context.exit_status
+
+
+SETTINGS_CHANGES = {
+    "a shorter revocation": "bounds.revokeMs=4000",
+    "a bad revocation": "bounds.revokeMs=soon",
+}
+
+
+@when("its settings file gets {change}and it gets SIGHUP")
+def step_settings_signal(context, change):
+    _change_settings(context, change.strip())
+    context.node.popen.send_signal(SIGHUP)
+
+
+@when("its settings file gets {change}")
+def step_settings_change(context, change):
+    _change_settings(context, change.strip())
+
+
+def _change_settings(context, change: str) -> None:
+    path = context.fleet.path / f"{context.node.name}.conf"
+    path.write_text(path.read_text() + SETTINGS_CHANGES[change] + "\n")
+
+
+@then('the log tells "{line}" and the node still serves')
+def step_log_tells(context, line):
+    def check() -> None:
+        assert line in context.node.log.read_text()
+
+    eventually(check)
+    answer = send(context.node, "GET", "/read/1")
+    assert answer is not None and answer.status == 200, answer
+
+
+@then("metrics and state dump tell of the request and hold no key")
+def step_metrics(context):
+    root = f"http://127.0.0.1:{context.node.operator_port}"
+    metrics = http("GET", f"{root}/metrics").body.decode()
+    ended = (
+        'lagoonhinge_requests_total{end="answered",kind="idempotent",length="middle"}'
+    )
+    assert f"{ended} 1.0" in metrics, metrics
+    state = http("GET", f"{root}/state")
+    dump = state.json()
+    assert dump["config"]["version"] == 1 and set(dump["upstreams"]) == {
+        "d1",
+        "d2",
+        "m1",
+        "m2",
+    }, dump
+    assert KEY not in state.body.decode() and KEY not in metrics
+
+
+@given("a node on the platform whose log nobody reads")
+def step_unread_log(context):
+    _start(context, {"d1": "desk"}, unread_log=True)
+    eventually(lambda: _assert_serves(context))
+
+
+def _assert_serves(context) -> None:
+    answer = send(context.node, "GET", "/read/1")
+    assert answer is not None and answer.status == 200, answer
+
+
+@when("{count:d} requests are sent to it")
+def step_many(context, count):
+    context.answers = [send(context.node, "GET", f"/read/{n}") for n in range(count)]
+
+
+@then("all of them are answered")
+def step_all_answered(context):
+    assert all(a is not None and a.status == 200 for a in context.answers)
+
+
+@then("the node still ends when told to")
+def step_still_ends(context):
+    assert context.node.terminate() == 0
+
+
+@then('the log\'s lines of that request are "{a}", "{b}", "{c}" and "{d}"')
+def step_story(context, a, b, c, d):
+    def check() -> None:
+        lines = [json.decode(x) for x in context.node.log.read_text().splitlines()]
+        story = [x for x in lines if x["request_id"] == "attempt-1"]
+        assert [x["message"] for x in story[-4:]] == [a, b, c, d], story
+        assert all(x["part"] == "request" and x["time_s"] > 0 for x in story[-4:])
+
+    eventually(check)
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException
+from os import environ
+from subprocess import DEVNULL, PIPE, Popen
+from sys import executable
 
 from msgspec import json
 
@@ -78,6 +81,13 @@
     }
 
 
+@dataclass
+class PlatformNode(Process):
+    """A node that was started here; its control port is the one of checks."""
+
+    operator_port: int = 0
+
+
 @dataclass(eq=False)
 class PlatformFleet(Fleet):
     """The processes of one scenario on the platform."""
@@ -136,8 +146,12 @@
         }
         return "".join(f"{key}={value}\n" for key, value in fields.items())
 
-    def start_platform_node(self) -> Process:
-        """Start one node with a settings file."""
+    def start_platform_node(self, unread_log: bool = False) -> Process:
+        """Start one node with a settings file.
+
+        Args:
+            unread_log: Whether its log goes into a pipe that nobody reads.
+        """
         name = f"front-{len(self.nodes)}"
         port, ready, control, peers = (PORTS.take() for _ in range(4))
         path = self.path / f"{name}.conf"
@@ -152,13 +166,23 @@
                 },
             )
         )
-        node = self._spawn(
-            name,
-            port,
-            ("-m", "lagoonhinge_platform.main"),
-            {SETTINGS_VARIABLE: str(path)},
-        )
+        arguments = ("-m", "lagoonhinge_platform.main")
+        environment = {SETTINGS_VARIABLE: str(path)}
+        if unread_log:
+            popen = Popen(
+                (executable, *arguments),
+                env={**environ, **environment},
+                stdin=DEVNULL,
+                stdout=PIPE,
+                stderr=DEVNULL,
+            )
+            node = PlatformNode(name, port, popen, self.path / "unread.log")
+            self.processes.append(node)
+        else:
+            started = self._spawn(name, port, arguments, environment)
+            node = PlatformNode(name, port, started.popen, started.log)
         node.control_port = ready
+        node.operator_port = control
         self.nodes.append(node)
         return node
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
@@ -1,9 +1,12 @@
 """Logs: short sentences with a fixed prefix for each part, as text or JSON lines."""
 
-from logging import Formatter, LogRecord, StreamHandler, getLogger
+from collections.abc import Callable
+from functools import partial
+from logging import Formatter, Handler, LogRecord, getLogger
 from logging.handlers import QueueHandler, QueueListener
+from os import write
 from queue import Full, Queue
-from sys import stdout
+from time import monotonic, sleep
 from typing import Any
 
 from absl import logging
@@ -16,6 +19,9 @@
     "warning": logging.WARNING,
     "error": logging.ERROR,
 }
+STDOUT = 1  # file descriptor
+FLUSH_LIMIT_S = 0.3  # a part of the time that a stopping node keeps for its own end
+FLUSH_CHECK_S = 0.01
 MAX_QUEUED_LINES = 10_000  # some seconds of a node's lines at full load
 FORMAT = "[%s] [%s] %s%s"
 
@@ -106,6 +112,19 @@
             )
 
 
+class _DescriptorHandler(Handler):
+    """Writes to a file descriptor, without a lock that a blocked write would hold."""
+
+    def __init__(self, descriptor: int):
+        super().__init__()
+        self.descriptor = descriptor
+
+    def emit(self, record: LogRecord) -> None:
+        data = f"{self.format(record)}\n".encode()
+        while data:
+            data = data[write(self.descriptor, data) :]
+
+
 def set_up_logs(level: str, as_json: bool) -> None:
     """Direct all logs to standard error in the chosen form.
 
@@ -123,18 +142,18 @@
     _quieten_mode()
 
 
-def set_up_queued_logs(level: str) -> QueueListener:
+def set_up_queued_logs(level: str) -> Callable[[], None]:
     """Direct all logs to standard output as JSON lines, written by a thread.
 
     Args:
         level: One of `LEVELS`.
 
     Returns:
-        The thread's owner; its `stop` writes what is queued.
+        Function that waits for the queued lines, but not for a reader that stopped.
     """
     FLAGS.mark_as_parsed()
     logging.set_verbosity(LEVELS[level])
-    writer = StreamHandler(stdout)
+    writer = _DescriptorHandler(STDOUT)
     writer.setFormatter(_JsonFormatter())
     lines: Queue[LogRecord] = Queue(MAX_QUEUED_LINES)
     root = getLogger()
@@ -142,9 +161,15 @@
         root.removeHandler(handler)
     root.addHandler(_DroppingQueueHandler(lines))
     _quieten_mode()
-    listener = QueueListener(lines, writer)
-    listener.start()
-    return listener
+    # Its thread is a daemon, which does not hold up the end of the process.
+    QueueListener(lines, writer).start()
+    return partial(_flush, lines)
+
+
+def _flush(lines: Queue[LogRecord]) -> None:
+    until_s = monotonic() + FLUSH_LIMIT_S
+    while not lines.empty() and monotonic() < until_s:
+        sleep(FLUSH_CHECK_S)
 
 
 def _quieten_mode() -> None:
