--- a/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
@@ -119,6 +119,10 @@
         super().__init__()
         self.descriptor = descriptor
 
+    def createLock(self) -> None:
+        # Only one thread writes; the end of the process would wait for its lock.
+        self.lock = None
+
     def emit(self, record: LogRecord) -> None:
         data = f"{self.format(record)}\n".encode()
         while data:
