--- a/features/steps/forwarding_placement_steps.py
+++ b/features/steps/forwarding_placement_steps.py
@@ -15,6 +15,7 @@
 from lagoonhinge_core.forwarding.prompt_placement import (
     EngineChoice,
     Prompt,
+    long_set_size,
     place_prompt,
 )
 
@@ -67,8 +68,9 @@
             name,
             context.loads.get(name) or context.book.load(name, NOW_S),
             name in context.suspects,
+            place < long_set_size(len(context.names)),
         )
-        for name in context.names
+        for place, name in enumerate(context.names)
     )
     placement = place_prompt(PROFILE, engines, prompt)
     if placement is None:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -1,12 +1,12 @@
 """Which engines read a prompt, which one answers it, and which ones hold its memory.
 
-What an engine reads in a pass delays the answers it writes meanwhile. Prompts that can
-be read in small parts are spread over the engines with the least to do. Long prompts,
-whose parts are felt by short answers, are read by a fixed part of the engines, the same
-on all nodes; short prompts keep away from these while long ones are about, and use all
-engines when none come. A prompt that is too long for its target time in any case is
-read by few engines, so that the others go on. A prompt that is larger than the free
-memory of any engine is held by several of them.
+What an engine reads in a pass delays the answers that it writes meanwhile. Prompts that
+can be read in small parts are spread over the engines with the least to do. Parts of a
+long prompt are felt by the answers beside them, so the number and choice of its readers
+weigh its own time against the answers that it stalls. The first engines of an order,
+the same on all nodes, are the long set: long prompts prefer it, and short ones prefer
+the others while long ones are about. A prompt that misses its target time in any case
+is read by few engines. One that is larger than an engine's memory is held by several.
 """
 
 from dataclasses import dataclass
@@ -16,7 +16,7 @@
 
 SMALL_PART_S = 0.09  # with a pass of some 45 ms, well within a pause of 250 ms
 MOST_SMALL_PARTS_SHARE = 0.5  # of the engines, over which small parts are spread
-LONG_SHARE = 0.7  # of the engines, which read long prompts
+LONG_SHARE = 0.7  # of the engines, which are the long set
 TARGET_SHARE = 0.6  # of the target time, within which the parts are to be read
 # Costs of a long prompt's reader, in seconds of the prompt's own time.
 STALLED_REQUEST_S = 0.25  # for each answer that it stalls
@@ -41,11 +41,13 @@
         instance: The engine.
         load: Its predicted load.
         suspect: Whether sends to it failed lately.
+        in_long_set: Whether long prompts prefer it.
     """
 
     instance: str
     load: Load
     suspect: bool = False
+    in_long_set: bool = False
 
 
 @dataclass(frozen=True)
@@ -101,6 +103,11 @@
     holdings: tuple[Holding, ...] = ()
 
 
+def long_set_size(engines: int) -> int:
+    """Return how many of the engines, in shared order, are the long set."""
+    return round(LONG_SHARE * engines) if engines > 1 else 0
+
+
 def place_prompt(
     profile: EngineProfile, engines: tuple[EngineChoice, ...], prompt: Prompt
 ) -> Placement | None:
@@ -130,18 +137,11 @@
     prompt: Prompt,
     parts: int,
 ) -> Placement:
-    long_set = round(len(usable) * LONG_SHARE) if len(usable) > 1 else 0
-
-    def cost_s(index: int, tokens: int) -> float:
-        extra_s = LONG_SET_S if index < long_set else 0.0
-        return extra_s + _small_cost(profile, usable[index], tokens)
-
-    ranked = sorted(range(len(usable)), key=lambda index: cost_s(index, 0))[:parts]
-    if parts == 1:
-        ranked = list(range(len(usable)))
-    first = min(ranked, key=lambda index: cost_s(index, prompt.size()))
-    readers = [usable[index] for index in ranked] if parts > 1 else [usable[first]]
-    return _shared(profile, prompt, usable[first], readers)
+    readers = list(usable)
+    if parts > 1:
+        readers = sorted(usable, key=lambda e: _small_cost_s(profile, e, 0))[:parts]
+    first = min(readers, key=lambda e: _small_cost_s(profile, e, prompt.size()))
+    return _shared(profile, prompt, first, readers if parts > 1 else [first])
 
 
 def _place_long(
@@ -149,7 +149,7 @@
 ) -> Placement:
     readers = _long_readers(profile, usable, prompt)
     first = min(
-        readers, key=lambda e: (_full_cost(profile, e, prompt.size()), e.load.tokens)
+        readers, key=lambda e: (_full_cost_s(profile, e, prompt.size()), e.load.tokens)
     )
     return _shared(profile, prompt, first, readers)
 
@@ -188,30 +188,24 @@
     More engines finish sooner, but each of them may have to be waited for, and stalls
     the answers that it writes.
     """
-    in_set = {e.instance for e in usable[: max(1, round(len(usable) * LONG_SHARE))]}
-
-    def side_cost_s(engine: EngineChoice) -> float:
-        outside_s = 0.0 if engine.instance in in_set else OUTSIDE_SET_S
-        stalled_s = engine.load.requests * STALLED_REQUEST_S
-        return outside_s + stalled_s + _full_cost(profile, engine, 0)
-
-    ranked = sorted(usable, key=lambda e: e.load.reading_s + side_cost_s(e))
-    ranked = ranked[: MAX_HELPERS + 1]
+    ranked = sorted(usable, key=lambda e: _long_cost_s(profile, e))[: MAX_HELPERS + 1]
+    if profile.read_s(prompt.tokens, len(ranked)) > TARGET_SHARE * prompt.target_s:
+        limit_s = LIMIT_SHARE * prompt.limit_s
+        return ranked[: profile.parts_within(prompt.tokens, limit_s, len(ranked))]
     late_s = LATE_COST * profile.read_s(prompt.tokens)
     best, best_s = 1, float("inf")
     waiting_s = side_s = 0.0
     for parts, engine in enumerate(ranked, 1):
         waiting_s = max(waiting_s, engine.load.reading_s)
-        side_s += side_cost_s(engine)
+        side_s += _side_cost_s(profile, engine)
         part_s = profile.read_s(prompt.tokens, parts)
-        cost_s = waiting_s + part_s + (side_s if part_s > SMALL_PART_S else 0.0)
-        if waiting_s + part_s > SAFE_TARGET_SHARE * prompt.target_s:
+        cost_s = waiting_s + part_s
+        if cost_s > SAFE_TARGET_SHARE * prompt.target_s:
             cost_s += late_s
+        if part_s > SMALL_PART_S:
+            cost_s += side_s
         if cost_s < best_s:
             best, best_s = parts, cost_s
-    if profile.read_s(prompt.tokens, len(ranked)) > TARGET_SHARE * prompt.target_s:
-        limit_s = LIMIT_SHARE * prompt.limit_s
-        best = profile.parts_within(prompt.tokens, limit_s, len(ranked))
     return ranked[:best]
 
 
@@ -228,15 +222,28 @@
     return Placement(first.instance, helpers, part_s, is_long, holdings)
 
 
-def _small_cost(profile: EngineProfile, engine: EngineChoice, tokens: int) -> float:
+def _small_cost_s(profile: EngineProfile, engine: EngineChoice, tokens: int) -> float:
     load = engine.load
     cost_s = load.reading_s + load.requests * REQUEST_COST_S
+    if engine.in_long_set:
+        cost_s += LONG_SET_S
     if load.since_long_s < LONG_MEMORY_S:
         cost_s += LONG_NEIGHBOUR_S
-    return cost_s + _full_cost(profile, engine, tokens)
+    return cost_s + _full_cost_s(profile, engine, tokens)
+
+
+def _long_cost_s(profile: EngineProfile, engine: EngineChoice) -> float:
+    return engine.load.reading_s + _side_cost_s(profile, engine)
+
+
+def _side_cost_s(profile: EngineProfile, engine: EngineChoice) -> float:
+    """Return what a long prompt costs others on an engine, in seconds."""
+    outside_s = 0.0 if engine.in_long_set else OUTSIDE_SET_S
+    stalled_s = engine.load.requests * STALLED_REQUEST_S
+    return outside_s + stalled_s + _full_cost_s(profile, engine, 0)
 
 
-def _full_cost(profile: EngineProfile, engine: EngineChoice, tokens: int) -> float:
+def _full_cost_s(profile: EngineProfile, engine: EngineChoice, tokens: int) -> float:
     load = engine.load
     is_full = load.requests >= profile.slots
     lacks_memory = load.tokens + tokens > profile.kv_tokens
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
@@ -11,6 +11,7 @@
     Holding,
     Placement,
     Prompt,
+    long_set_size,
     place_prompt,
 )
 from lagoonhinge_core.forwarding.routes import Route
@@ -117,13 +118,15 @@
     ) -> Choice | None:
         now_s = self.state.clock()
         load = self.state.load
+        long_set = long_set_size(len(left))
         engines = tuple(
             EngineChoice(
                 entry.instance,
                 load.load(entry.instance, now_s),
                 entry.instance in suspects,
+                place < long_set,
             )
-            for entry in left
+            for place, entry in enumerate(left)
         )
         placement = place_prompt(profile, engines, prompt)
         if placement is None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/main.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/main.py
@@ -3,12 +3,12 @@
 from sys import exit, stderr
 
 from cappa import parse
-from mode import Worker
 from returns.result import Failure, Success
 
-from lagoonhinge_node.listener import MAX_STOP_S, bind
+from lagoonhinge_node.listener import bind
 from lagoonhinge_node.logs import set_up_logs
 from lagoonhinge_node.node import Node, NodeSockets
+from lagoonhinge_node.run_service import run_service
 from lagoonhinge_node.settings import NodeSettings, RawSettings
 
 EXIT_BAD_SETTINGS = 2
@@ -36,16 +36,7 @@
             exit(EXIT_BAD_SETTINGS)
         case Success(settings):
             set_up_logs(settings.log_level, settings.log_json)
-            worker = Worker(
-                Node(settings, bind_all(settings)),
-                override_logging=False,
-                loglevel=None,
-                redirect_stdouts=False,
-                quiet=True,
-                daemon=True,
-            )
-            worker.shutdown_timeout = MAX_STOP_S
-            worker.execute_from_commandline()
+            run_service(Node(settings, bind_all(settings)))
 
 
 if __name__ == "__main__":
