--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -90,6 +90,18 @@
       | a worker of the desk is removed  | only the other worker gets requests |
       | a worker's entry is unreadable   | only the other worker gets requests |
 
+  Scenario: A removed worker gets nothing more, also after a quiet time
+    Given a node on the platform with two workers for each service
+    When nothing changes in the store for 4 seconds
+    And a worker of the desk is removed
+    Then within two seconds only the other worker gets requests
+
+  Scenario: A worker whose entry lapsed while the store was away is kept until it is back
+    Given a node on the platform with two workers for each service
+    When the store is silent for 4 seconds, and a worker's entry lapses
+    Then the node still uses that worker for a second
+    And it no longer does three seconds later
+
   Scenario: A node answers 503 before it knows a configuration
     Given a node on the platform whose store has no configuration
     When a client sends GET /read/1 with nothing changed
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -235,6 +235,43 @@
     context.fleet.put_row("servers", "d1", b"\xff not an entry")
 
 
+@when("nothing changes in the store for {seconds:d} seconds")
+def step_quiet(context, seconds):
+    sleep(seconds)
+
+
+@when("the store is silent for {seconds:d} seconds, and a worker's entry lapses")
+def step_lapse(context, seconds):
+    fleet = context.fleet
+    fleet.store.put_faults(down="silent")
+    sleep(seconds)
+    fleet.drop_row("servers", "d1")
+    fleet.store.put_faults(down="")
+
+    def answers() -> None:
+        assert "The store answers again" in context.node.log.read_text()
+
+    eventually(answers)
+
+
+def _runs_of_removed(context) -> int:
+    before = len(context.fleet.seen("d1")["runs"])
+    for number in range(6):
+        send(context.node, "GET", f"/read/{number}")
+    return len(context.fleet.seen("d1")["runs"]) - before
+
+
+@then("the node still uses that worker for a second")
+def step_still_used(context):
+    assert _runs_of_removed(context) > 0
+
+
+@then("it no longer does three seconds later")
+def step_no_longer(context):
+    sleep(3.0)
+    assert _runs_of_removed(context) == 0
+
+
 @then("within two seconds the new route is served")
 def step_new_route(context):
     def check() -> None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
@@ -140,6 +140,8 @@
         self.log_part = PartLogger("upstreams")
         self.writer = state.board.writer(UpstreamListSection(), "upstream follower")
         self.heard_s = float("-inf")
+        # Whether the store failed to answer since it was last heard.
+        self.in_trouble = False
         self.lapse_until_s = float("-inf")
         # Removed while the store may have been away, by the time they are gone.
         self.lapsed: dict[str, float] = {}
@@ -152,7 +154,7 @@
         while not self.should_stop:
             match await self._read(after):
                 case None:
-                    continue
+                    self.in_trouble = True
                 case Success(update):
                     backoff.answered()
                     self._note_outage()
@@ -164,6 +166,7 @@
                     self.log_part.info("The history was lost; reading all.")
                     after = None
                 case Failure(fault):
+                    self.in_trouble = True
                     await backoff.failed(fault)
 
     async def _read(
@@ -193,9 +196,10 @@
 
     def _note_outage(self) -> None:
         now_s = self.serving.clock()
-        if self.heard_s > float("-inf") and now_s - self.heard_s > OUTAGE_S:
+        if self.in_trouble and now_s - self.heard_s > OUTAGE_S:
             self.lapse_until_s = now_s + LAPSE_GRACE_S
         self.heard_s = now_s
+        self.in_trouble = False
 
     def _take(self, update: UpstreamUpdate, is_complete: bool) -> None:
         known = self.serving.directory.by_instance
