Dead code goes, and what stood twice stands once

Read again as a whole. Gone, since nothing called it: replace_all and is_usable of the directory, pass_s and the report's age of an engine's profile. Derived, not kept: the stop's time (a flag), the chooser's zone. after_failure names what goes on and what otherwise follows instead of nested conditions. No behaviour changes.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/engine_time.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/engine_time.py
@@ -25,8 +25,6 @@
             earlier one, in seconds.
         chunk: Most prompt tokens read in one step.
         stride: Steps of a pass that serves answers.
-        report_lag_s: Age of an engine's load report, in seconds.
-        max_hold_s: Longest lease of reserved memory, in seconds.
     """
 
     slots: int
@@ -36,11 +34,6 @@
     pairs_s_per_million: float
     chunk: int
     stride: int
-    report_lag_s: float = 0.2
-
-    def pass_s(self) -> float:
-        """Return the duration of a pass in which nothing is read, in seconds."""
-        return self.step_s * self.stride
 
     def read_s(self, prompt_tokens: int, parts: int = 1) -> float:
         """Return the time that one of several equal parts of a prompt takes to read.
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
@@ -8,6 +8,14 @@
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 
 
+def header_texts(headers: RawHeaders) -> list[tuple[str, str]]:
+    """Return headers as the HTTP library takes them, which writes the same bytes."""
+    return [
+        (name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
+        for name, value in headers
+    ]
+
+
 @dataclass(frozen=True)
 class PromptSize:
     """Size that a caller states of its prompt.
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/routes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/routes.py
@@ -68,11 +68,15 @@
     priority: int = 0
     public: bool = False
 
-    def may_repeat(self) -> bool:
-        """Return whether a request that may have run can be sent again."""
+    def may_run_again(self, runs: int) -> bool:
+        """Return whether a request that may have run can be sent once more.
+
+        Args:
+            runs: Upstreams that may have run it.
+        """
         match self.kind:
             case Idempotent() | EventStream(resumable=True):
-                return True
+                return runs < self.max_upstreams
             case AtMostOnce() | EventStream():
                 return False
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/sends.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/sends.py
@@ -99,28 +99,24 @@
         history: What the request has been through, this send included.
         failure: The failure.
     """
-    may_send = history.may_repeat_send and history.remaining_s > LEAST_USEFUL_S
+    has_time = history.remaining_s > LEAST_USEFUL_S
+    may_repeat = has_time and history.may_repeat_send
     match failure:
         case NotDelivered():
-            # No upstream has seen it, so the next send is no repeat to them.
-            is_first = not history.runs and not history.declined
-            has_time = history.remaining_s > LEAST_USEFUL_S
-            if (may_send or (is_first and has_time)) and (
-                history.not_delivered <= MAX_NOT_DELIVERED
-            ):
-                return Verdict.SEND_AGAIN
-            return Verdict.FAIL if history.runs else Verdict.REFUSE
+            # Until an upstream has seen it, the next send is no repeat to them.
+            is_unseen = not history.runs and not history.declined
+            may_send = may_repeat or (has_time and is_unseen)
+            goes_on = may_send and history.not_delivered <= MAX_NOT_DELIVERED
+            otherwise = Verdict.FAIL if history.runs else Verdict.REFUSE
         case Declined():
-            if may_send and history.declined <= MAX_DECLINED:
-                return Verdict.SEND_AGAIN
-            return Verdict.FAIL if history.runs else Verdict.REFUSE
+            goes_on = may_repeat and history.declined <= MAX_DECLINED
+            otherwise = Verdict.FAIL if history.runs else Verdict.REFUSE
         case Lost():
-            if may_send and route.may_repeat() and history.runs < route.max_upstreams:
-                return Verdict.SEND_AGAIN
-            return Verdict.FAIL
+            goes_on = may_repeat and route.may_run_again(history.runs)
+            otherwise = Verdict.FAIL
         case Failed():
-            if may_send and route.may_repeat() and history.runs < route.max_upstreams:
-                return Verdict.SEND_AGAIN
-            return Verdict.PASS_ON
+            goes_on = may_repeat and route.may_run_again(history.runs)
+            otherwise = Verdict.PASS_ON
         case _:
             assert_never(failure)
+    return Verdict.SEND_AGAIN if goes_on else otherwise
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_store.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_store.py
@@ -1,13 +1,15 @@
 """Port to the platform's store: what a node reads there and tells there."""
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
 from returns.result import Result
 
 from lagoonhinge_core.forwarding.site_config import SiteConfig
 from lagoonhinge_core.forwarding.upstreams import Upstream
 
+EntryT = TypeVar("EntryT")
+
 
 @dataclass(frozen=True)
 class NodeEntry:
@@ -54,25 +56,16 @@
 
 
 @dataclass(frozen=True)
-class UpstreamUpdate:
-    """Listed upstreams.
+class ListUpdate(Generic[EntryT]):
+    """Listed upstreams or nodes.
 
     Attributes:
-        changed: New and changed ones; all if the update is complete.
-        removed: Instances that are no longer listed or can't be used.
+        changed: New and changed entries; all if the update is complete.
+        removed: Names that are no longer listed or can't be used.
         version: Version of the store's rows up to which this is complete.
     """
 
-    changed: tuple[Upstream, ...]
-    removed: tuple[str, ...]
-    version: int
-
-
-@dataclass(frozen=True)
-class NodeUpdate:
-    """Announced nodes, in the same form as `UpstreamUpdate`."""
-
-    changed: tuple[NodeEntry, ...]
+    changed: tuple[EntryT, ...]
     removed: tuple[str, ...]
     version: int
 
@@ -92,12 +85,12 @@
 
     async def read_upstreams(
         self, after: int | None, wait_s: float
-    ) -> Result[UpstreamUpdate, StoreFault | HistoryLost]:
+    ) -> Result[ListUpdate[Upstream], StoreFault | HistoryLost]:
         """Return the listed upstreams."""
 
     async def read_nodes(
         self, after: int | None, wait_s: float
-    ) -> Result[NodeUpdate, StoreFault | HistoryLost]:
+    ) -> Result[ListUpdate[NodeEntry], StoreFault | HistoryLost]:
         """Return the announced nodes."""
 
     async def announce(self, entry: NodeEntry) -> Result[None, StoreFault]:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/upstreams.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/upstreams.py
@@ -47,11 +47,6 @@
         self.by_instance: dict[str, Upstream] = {}
         self.by_service: dict[str, tuple[Upstream, ...]] = {}
 
-    def replace_all(self, upstreams: Iterable[Upstream]) -> None:
-        """Take a complete list."""
-        self.by_instance = {entry.instance: entry for entry in upstreams}
-        self._regroup()
-
     def update(self, changed: Iterable[Upstream], removed: Iterable[str]) -> None:
         """Take changes of single upstreams.
 
@@ -69,11 +64,6 @@
         """Return the upstreams of a service that may take new work, in shared order."""
         return self.by_service.get(service, ())
 
-    def is_usable(self, instance: str) -> bool:
-        """Return whether one upstream is listed and not leaving."""
-        entry = self.by_instance.get(instance)
-        return entry is not None and not entry.leaving
-
     def _regroup(self) -> None:
         groups: dict[str, list[Upstream]] = {}
         for entry in sorted(self.by_instance.values(), key=shared_order):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/callers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/callers.py
@@ -14,6 +14,7 @@
     CallerRequest,
     HeaderCodec,
     RawHeaders,
+    header_texts,
 )
 from lagoonhinge_core.forwarding.routes import Route
 from lagoonhinge_core.forwarding.site_config import SiteConfig
@@ -63,7 +64,6 @@
     Args:
         http: The request as received.
         codec: Translation of headers.
-        request_id: Identity of the request.
         closes: Whether the connection ends with the answer.
     """
 
@@ -71,12 +71,11 @@
         self,
         http: web.BaseRequest,
         codec: HeaderCodec,
-        request_id: str,
         closes: Callable[[], bool],
     ):
         self.http = http
         self.codec = codec
-        self.request_id = request_id
+        self.request_id = ""  # until the request has been read
         self.closes = closes
         self.begun = False
         self.response: web.StreamResponse | None = None
@@ -175,7 +174,7 @@
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
         self.state.open_requests += 1
-        sink = HttpSink(http, self.codec, "", self._is_stopping)
+        sink = HttpSink(http, self.codec, lambda: self.state.is_stopping)
         try:
             await self._serve(http, sink)
         except ConnectionError as error:
@@ -279,9 +278,6 @@
     def _standing(self) -> Standing:
         return self.state.freshness.standing(self.state.clock())
 
-    def _is_stopping(self) -> bool:
-        return self.state.stopping_until_s is not None
-
 
 def _find(
     config: SiteConfig, request: CallerRequest
@@ -305,7 +301,4 @@
 
 
 def _headers(headers: RawHeaders) -> CIMultiDict[str]:
-    return CIMultiDict(
-        (name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
-        for name, value in headers
-    )
+    return CIMultiDict(header_texts(headers))
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
@@ -61,12 +61,10 @@
 
     Args:
         state: Beliefs about upstreams.
-        zone: Availability zone of the node.
     """
 
-    def __init__(self, state: ServingState, zone: str):
+    def __init__(self, state: ServingState):
         self.state = state
-        self.zone = zone
 
     def choose(
         self,
@@ -159,7 +157,7 @@
                 entry.instance,
                 state.load.load(entry.instance, now_s).requests,
                 entry.slots,
-                entry.zone == self.zone,
+                entry.zone == state.zone,
                 entry.instance in suspects,
             )
             for entry in left
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
@@ -147,7 +147,7 @@
         log = JobLog(self.serving)
         runner = RequestRunner(
             self.serving,
-            Chooser(self.serving, self.settings.entry.zone),
+            Chooser(self.serving),
             Sender(self.serving, client, memory, self.metrics, log),
             self.metrics,
             log,
@@ -170,7 +170,7 @@
     async def on_stop(self) -> None:
         """Let the balancer look away, then finish every running request."""
         until_s = self.serving.clock() + self.live.known.grace_s - STOP_MARGIN_S
-        self.serving.stopping_until_s = until_s
+        self.serving.is_stopping = True
         self.log_part.info("Stopping.", open=self.serving.open_requests)
         if self.callers is not None:
             await sleep(min(BALANCER_LAG_S, self.live.known.grace_s / 2))
@@ -190,7 +190,7 @@
         """Return whether callers should be sent here."""
         standing = self.serving.freshness.standing(self.serving.clock())
         is_known = standing in (Standing.CURRENT, Standing.DOUBTFUL)
-        return is_known and self.serving.stopping_until_s is None
+        return is_known and not self.serving.is_stopping
 
     async def _answer_check(self, request: web.BaseRequest) -> web.StreamResponse:
         is_check = request.path == self.settings.readiness_path
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
@@ -9,11 +9,10 @@
 from lagoonhinge_core.forwarding.site_store import (
     ConfigUpdate,
     HistoryLost,
+    ListUpdate,
     NodeEntry,
-    NodeUpdate,
     SiteStore,
     StoreFault,
-    UpstreamUpdate,
 )
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_node.forwarding.serving_state import ServingState
@@ -171,7 +170,7 @@
 
     async def _read(
         self, after: int | None
-    ) -> Result[UpstreamUpdate, StoreFault | HistoryLost] | None:
+    ) -> Result[ListUpdate[Upstream], StoreFault | HistoryLost] | None:
         """Return an update, or `None` if the store's trouble ended the wait."""
         reading = create_task(self.store.read_upstreams(after, UPSTREAMS_WAIT_S))
         trouble = create_task(self.serving.store_trouble.wait())
@@ -201,7 +200,7 @@
         self.heard_s = now_s
         self.in_trouble = False
 
-    def _take(self, update: UpstreamUpdate, is_complete: bool) -> None:
+    def _take(self, update: ListUpdate[Upstream], is_complete: bool) -> None:
         known = self.serving.directory.by_instance
         removed = set(update.removed)
         if is_complete:
@@ -294,7 +293,7 @@
                 case Failure(fault):
                     await backoff.failed(fault)
 
-    def _take(self, update: NodeUpdate, is_complete: bool) -> None:
+    def _take(self, update: ListUpdate[NodeEntry], is_complete: bool) -> None:
         nodes = (
             {} if is_complete else dict(self.serving.board.read(NodeListSection).nodes)
         )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -1,12 +1,8 @@
 """Metrics of the forwarding path; labels never name accounts, upstreams or requests."""
 
 from prometheus_client import (
-    CollectorRegistry,
-    Counter,
     Gauge,
     Histogram,
-    ProcessCollector,
-    generate_latest,
 )
 
 from lagoonhinge_core.forwarding.messages import CallerRequest
@@ -19,7 +15,7 @@
 from lagoonhinge_core.length_class import length_class
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.state import SiteConfigSection
-from lagoonhinge_node.metrics import FIRST_TOKEN_BUCKETS_S
+from lagoonhinge_node.metrics import FIRST_TOKEN_BUCKETS_S, RegistryMetrics
 
 PAUSE_BUCKETS_S = (0.05, 0.1, 0.15, 0.2, 0.25, 0.4, 0.6, 1.0, 2.0, 5.0)
 
@@ -41,29 +37,25 @@
     return "none" if size is None else length_class(size.prompt_tokens)
 
 
-class ForwardingMetrics:
-    """The metrics in a registry of their own."""
+class ForwardingMetrics(RegistryMetrics):
+    """The metrics of the forwarding path."""
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        ProcessCollector(registry=self.registry)
-        self.ends = Counter(
+        super().__init__()
+        self.ends = self.counter(
             "lagoonhinge_requests",
             "Requests by kind of route, length class and how they ended.",
             ("kind", "length", "end"),
-            registry=self.registry,
         )
-        self.sends = Counter(
+        self.sends = self.counter(
             "lagoonhinge_sends",
             "Sends to upstreams by result and whether the zone is the node's own.",
             ("result", "same_zone"),
-            registry=self.registry,
         )
-        self.refusals = Counter(
+        self.refusals = self.counter(
             "lagoonhinge_refusals",
             "Requests that were not admitted, by status.",
             ("status",),
-            registry=self.registry,
         )
         self.first_event = Histogram(
             "lagoonhinge_first_event_seconds",
@@ -112,10 +104,6 @@
         for name, (text, read) in gauges.items():
             Gauge(name, text, registry=self.registry).set_function(read)
 
-    def render(self) -> bytes:
-        """Return the metrics in the text format of Prometheus."""
-        return generate_latest(self.registry)
-
 
 def _config_version(state: ServingState) -> int:
     config = state.board.read(SiteConfigSection).config
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
@@ -120,7 +120,7 @@
         if load.reading_s > 0 and silent_s < MOST_BUSY_SILENCE_S:
             # It is silent because it reads a prompt, and will go on soon.
             return False
-        if job.runs + 1 >= job.route.max_upstreams or not job.route.may_repeat():
+        if not job.route.may_run_again(job.runs + 1):
             return False
         if not self.state.allows_repeat(job.service):
             return False
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -53,7 +53,7 @@
         self.zone_of_node: dict[str, str] = {}
         self.turn = 0
         self.open_requests = 0
-        self.stopping_until_s: float | None = None
+        self.is_stopping = False
 
     def run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Run work that outlives its request."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
@@ -21,12 +21,27 @@
 QUEUE_BUCKETS_S = (0.001, 0.005, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0)
 
 
-class Metrics:
-    """The node's metrics in a registry of their own."""
+class RegistryMetrics:
+    """Metrics in a registry of their own, with those of the process."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
         ProcessCollector(registry=self.registry)
+
+    def render(self) -> bytes:
+        """Return the metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
+
+    def counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
+        """Return a new counter."""
+        return Counter(name, text, labels, registry=self.registry)
+
+
+class Metrics(RegistryMetrics):
+    """The node's metrics."""
+
+    def __init__(self) -> None:
+        super().__init__()
         self.first_token = Histogram(
             "lagoonhinge_time_to_first_token_seconds",
             "From the request's arrival to its first token, by length class.",
@@ -47,24 +62,24 @@
             buckets=QUEUE_BUCKETS_S,
             registry=self.registry,
         )
-        self.failures = self._counter(
+        self.failures = self.counter(
             "lagoonhinge_failures",
             "Requests that got no whole answer, by error code and outcome.",
             ("code", "outcome"),
         )
-        self.answers = self._counter(
+        self.answers = self.counter(
             "lagoonhinge_answers", "Whole answers, by kind of service.", ("kind",)
         )
-        self.tokens = self._counter(
+        self.tokens = self.counter(
             "lagoonhinge_tokens", "Tokens of whole answers, by kind.", ("kind",)
         )
-        self.attempts = self._counter(
+        self.attempts = self.counter(
             "lagoonhinge_attempts", "Attempts started, by first or retry.", ("kind",)
         )
-        self.claims = self._counter(
+        self.claims = self.counter(
             "lagoonhinge_claims", "Claims of non-idempotent requests.", ("result",)
         )
-        self.control_bytes = self._counter(
+        self.control_bytes = self.counter(
             "lagoonhinge_control_bytes",
             "Bytes of calls between nodes, sent and received, by path.",
             ("path",),
@@ -113,10 +128,3 @@
     def observe_failure(self, failure: Failure) -> None:
         """Count a failure."""
         self.failures.labels(failure.code, failure.outcome).inc()
-
-    def render(self) -> bytes:
-        """Return the metrics in the text format of Prometheus."""
-        return generate_latest(self.registry)
-
-    def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
-        return Counter(name, text, labels, registry=self.registry)
