The node opens its HTTP sessions itself and closes each at its end

Cause: the adapters opened sessions of their own, which nothing closed, beside the list of sessions that the node closes. Change: adapters get a session; requests and orders to upstreams share one. No test can tell: unclosed sessions are only logged by the garbage collector, after the log's end.

--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
@@ -14,6 +14,7 @@
 from lagoonhinge_core.forwarding.freshness import Freshness, Standing
 from lagoonhinge_core.forwarding.messages import EngineMemory, HeaderCodec
 from lagoonhinge_core.forwarding.site_store import NodeEntry, SiteStore
+from lagoonhinge_http.session import open_session
 from lagoonhinge_node.addresses import Address
 from lagoonhinge_node.forwarding.callers import CallerInterface
 from lagoonhinge_node.forwarding.choosing import Chooser
@@ -81,14 +82,14 @@
 
     Attributes:
         codec: Translation of headers.
-        open_store: Builds the client of the platform's store.
-        open_memory: Builds the client for orders to engines.
+        open_store: Builds the client of the platform's store on a session.
+        open_memory: Builds the client for orders to engines on a session.
         read_settings: Reads the settings again.
     """
 
     codec: HeaderCodec
-    open_store: Callable[[], SiteStore]
-    open_memory: Callable[[], EngineMemory]
+    open_store: Callable[[ClientSession], SiteStore]
+    open_memory: Callable[[ClientSession], EngineMemory]
     read_settings: ReadSettings
 
 
@@ -123,7 +124,7 @@
             settings.entry.name,
             settings.entry.zone,
         )
-        store = self.adapters.open_store()
+        store = self.adapters.open_store(self._keep(open_session()))
         exchange = LoadExchange(self.serving, settings.entry)
         self.live = SettingsController(
             self.serving, self.adapters.read_settings, settings.live
@@ -139,11 +140,10 @@
 
     async def on_started(self) -> None:
         """Open the listeners."""
-        session = open_upstream_session()
-        self.sessions.append(session)
+        session = self._keep(open_upstream_session())
         self.metrics.watch(self.serving)
         client = UpstreamClient(session, self.adapters.codec)
-        memory = self.adapters.open_memory()
+        memory = self.adapters.open_memory(session)
         log = JobLog(self.serving)
         runner = RequestRunner(
             self.serving,
@@ -186,6 +186,11 @@
         for session in self.sessions:
             await session.close()
 
+    def _keep(self, session: ClientSession) -> ClientSession:
+        """Remember a session, which is closed at the end."""
+        self.sessions.append(session)
+        return session
+
     def is_ready(self) -> bool:
         """Return whether callers should be sent here."""
         standing = self.serving.freshness.standing(self.serving.clock())
