Short prompts are packed, slots weighed before they are full; emulator; faster start; explain

Slots cost nothing until the last one was taken. Long prompts that could not be read fast enough were stalled by each other's parts for 1 to 4 s. Change: place in the shared order costs a short prompt a little, nearly taken slots cost more and more, and a long prompt weighs the answers to other long ones that it stalls.

--- /dev/null
+++ b/bench/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulator of model engines and nodes in virtual time."""
--- a/features/forwarding_placement.feature
+++ b/features/forwarding_placement.feature
@@ -10,8 +10,8 @@
       | 16      | 5000   | 0.3    | 1     | 0.09 |
       | 16      | 23000  | 0.3    | 3     | 0.09 |
       | 16      | 45000  | 1.5    | 6     | 0.09 |
-      | 16      | 182000 | 3.0    | 11    | 0.4  |
-      | 23      | 182000 | 3.0    | 16    | 0.3  |
+      | 16      | 182000 | 3.0    | 16    | 0.3  |
+      | 23      | 182000 | 3.0    | 17    | 0.3  |
       | 2       | 182000 | 3.0    | 1     | 4.0  |
 
   Scenario: A prompt that misses its target in any case is read by few engines
@@ -31,16 +31,23 @@
       | 3    | 8 open requests       | 0     |
       | 3    | failed lately         | 0     |
 
-  Scenario: Of two equal loads a short prompt takes the engine without long prompts
-    Given 4 idle engines
-    And engine 3 has read a long prompt a second ago
-    When 2 short prompts are placed one after the other
-    Then engine 3 gets 0 of them
+  Scenario Outline: Short prompts fill engine after engine, and all before any is full
+    Given 10 idle engines
+    When <count> short prompts are placed one after the other
+    Then engines <first> to 10 get <count> of them
+    And no engine gets more than <most> of them
 
-  Scenario: Short prompts use all engines when no long ones come
-    Given 4 idle engines
-    When 20 short prompts are placed one after the other
-    Then every engine gets 3 of them at least
+    Examples:
+      | count | first | most |
+      | 4     | 8     | 3    |
+      | 20    | 3     | 6    |
+      | 70    | 1     | 8    |
+
+  Scenario: A short prompt leaves an engine whose last slots are being taken
+    Given 10 idle engines
+    And engine 10 has 7 open requests
+    When 1 short prompts are placed one after the other
+    Then engine 10 gets 0 of them
 
   Scenario: Long prompts leave the engines to the short ones that these prefer
     Given 10 idle engines
--- /dev/null
+++ b/features/steps/emulator_steps.py
@@ -0,0 +1,173 @@
+"""Steps about the emulator of engines and nodes."""
+
+from heapq import heappop, heappush
+from itertools import count
+
+from behave import given, then, when
+
+from bench.emulate import PROFILE, play
+from bench.emulator.engine import EmulatedEngine, EngineRequest
+from bench.emulator.policies import POLICIES
+from bench.emulator.results import kind_figures, share_earned, windows
+
+ANSWER_TOKENS = 340
+OTHERS_PROMPT = 5000
+ROUNDING_S = 0.01
+NODES = 9
+RATE = 1.0
+BASELINES = ("round_robin", "least_in_flight")
+
+
+class Clock:
+    """Calls functions in order of virtual time."""
+
+    def __init__(self):
+        self.events = []
+        self.order = count()
+
+    def schedule(self, at_s, what):
+        heappush(self.events, (at_s, next(self.order), what))
+
+    def run(self, until_s=float("inf")):
+        while self.events and self.events[0][0] <= until_s:
+            at_s, _, what = heappop(self.events)
+            what(at_s)
+
+
+class Probe:
+    """A request and the times of its events."""
+
+    def __init__(self, tokens, answer, readers):
+        self.times = []
+        held = (0,) * len(readers)
+        self.request = EngineRequest(
+            tokens, answer, readers, held, self.times.append, lambda at_s: None
+        )
+
+    def longest_pause_s(self):
+        return max(b - a for a, b in zip(self.times, self.times[1:], strict=False))
+
+
+def start_others(context, prompt_tokens):
+    context.clock = Clock()
+    context.engine = EmulatedEngine(PROFILE, context.clock.schedule)
+    context.others = [
+        Probe(prompt_tokens, ANSWER_TOKENS, (context.engine,))
+        for _ in range(context.other_count)
+    ]
+    for other in context.others:
+        other.request.send(0.0)
+    context.clock.run(0.5 if context.others else 0.0)
+    context.now_s = 0.5
+
+
+@given("an emulated engine that serves {others:d} other answers")
+def step_engine(context, others):
+    context.other_count = others
+    start_others(context, OTHERS_PROMPT)
+
+
+@given("each of them takes {memory:d} tokens of memory")
+def step_memory(context, memory):
+    start_others(context, memory - ANSWER_TOKENS)
+
+
+@when("a prompt of {tokens:d} tokens is read by {engines:d} engines")
+def step_read(context, tokens, engines):
+    helpers = tuple(
+        EmulatedEngine(PROFILE, context.clock.schedule) for _ in range(engines - 1)
+    )
+    context.probe = Probe(tokens, ANSWER_TOKENS, (context.engine, *helpers))
+    context.clock.schedule(context.now_s, context.probe.request.send)
+    context.clock.run()
+
+
+@then("its first event comes after {first:g} s, and its pauses are at most {pause:g} s")
+def step_first(context, first, pause):
+    took_s = context.probe.times[0] - context.now_s
+    # Beside others it also waits for the end of a pass.
+    most_s = first + (0.05 if context.others else ROUNDING_S)
+    assert first - ROUNDING_S <= took_s <= most_s, took_s
+    assert context.probe.longest_pause_s() <= pause, context.probe.longest_pause_s()
+
+
+@then("its first event comes after the others' last event")
+def step_after_others(context):
+    ends = min(other.times[-1] for other in context.others)
+    assert context.probe.times[0] >= ends, (context.probe.times[0], ends)
+
+
+@when("all their callers leave")
+def step_leave(context):
+    for other in context.others:
+        other.request.left = True
+    context.clock.run()
+
+
+@then("the engine holds no memory and no request")
+def step_empty(context):
+    engine = context.engine
+    assert not engine.tokens, engine.tokens
+    assert not (engine.waiting or engine.reading or engine.writing)
+
+
+def played(policy, pattern, engines, seeds):
+    return [
+        play(policy, pattern, engines, NODES, seed, RATE)
+        for seed in range(1, seeds + 1)
+    ]
+
+
+@when('the pattern "{pattern}" is played on {engines:d} engines with {seeds:d} seeds')
+def step_play(context, pattern, engines, seeds):
+    context.runs = {
+        name: played(policy, pattern, engines, seeds)
+        for name, policy in POLICIES.items()
+    }
+
+
+def everything(context, name):
+    return [outcome for run in context.runs[name] for outcome in run]
+
+
+def product_kind(context, kind):
+    found = [o for o in everything(context, "product") if o.arrival.kind.name == kind]
+    return kind_figures(found)
+
+
+@then('"product" earns at least {share:g} of the worth, and more than each baseline')
+def step_earns(context, share):
+    shares = {name: share_earned(everything(context, name)) for name in context.runs}
+    product = shares["product"]
+    assert product >= share, product
+    assert all(product > shares[name] for name in BASELINES), shares
+
+
+@then("its worst windows earn at least {share:g}")
+def step_worst(context, share):
+    worst = [sum(sorted(windows(run))[:2]) / 2 for run in context.runs["product"]]
+    assert sum(worst) / len(worst) >= share, worst
+
+
+@then("of its short prompts at most 1 in {part:d} is late for a pause only")
+def step_pauses(context, part):
+    figures = product_kind(context, "short")
+    assert figures.late_pause <= 1 / part, figures
+
+
+@then("of its long prompts at least {part:d} in {whole:d} are in time")
+def step_longs(context, part, whole):
+    figures = product_kind(context, "long")
+    assert figures.in_time >= part / whole, figures
+
+
+@when('the pattern "{pattern}" is played twice on {engines:d} engines with one seed')
+def step_twice(context, pattern, engines):
+    policy = POLICIES["product"]
+    context.twice = [play(policy, pattern, engines, NODES, 1, RATE) for _ in range(2)]
+
+
+@then("both runs are the same")
+def step_same(context):
+    first, second = context.twice
+    assert first == second
--- a/features/steps/forwarding_placement_steps.py
+++ b/features/steps/forwarding_placement_steps.py
@@ -6,7 +6,6 @@
 
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
 from lagoonhinge_core.forwarding.load_book import (
-    Load,
     LoadBook,
     LoadNews,
     OpenWork,
@@ -15,7 +14,6 @@
 from lagoonhinge_core.forwarding.prompt_placement import (
     EngineChoice,
     Prompt,
-    long_set_size,
     place_prompt,
 )
 
@@ -30,7 +28,7 @@
 def step_engines(context, count):
     context.book = LoadBook("node-1")
     context.names = [f"e{number}" for number in range(1, count + 1)]
-    context.loads, context.suspects = {}, set()
+    context.suspects = set()
 
 
 @given("engine {number:d} has {load}")
@@ -39,13 +37,11 @@
     match load:
         case "a long prompt to read":
             context.book.give_reading(Reading(1, name, 1.0, True), NOW_S)
-        case "8 open requests":
-            for _ in range(8):
+        case "7 open requests" | "8 open requests":
+            for _ in range(int(load[0])):
                 context.book.start(name, 5000)
         case "failed lately":
             context.suspects.add(name)
-        case "read a long prompt a second ago":
-            context.loads[name] = Load(since_long_s=1.0)
         case _:
             raise AssertionError(load)
 
@@ -66,11 +62,11 @@
     engines = tuple(
         EngineChoice(
             name,
-            context.loads.get(name) or context.book.load(name, NOW_S),
+            context.book.load(name, NOW_S),
             name in context.suspects,
-            place < long_set_size(len(context.names)),
+            number / max(1, len(context.names) - 1),
         )
-        for place, name in enumerate(context.names)
+        for number, name in enumerate(context.names)
     )
     placement = place_prompt(PROFILE, engines, prompt)
     if placement is None:
@@ -129,6 +125,18 @@
     assert all(readers[name] >= count for name in context.names), readers
 
 
+@then("no engine gets more than {count:d} of them")
+def step_not_more(context, count):
+    readers = _readers(context)
+    assert max(readers.values()) <= count, readers
+
+
+@then("engines {first:d} to {last:d} get {count:d} of them")
+def step_range_gets(context, first, last, count):
+    readers = _readers(context)
+    assert sum(readers[f"e{n}"] for n in range(first, last + 1)) == count, readers
+
+
 @then("{count:d} engines at least read none of them")
 def step_spared(context, count):
     readers = _readers(context)
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -193,7 +193,7 @@
         path = Path(folder) / "settings.conf"
         path.write_text("")
         context.finished = run(
-            (executable, "-m", "lagoonhinge_platform.main"),
+            (executable, "-m", "lagoonhinge_platform"),
             env={**environ, names.SETTINGS_VARIABLE: str(path)},
             capture_output=True,
             text=True,
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -166,7 +166,7 @@
                 },
             )
         )
-        arguments = ("-m", "lagoonhinge_platform.main")
+        arguments = ("-m", "lagoonhinge_platform")
         environment = {SETTINGS_VARIABLE: str(path)}
         if unread_log:
             popen = Popen(
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_book.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_book.py
@@ -77,13 +77,11 @@
 
     Attributes:
         reading_s: Time until the prompts given to it are read, in seconds.
-        since_long_s: Time since it last read a long one, in seconds.
         requests: Open requests of all nodes.
         tokens: Memory of these, in tokens.
     """
 
     reading_s: float = 0.0
-    since_long_s: float = float("inf")
     requests: int = 0
     tokens: int = 0
 
@@ -98,11 +96,9 @@
 
     Attributes:
         pending: Predicted time of each and when it was given, by node and number.
-        last_long_s: When a long one was last pending.
     """
 
     pending: dict[ReadingKey, tuple[Reading, float]] = field(default_factory=dict)
-    last_long_s: float = float("-inf")
 
     def reading_s(self, now_s: float) -> float:
         """Return the time until all are over, in seconds; drops expired ones."""
@@ -114,8 +110,6 @@
                 expired.append(key)
                 continue
             whole_s += reading.read_s
-            if reading.is_long:
-                self.last_long_s = now_s
         for key in expired:
             del self.pending[key]
         if not self.pending:
@@ -193,7 +187,7 @@
         if readings is None:
             return Load(requests=requests, tokens=tokens)
         reading_s = readings.reading_s(now_s)
-        return Load(reading_s, now_s - readings.last_long_s, requests, tokens)
+        return Load(reading_s, requests, tokens)
 
     def nodes_heard(self, now_s: float) -> int:
         """Return how many nodes share the upstreams, this one included."""
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -1,12 +1,12 @@
 """Which engines read a prompt, which one answers it, and which ones hold its memory.
 
-What an engine reads in a pass delays the answers that it writes meanwhile. Prompts that
-can be read in small parts are spread over the engines with the least to do. Parts of a
+What an engine reads in a pass delays the answers that it writes meanwhile. Parts of a
 long prompt are felt by the answers beside them, so the number and choice of its readers
-weigh its own time against the answers that it stalls. The first engines of an order,
-the same on all nodes, are the long set: long prompts prefer it, and short ones prefer
-the others while long ones are about. A prompt that misses its target time in any case
-is read by few engines. One that is larger than an engine's memory is held by several.
+weigh its own time against the answers that it stalls. Short prompts are therefore
+packed: they fill the last engines of an order that all nodes share, one after the
+other, and leave the first ones free of answers. How many engines that takes follows
+the load from second to second. A prompt that misses its target time in any case is
+read by few engines. One that is larger than an engine's memory is held by several.
 """
 
 from dataclasses import dataclass
@@ -14,23 +14,54 @@
 from lagoonhinge_core.forwarding.engine_time import MAX_HELPERS, EngineProfile
 from lagoonhinge_core.forwarding.load_book import Load
 
-SMALL_PART_S = 0.09  # with a pass of some 45 ms, well within a pause of 250 ms
-MOST_SMALL_PARTS_SHARE = 0.5  # of the engines, over which small parts are spread
-LONG_SHARE = 0.7  # of the engines, which are the long set
-TARGET_SHARE = 0.6  # of the target time, within which the parts are to be read
-# Costs of a long prompt's reader, in seconds of the prompt's own time.
-STALLED_REQUEST_S = 0.25  # for each answer that it stalls
-LATE_COST = 1.2  # for missing the target, in times of its whole reading
-SAFE_TARGET_SHARE = 0.8  # of the target time, as predictions are not exact
-OUTSIDE_SET_S = 0.3  # for an engine that short prompts prefer
-LIMIT_SHARE = 0.5  # of the time limit, for a prompt that misses its target anyway
-LONG_MEMORY_S = 2.0  # about the duration of a short answer
-LONG_NEIGHBOUR_S = 0.15  # cost of a short prompt beside long ones, in seconds
-# Cost of a short prompt where long ones may come, in seconds: that of five requests.
-LONG_SET_S = 0.02
-FULL_COST_S = 1.0  # cost of an engine without a free slot or memory, in seconds
-REQUEST_COST_S = 0.004  # each open request lengthens the steps a little
-USABLE_MEMORY = 0.9  # of an engine's free memory; requests unheard of take the rest
+
+@dataclass(frozen=True)
+class PlacementWeights:
+    """Limits and costs that placement weighs; costs are in seconds of prompt time.
+
+    Attributes:
+        small_part_s: Longest part that answers beside it do not feel; with a pass of
+            some 45 ms it stays well within a pause of 250 ms.
+        small_share: Most engines that share small parts, of all engines.
+        safe_share: Part of the target time, as predictions are not exact.
+        late_cost: Cost of missing the target, in times of the whole reading.
+        stalled_s: Cost of each answer that a long prompt's reader stalls.
+        stalled_long_s: Cost of 100,000 tokens of answers that it stalls for so long
+            that those to long prompts are late too.
+        long_pause_s: Stall from which that counts.
+        target_share: Part of the target time within which parts must be readable for
+            the prompt to be read by many engines.
+        limit_share: Part of the time limit for a prompt that misses its target.
+        pack_s: Cost of a short prompt on the first engine in the shared order, falling
+            to none on the last one.
+        request_s: Cost of each open request, which lengthens the steps a little.
+        crowd_s: Cost of an engine whose slots are nearly taken, at the last of them.
+        crowd_from: Share of the slots from which that cost grows.
+        queued_s: Cost of each request before it in an engine's queue.
+        no_memory_s: Cost of an engine without free memory.
+        usable_memory: Part of an engine's free memory; requests unheard of take the
+            rest.
+    """
+
+    small_part_s: float = 0.09
+    small_share: float = 0.5
+    safe_share: float = 0.8
+    late_cost: float = 2.5
+    stalled_s: float = 1.2
+    stalled_long_s: float = 2.0
+    long_pause_s: float = 0.8
+    target_share: float = 0.6
+    limit_share: float = 0.7
+    pack_s: float = 0.2
+    request_s: float = 0.002
+    crowd_s: float = 0.6
+    crowd_from: float = 0.75
+    queued_s: float = 1.0
+    no_memory_s: float = 1.0
+    usable_memory: float = 0.9
+
+
+DEFAULT_WEIGHTS = PlacementWeights()
 
 
 @dataclass(frozen=True)
@@ -41,13 +72,13 @@
         instance: The engine.
         load: Its predicted load.
         suspect: Whether sends to it failed lately.
-        in_long_set: Whether long prompts prefer it.
+        place: Place in the shared order, from 0 for the first engine to 1 for the last.
     """
 
     instance: str
     load: Load
     suspect: bool = False
-    in_long_set: bool = False
+    place: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -103,13 +134,11 @@
     holdings: tuple[Holding, ...] = ()
 
 
-def long_set_size(engines: int) -> int:
-    """Return how many of the engines, in shared order, are the long set."""
-    return round(LONG_SHARE * engines) if engines > 1 else 0
-
-
 def place_prompt(
-    profile: EngineProfile, engines: tuple[EngineChoice, ...], prompt: Prompt
+    profile: EngineProfile,
+    engines: tuple[EngineChoice, ...],
+    prompt: Prompt,
+    weights: PlacementWeights = DEFAULT_WEIGHTS,
 ) -> Placement | None:
     """Return where a prompt goes, or `None` if there is no room for it.
 
@@ -117,138 +146,153 @@
         profile: Speed and memory of the engines.
         engines: Engines that may take it, in an order that all nodes share.
         prompt: The prompt.
+        weights: Limits and costs.
     """
     sound = tuple(engine for engine in engines if not engine.suspect)
     usable = sound or engines
     if not usable:
         return None
-    if prompt.size() > USABLE_MEMORY * profile.kv_tokens:
-        return _place_huge(profile, usable, prompt)
-    most = max(1, int(len(usable) * MOST_SMALL_PARTS_SHARE))
-    parts = profile.parts_within(prompt.tokens, SMALL_PART_S, most)
-    if profile.read_s(prompt.tokens, parts) <= SMALL_PART_S:
-        return _place_small(profile, usable, prompt, parts)
-    return _place_long(profile, usable, prompt)
-
+    return _Placer(profile, weights, usable, prompt).place()
 
-def _place_small(
-    profile: EngineProfile,
-    usable: tuple[EngineChoice, ...],
-    prompt: Prompt,
-    parts: int,
-) -> Placement:
-    readers = list(usable)
-    if parts > 1:
-        readers = sorted(usable, key=lambda e: _small_cost_s(profile, e, 0))[:parts]
-    first = min(readers, key=lambda e: _small_cost_s(profile, e, prompt.size()))
-    return _shared(profile, prompt, first, readers if parts > 1 else [first])
-
-
-def _place_long(
-    profile: EngineProfile, usable: tuple[EngineChoice, ...], prompt: Prompt
-) -> Placement:
-    readers = _long_readers(profile, usable, prompt)
-    first = min(
-        readers, key=lambda e: (_full_cost_s(profile, e, prompt.size()), e.load.tokens)
-    )
-    return _shared(profile, prompt, first, readers)
-
-
-def _place_huge(
-    profile: EngineProfile, usable: tuple[EngineChoice, ...], prompt: Prompt
-) -> Placement | None:
-    """Place a prompt that several engines hold; they read it as well."""
-    chosen = _long_readers(profile, usable, prompt)
-    names = {engine.instance for engine in chosen}
-    others = [engine for engine in usable if engine.instance not in names]
-    emptiest = sorted(chosen, key=lambda e: e.load.tokens)
-    emptiest += sorted(others, key=lambda e: e.load.tokens)
-    readers: list[EngineChoice] = []
-    holdings: list[Holding] = []
-    missing = prompt.size()
-    for engine in emptiest:
-        if missing <= 0 and len(readers) >= len(chosen):
-            break
-        tokens = min(missing, _free_tokens(profile, engine))
-        # The first engine keeps what the others do not hold.
-        if readers and tokens > 0:
-            holdings.append(Holding(engine.instance, tokens))
-        readers.append(engine)
-        missing -= tokens
-    if missing > 0 or len(readers) > MAX_HELPERS + 1:
-        return None
-    return _shared(profile, prompt, readers[0], readers, tuple(holdings))
 
+@dataclass(frozen=True)
+class _Placer:
+    """Placement of one prompt.
 
-def _long_readers(
-    profile: EngineProfile, usable: tuple[EngineChoice, ...], prompt: Prompt
-) -> list[EngineChoice]:
-    """Return the engines that read a long prompt, by the least cost in all.
-
-    More engines finish sooner, but each of them may have to be waited for, and stalls
-    the answers that it writes.
+    Attributes:
+        profile: Speed and memory of the engines.
+        weights: Limits and costs.
+        usable: Engines that may take it.
+        prompt: The prompt.
     """
-    ranked = sorted(usable, key=lambda e: _long_cost_s(profile, e))[: MAX_HELPERS + 1]
-    if profile.read_s(prompt.tokens, len(ranked)) > TARGET_SHARE * prompt.target_s:
-        limit_s = LIMIT_SHARE * prompt.limit_s
-        return ranked[: profile.parts_within(prompt.tokens, limit_s, len(ranked))]
-    late_s = LATE_COST * profile.read_s(prompt.tokens)
-    best, best_s = 1, float("inf")
-    waiting_s = side_s = 0.0
-    for parts, engine in enumerate(ranked, 1):
-        waiting_s = max(waiting_s, engine.load.reading_s)
-        side_s += _side_cost_s(profile, engine)
-        part_s = profile.read_s(prompt.tokens, parts)
-        cost_s = waiting_s + part_s
-        if cost_s > SAFE_TARGET_SHARE * prompt.target_s:
-            cost_s += late_s
-        if part_s > SMALL_PART_S:
-            cost_s += side_s
-        if cost_s < best_s:
-            best, best_s = parts, cost_s
-    return ranked[:best]
-
-
-def _shared(
-    profile: EngineProfile,
-    prompt: Prompt,
-    first: EngineChoice,
-    readers: list[EngineChoice],
-    holdings: tuple[Holding, ...] = (),
-) -> Placement:
-    helpers = tuple(e.instance for e in readers if e is not first)
-    part_s = profile.read_s(prompt.tokens, len(readers))
-    is_long = part_s > SMALL_PART_S
-    return Placement(first.instance, helpers, part_s, is_long, holdings)
-
-
-def _small_cost_s(profile: EngineProfile, engine: EngineChoice, tokens: int) -> float:
-    load = engine.load
-    cost_s = load.reading_s + load.requests * REQUEST_COST_S
-    if engine.in_long_set:
-        cost_s += LONG_SET_S
-    if load.since_long_s < LONG_MEMORY_S:
-        cost_s += LONG_NEIGHBOUR_S
-    return cost_s + _full_cost_s(profile, engine, tokens)
-
-
-def _long_cost_s(profile: EngineProfile, engine: EngineChoice) -> float:
-    return engine.load.reading_s + _side_cost_s(profile, engine)
-
-
-def _side_cost_s(profile: EngineProfile, engine: EngineChoice) -> float:
-    """Return what a long prompt costs others on an engine, in seconds."""
-    outside_s = 0.0 if engine.in_long_set else OUTSIDE_SET_S
-    stalled_s = engine.load.requests * STALLED_REQUEST_S
-    return outside_s + stalled_s + _full_cost_s(profile, engine, 0)
-
-
-def _full_cost_s(profile: EngineProfile, engine: EngineChoice, tokens: int) -> float:
-    load = engine.load
-    is_full = load.requests >= profile.slots
-    lacks_memory = load.tokens + tokens > profile.kv_tokens
-    return FULL_COST_S * (is_full + lacks_memory)
-
 
-def _free_tokens(profile: EngineProfile, engine: EngineChoice) -> int:
-    return max(0, int(USABLE_MEMORY * (profile.kv_tokens - engine.load.tokens)))
+    profile: EngineProfile
+    weights: PlacementWeights
+    usable: tuple[EngineChoice, ...]
+    prompt: Prompt
+
+    def place(self) -> Placement | None:
+        """Return where the prompt goes, or `None` if there is no room for it."""
+        weights, tokens = self.weights, self.prompt.tokens
+        if self.prompt.size() > weights.usable_memory * self.profile.kv_tokens:
+            return self._place_huge()
+        most = max(1, int(len(self.usable) * weights.small_share))
+        parts = self.profile.parts_within(tokens, weights.small_part_s, most)
+        if self.profile.read_s(tokens, parts) <= weights.small_part_s:
+            return self._place_small(parts)
+        return self._place_long()
+
+    def _place_small(self, parts: int) -> Placement:
+        readers = list(self.usable)
+        if parts > 1:
+            readers = sorted(self.usable, key=lambda e: self._small_cost_s(e, 0))
+            readers = readers[:parts]
+        size = self.prompt.size()
+        first = min(readers, key=lambda e: self._small_cost_s(e, size))
+        return self._shared(first, readers if parts > 1 else [first])
+
+    def _place_long(self) -> Placement:
+        readers = self._long_readers()
+        size = self.prompt.size()
+        first = min(readers, key=lambda e: (self._full_cost_s(e, size), e.load.tokens))
+        return self._shared(first, readers)
+
+    def _place_huge(self) -> Placement | None:
+        """Place a prompt that several engines hold; they read it as well."""
+        chosen = self._long_readers()
+        names = {engine.instance for engine in chosen}
+        others = [engine for engine in self.usable if engine.instance not in names]
+        emptiest = sorted(chosen, key=lambda e: e.load.tokens)
+        emptiest += sorted(others, key=lambda e: e.load.tokens)
+        readers: list[EngineChoice] = []
+        holdings: list[Holding] = []
+        missing = self.prompt.size()
+        for engine in emptiest:
+            if missing <= 0 and len(readers) >= len(chosen):
+                break
+            tokens = min(missing, self._free_tokens(engine))
+            # The first engine keeps what the others do not hold.
+            if readers and tokens > 0:
+                holdings.append(Holding(engine.instance, tokens))
+            readers.append(engine)
+            missing -= tokens
+        if missing > 0 or len(readers) > MAX_HELPERS + 1:
+            return None
+        return self._shared(readers[0], readers, tuple(holdings))
+
+    def _long_readers(self) -> list[EngineChoice]:
+        """Return the engines that read a long prompt, by the least cost in all.
+
+        More engines finish sooner, but each of them may have to be waited for, and
+        stalls the answers that it writes.
+        """
+        profile, weights, prompt = self.profile, self.weights, self.prompt
+        ranked = sorted(self.usable, key=self._long_cost_s)[: MAX_HELPERS + 1]
+        shortest_s = profile.read_s(prompt.tokens, len(ranked))
+        if shortest_s > weights.target_share * prompt.target_s:
+            limit_s = weights.limit_share * prompt.limit_s
+            return ranked[: profile.parts_within(prompt.tokens, limit_s, len(ranked))]
+        late_s = weights.late_cost * profile.read_s(prompt.tokens)
+        best, best_s = 1, float("inf")
+        waiting_s = side_s = 0.0
+        for parts, engine in enumerate(ranked, 1):
+            waiting_s = max(waiting_s, engine.load.reading_s)
+            side_s += self._side_cost_s(engine)
+            part_s = profile.read_s(prompt.tokens, parts)
+            ready_s = waiting_s + part_s
+            cost_s = ready_s + self._long_stall_s(ranked[:parts], part_s)
+            if ready_s > weights.safe_share * prompt.target_s:
+                cost_s += late_s
+            if part_s > weights.small_part_s:
+                cost_s += side_s
+            if cost_s < best_s:
+                best, best_s = parts, cost_s
+        return ranked[:best]
+
+    def _shared(
+        self,
+        first: EngineChoice,
+        readers: list[EngineChoice],
+        holdings: tuple[Holding, ...] = (),
+    ) -> Placement:
+        helpers = tuple(e.instance for e in readers if e is not first)
+        part_s = self.profile.read_s(self.prompt.tokens, len(readers))
+        is_long = part_s > self.weights.small_part_s
+        return Placement(first.instance, helpers, part_s, is_long, holdings)
+
+    def _small_cost_s(self, engine: EngineChoice, tokens: int) -> float:
+        load, weights = engine.load, self.weights
+        cost_s = load.reading_s + load.requests * weights.request_s
+        cost_s += weights.pack_s * (1 - engine.place)
+        return cost_s + self._full_cost_s(engine, tokens)
+
+    def _long_cost_s(self, engine: EngineChoice) -> float:
+        return engine.load.reading_s + self._side_cost_s(engine)
+
+    def _side_cost_s(self, engine: EngineChoice) -> float:
+        """Return what a long prompt costs others on an engine, in seconds."""
+        stalled_s = engine.load.requests * self.weights.stalled_s
+        return stalled_s + self._full_cost_s(engine, 0)
+
+    def _long_stall_s(self, readers: list[EngineChoice], part_s: float) -> float:
+        """Return the cost of answers to long prompts that become late, in seconds."""
+        weights = self.weights
+        tokens = sum(
+            engine.load.tokens
+            for engine in readers
+            if engine.load.reading_s + part_s > weights.long_pause_s
+        )
+        return weights.stalled_long_s * tokens / 100_000
+
+    def _full_cost_s(self, engine: EngineChoice, tokens: int) -> float:
+        """Return the cost of taken slots and memory, in seconds."""
+        load, profile, weights = engine.load, self.profile, self.weights
+        crowd = (load.requests + 1) / profile.slots - weights.crowd_from
+        crowd_s = weights.crowd_s * max(0.0, crowd) / (1 - weights.crowd_from)
+        queued_s = weights.queued_s * max(0, load.requests + 1 - profile.slots)
+        lacks_memory = load.tokens + tokens > profile.kv_tokens
+        return crowd_s + queued_s + weights.no_memory_s * lacks_memory
+
+    def _free_tokens(self, engine: EngineChoice) -> int:
+        free = self.profile.kv_tokens - engine.load.tokens
+        return max(0, int(self.weights.usable_memory * free))
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/exit_codes.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/exit_codes.py
@@ -13,3 +13,4 @@
     PLATFORM = 6
     NOT_EVERYWHERE = 7
     NODE_SILENT = 8
+    NOT_FOUND = 9
--- /dev/null
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/log_files.py
@@ -0,0 +1,92 @@
+"""Reading of nodes' log files, one JSON object a line."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from msgspec import DecodeError, json
+
+NO_REQUEST = "-"
+ENVELOPE = frozenset(
+    ("time_s", "node", "level", "part", "request_id", "message", "ago_s")
+)
+
+
+@dataclass(frozen=True)
+class LogLine:
+    """One line of a node's log.
+
+    Attributes:
+        at_s: When the event took place, in seconds since the epoch.
+        node: Name of the node, or of its file if the line has none.
+        part: Part of the program.
+        request_id: Request that it belongs to; `-` if none.
+        message: What happened.
+        inputs: What decided it.
+    """
+
+    at_s: float
+    node: str
+    part: str
+    request_id: str
+    message: str
+    inputs: dict[str, Any]
+
+
+@dataclass(frozen=True)
+class LogFiles:
+    """Lines of several files in order of time.
+
+    Attributes:
+        lines: The lines.
+        unreadable: Number of lines that are no JSON object of a log.
+    """
+
+    lines: tuple[LogLine, ...]
+    unreadable: int
+
+
+def read_logs(paths: Iterable[Path]) -> LogFiles:
+    """Read log files.
+
+    Raises:
+        OSError: A file can't be read.
+    """
+    lines: list[LogLine] = []
+    unreadable = 0
+    for path in paths:
+        for text in _texts(path):
+            line = _parse(text, path.stem)
+            if line is None:
+                unreadable += 1
+            else:
+                lines.append(line)
+    lines.sort(key=lambda line: line.at_s)
+    return LogFiles(tuple(lines), unreadable)
+
+
+def _texts(path: Path) -> Iterator[str]:
+    with path.open(encoding="utf-8", errors="replace") as file:
+        for text in file:
+            if text.strip():
+                yield text
+
+
+def _parse(text: str, file_name: str) -> LogLine | None:
+    # Collectors of logs put their own time and name before the object.
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        fields = json.decode(text[start:])
+        return LogLine(
+            float(fields["time_s"]) - float(fields.get("ago_s", 0.0)),
+            str(fields.get("node", file_name)),
+            str(fields["part"]),
+            str(fields["request_id"]),
+            str(fields["message"]),
+            {name: value for name, value in fields.items() if name not in ENVELOPE},
+        )
+    except (DecodeError, KeyError, TypeError, ValueError, AttributeError):
+        return None
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/main.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/main.py
@@ -6,12 +6,14 @@
 
 from lagoonhinge_ctl.config_commands import ConfigCommand
 from lagoonhinge_ctl.drain_commands import Drain, Undrain
+from lagoonhinge_ctl.explain_command import Explain
 from lagoonhinge_ctl.node_commands import Nodes, State
 
 EXIT_CODES = """\
 Exit codes: 0 success; 2 bad usage; 3 bad configuration; 4 another change was accepted
 first; 5 the platform did not say whether the change was accepted; 6 the platform was
-not reached; 7 not in force on every node; 8 a node did not answer.\
+not reached; 7 not in force on every node; 8 a node did not answer; 9 the request is in
+no log.\
 """
 
 
@@ -20,7 +22,7 @@
 class Lagoonctl:
     """Operate a lagoonhinge fleet."""
 
-    subcommand: Subcommands[ConfigCommand | State | Nodes | Drain | Undrain]
+    subcommand: Subcommands[ConfigCommand | State | Nodes | Drain | Undrain | Explain]
 
 
 def main() -> None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
@@ -11,7 +11,6 @@
     Holding,
     Placement,
     Prompt,
-    long_set_size,
     place_prompt,
 )
 from lagoonhinge_core.forwarding.routes import Route
@@ -116,15 +115,15 @@
     ) -> Choice | None:
         now_s = self.state.clock()
         load = self.state.load
-        long_set = long_set_size(len(left))
+        last = max(1, len(left) - 1)
         engines = tuple(
             EngineChoice(
                 entry.instance,
                 load.load(entry.instance, now_s),
                 entry.instance in suspects,
-                place < long_set,
+                number / last,
             )
-            for place, entry in enumerate(left)
+            for number, entry in enumerate(left)
         )
         placement = place_prompt(profile, engines, prompt)
         if placement is None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -1,9 +1,6 @@
 """Metrics of the forwarding path; labels never name accounts, upstreams or requests."""
 
-from prometheus_client import (
-    Gauge,
-    Histogram,
-)
+from prometheus_client import Gauge, Histogram
 
 from lagoonhinge_core.forwarding.messages import CallerRequest
 from lagoonhinge_core.forwarding.routes import (
@@ -15,7 +12,7 @@
 from lagoonhinge_core.length_class import length_class
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.state import SiteConfigSection
-from lagoonhinge_node.metrics import FIRST_TOKEN_BUCKETS_S, RegistryMetrics
+from lagoonhinge_node.registry_metrics import FIRST_TOKEN_BUCKETS_S, RegistryMetrics
 
 PAUSE_BUCKETS_S = (0.05, 0.1, 0.15, 0.2, 0.25, 0.4, 0.6, 1.0, 2.0, 5.0)
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/logs.py
@@ -58,6 +58,10 @@
 
 
 class _JsonFormatter(Formatter):
+    def __init__(self, node: str = ""):
+        super().__init__()
+        self.named = {"node": node} if node else {}
+
     def format(self, record: LogRecord) -> str:
         args = record.args if isinstance(record.args, tuple) else ()
         is_part = record.msg == FORMAT and len(args) == 4
@@ -67,6 +71,7 @@
         )
         line = {
             "time_s": round(record.created, 3),
+            **self.named,
             "level": record.levelname.lower(),
             "part": part,
             "request_id": request_id,
@@ -146,11 +151,12 @@
     _quieten_mode()
 
 
-def set_up_queued_logs(level: str) -> Callable[[], None]:
+def set_up_queued_logs(level: str, node: str) -> Callable[[], None]:
     """Direct all logs to standard output as JSON lines, written by a thread.
 
     Args:
         level: One of `LEVELS`.
+        node: Name of the node, which each line bears.
 
     Returns:
         Function that waits for the queued lines, but not for a reader that stopped.
@@ -158,7 +164,7 @@
     FLAGS.mark_as_parsed()
     logging.set_verbosity(LEVELS[level])
     writer = _DescriptorHandler(STDOUT)
-    writer.setFormatter(_JsonFormatter())
+    writer.setFormatter(_JsonFormatter(node))
     lines: Queue[LogRecord] = Queue(MAX_QUEUED_LINES)
     root = getLogger()
     for handler in list(root.handlers):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/metrics.py
@@ -1,42 +1,17 @@
 """Metrics of the node; no label grows with accounts, upstreams or requests."""
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    ProcessCollector,
-    generate_latest,
-)
+from prometheus_client import Gauge, Histogram
 
 from lagoonhinge_core.engine_messages import Usage
 from lagoonhinge_core.length_class import length_class
 from lagoonhinge_core.outcome import Failure
 from lagoonhinge_core.request import ModelRequest
+from lagoonhinge_node.registry_metrics import FIRST_TOKEN_BUCKETS_S, RegistryMetrics
 
-FIRST_TOKEN_BUCKETS_S = (
-    0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1.0, 1.4, 2.0, 3.5, 5.0, 10.0, 30.0, 100.0, 300.0,
-)  # fmt: skip
 SLOWDOWN_BUCKETS = (1.0, 1.15, 1.3, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 100.0)
 QUEUE_BUCKETS_S = (0.001, 0.005, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0)
 
 
-class RegistryMetrics:
-    """Metrics in a registry of their own, with those of the process."""
-
-    def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        ProcessCollector(registry=self.registry)
-
-    def render(self) -> bytes:
-        """Return the metrics in the text format of Prometheus."""
-        return generate_latest(self.registry)
-
-    def counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
-        """Return a new counter."""
-        return Counter(name, text, labels, registry=self.registry)
-
-
 class Metrics(RegistryMetrics):
     """The node's metrics."""
 
