Requests that crash their upstreams are refused at all nodes; long prompts weigh answers by worth

Cause (crashes): the platform's path had no quarantine, so a request that crashes each upstream that runs it could go on at any node. A send that broke off now makes its request a suspect, an upstream that is then found gone makes it a crash, and three crashes without an answer to its like refuse it for a minute; nodes tell each other. Lateness of the prompt and of long answers beside it are now weighed by tokens alike, engines are ranked by both, and prompts above half the target on all engines are read by few.

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -120,6 +120,14 @@
       | 500000 | and leaves before the end      |
       | 500000 | while a worker breaks off      |
 
+  Scenario: A request that crashes every worker is refused at all nodes
+    Given a node on the platform with four workers for models
+    And another node beside it
+    And every worker crashes when it runs a request
+    When a client sends the same prompt until three workers have crashed
+    Then both nodes refuse it as not run within two seconds
+    And another prompt is served by the worker that is left
+
   Scenario: A planned stop finishes what runs
     Given a node on the platform with two workers for each service
     When the node is told to stop during a stream
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -325,6 +325,71 @@
     assert "/" in run["helpers"], run
 
 
+@given("another node beside it")
+def step_another_node(context):
+    context.second = context.fleet.start_platform_node()
+    context.fleet.wait_ready(context.second)
+
+    def check() -> None:
+        assert all(
+            _state(node)["peers_heard_s"] for node in (context.node, context.second)
+        )
+
+    eventually(check)
+
+
+@given("every worker crashes when it runs a request")
+def step_workers_crash(context):
+    for worker in context.fleet.workers.values():
+        worker.put_faults(how="crash")
+
+
+def _state(node):
+    return http("GET", f"http://127.0.0.1:{node.operator_port}/state").json()
+
+
+def _left(context):
+    workers = context.fleet.workers.values()
+    return [worker for worker in workers if worker.popen.poll() is None]
+
+
+@when("a client sends the same prompt until three workers have crashed")
+def step_send_until_crashed(context):
+    for _ in range(MOST_TRIES):
+        if len(_left(context)) == 1:
+            return
+        send(context.node, "POST", "/stream/poison", BODY)
+    raise AssertionError(context.node.log.read_text())
+
+
+@then("both nodes refuse it as not run within two seconds")
+def step_both_refuse(context):
+    def check() -> None:
+        for node in (context.node, context.second):
+            state = _state(node)
+            found = state["crashes"]
+            assert len({crash["instance"] for crash in found}) >= 3, (
+                state,
+                node.log.read_text(),
+            )
+
+    eventually(check, 2.0)
+    for node in (context.node, context.second):
+        answer = send(node, "POST", "/stream/poison", BODY)
+        assert answer is not None and answer.status == 503, answer
+        assert float(answer.headers[RETRY_AFTER]) > 1, answer
+    (last,) = _left(context)
+    assert last.get_json("control/seen")["runs"] == []
+
+
+@then("another prompt is served by the worker that is left")
+def step_another_prompt(context):
+    (last,) = _left(context)
+    last.put_faults(how="")
+    answer = send(context.node, "POST", "/stream/1", BODY)
+    assert answer is not None and answer.body.decode() == WHOLE_STREAM, answer
+
+
 @when("the node is told to stop during a stream")
 def step_stop_during_stream(context):
     for instance in ("m1", "m2"):
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/health.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/health.py
@@ -97,11 +97,17 @@
         record = _after_loss(self.records.get(instance, CLEAN), now_s)
         self.records[instance] = replace(record, unreachable=True)
 
-    def reached(self, instance: str) -> None:
-        """Count a connection that could be opened."""
+    def reached(self, instance: str) -> bool:
+        """Count a connection that could be opened.
+
+        Returns:
+            Whether the one before it could not.
+        """
         record = self.records.get(instance)
-        if record is not None and record.unreachable:
-            self.records[instance] = replace(record, unreachable=False, losses=0)
+        if record is None or not record.unreachable:
+            return False
+        self.records[instance] = replace(record, unreachable=False, losses=0)
+        return True
 
     def forget_all_but(self, instances: frozenset[str]) -> None:
         """Drop the records of upstreams that are no longer listed."""
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_book.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_book.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from lagoonhinge_core.forwarding.crashes import Crash
+
 PEER_SILENCE_S = 3.0  # a peer that is silent for longer no longer counts
 # An engine that is behind the prediction still has at least this share of it to do.
 OVERDUE_SHARE = 0.15
@@ -55,12 +57,14 @@
         readings: Prompt processing given out since the last news.
         read: Numbers of the prompts that have been read or given up since.
         open_work: Its open requests by upstream.
+        crashes: Requests that were in crashes of upstreams that it found lately.
     """
 
     node: str
     readings: tuple[Reading, ...]
     read: tuple[int, ...]
     open_work: dict[str, OpenWork]
+    crashes: tuple[Crash, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -14,6 +14,8 @@
 from lagoonhinge_core.forwarding.engine_time import MAX_HELPERS, EngineProfile
 from lagoonhinge_core.forwarding.load_book import Load
 
+WORTH_UNIT = 100_000  # tokens
+
 
 @dataclass(frozen=True)
 class PlacementWeights:
@@ -24,13 +26,12 @@
             some 45 ms it stays well within a pause of 250 ms.
         small_share: Most engines that share small parts, of all engines.
         safe_share: Part of the target time, as predictions are not exact.
-        late_cost: Cost of missing the target, in times of the whole reading.
+        wide_share: Part of the target time within which all engines together must be
+            able to read a prompt; a longer one would stall all of them and be late.
+        late_s: Cost of an answer that becomes late, for each 100,000 tokens of its
+            prompt, as longer prompts are worth more.
         stalled_s: Cost of each answer that a long prompt's reader stalls.
-        stalled_long_s: Cost of 100,000 tokens of answers that it stalls for so long
-            that those to long prompts are late too.
-        long_pause_s: Stall from which that counts.
-        target_share: Part of the target time within which parts must be readable for
-            the prompt to be read by many engines.
+        long_pause_s: Stall from which answers to long prompts become late as well.
         limit_share: Part of the time limit for a prompt that misses its target.
         pack_s: Cost of a short prompt on the first engine in the shared order, falling
             to none on the last one.
@@ -45,12 +46,11 @@
 
     small_part_s: float = 0.09
     small_share: float = 0.5
-    safe_share: float = 0.8
-    late_cost: float = 2.5
-    stalled_s: float = 1.2
-    stalled_long_s: float = 2.0
+    safe_share: float = 0.85
+    wide_share: float = 0.5
+    late_s: float = 10.0
+    stalled_s: float = 1.0
     long_pause_s: float = 0.8
-    target_share: float = 0.6
     limit_share: float = 0.7
     pack_s: float = 0.2
     request_s: float = 0.002
@@ -227,12 +227,14 @@
         stalls the answers that it writes.
         """
         profile, weights, prompt = self.profile, self.weights, self.prompt
-        ranked = sorted(self.usable, key=self._long_cost_s)[: MAX_HELPERS + 1]
-        shortest_s = profile.read_s(prompt.tokens, len(ranked))
-        if shortest_s > weights.target_share * prompt.target_s:
+        most = min(len(self.usable), MAX_HELPERS + 1)
+        shortest_s = profile.read_s(prompt.tokens, most)
+        ranked = sorted(self.usable, key=lambda e: self._long_cost_s(e, shortest_s))
+        ranked = ranked[:most]
+        if shortest_s > weights.wide_share * prompt.target_s:
             limit_s = weights.limit_share * prompt.limit_s
             return ranked[: profile.parts_within(prompt.tokens, limit_s, len(ranked))]
-        late_s = weights.late_cost * profile.read_s(prompt.tokens)
+        late_s = weights.late_s * prompt.tokens / WORTH_UNIT
         best, best_s = 1, float("inf")
         waiting_s = side_s = 0.0
         for parts, engine in enumerate(ranked, 1):
@@ -266,8 +268,9 @@
         cost_s += weights.pack_s * (1 - engine.place)
         return cost_s + self._full_cost_s(engine, tokens)
 
-    def _long_cost_s(self, engine: EngineChoice) -> float:
-        return engine.load.reading_s + self._side_cost_s(engine)
+    def _long_cost_s(self, engine: EngineChoice, part_s: float) -> float:
+        own_s = engine.load.reading_s + self._side_cost_s(engine)
+        return own_s + self._long_stall_s([engine], part_s)
 
     def _side_cost_s(self, engine: EngineChoice) -> float:
         """Return what a long prompt costs others on an engine, in seconds."""
@@ -282,7 +285,7 @@
             for engine in readers
             if engine.load.reading_s + part_s > weights.long_pause_s
         )
-        return weights.stalled_long_s * tokens / 100_000
+        return weights.late_s * tokens / WORTH_UNIT
 
     def _full_cost_s(self, engine: EngineChoice, tokens: int) -> float:
         """Return the cost of taken slots and memory, in seconds."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/callers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/callers.py
@@ -248,7 +248,8 @@
             case Failure(refusal):
                 return Failure(refusal)
             case Success((route, account)):
-                return Success(self._job(request, route, account, arrived_s))
+                job = self._job(request, route, account, arrived_s)
+                return self._refuse_if_harmful(job)
         raise AssertionError("not a result")
 
     def _job(
@@ -264,6 +265,16 @@
         service = route.pick_service(self.state.random.random())
         return Job(request, route, service, account, arrived_s + limit_s, arrived_s)
 
+    def _refuse_if_harmful(self, job: Job) -> Result[Job, Refusal]:
+        crashes = self.state.crashes
+        if crashes.is_empty():
+            return Success(job)
+        refused_s = crashes.refused_for_s(job.digest(), self.state.clock())
+        if not refused_s:
+            return Success(job)
+        reason = "requests like it crash upstreams"
+        return Failure(Refusal(UNAVAILABLE, reason, refused_s))
+
     async def _confirm(self) -> None:
         """Wait a little while the configuration is stale, as after a pause."""
         if self._standing() is not Standing.STALE:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
@@ -189,6 +189,7 @@
         for instance in gone:
             del self.lapsed[instance]
             self.log_part.info("An upstream did not come back.", upstream=instance)
+            self.serving.note_gone(instance)
         if gone:
             self.serving.directory.update((), gone)
             self._post(self.serving.board.read(UpstreamListSection).version)
@@ -217,6 +218,7 @@
             removed = set()
         for instance in removed:
             self.log_part.info("An upstream is gone.", upstream=instance)
+            self.serving.note_gone(instance)
         self.serving.directory.update(update.changed, removed)
         self._post(update.version)
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -58,12 +58,14 @@
         """Send what has changed; long prompts at once, the rest within the rate."""
         load, now_s = self.serving.load, self.serving.clock()
         is_urgent = any(reading.is_long for reading in load.untold)
-        is_quiet = not (load.untold or load.untold_read) and load.own == self.told_open
+        has_news = load.untold or load.untold_read or self.serving.crashes.found
+        is_quiet = not has_news and load.own == self.told_open
         pause_s = QUIET_INTERVAL_S if is_quiet else TELL_INTERVAL_S
         crowd = max(1.0, len(self.peers) / FULL_RATE_PEERS)
         if not is_urgent and now_s - self.told_s < pause_s * crowd * TIMER_SLACK:
             return
         news = load.news()
+        crashes = self.serving.crashes.news(now_s)
         self.told_s, self.told_open = now_s, dict(load.own)
         message = encode(
             LoadNews(
@@ -71,6 +73,7 @@
                 news.readings[-MAX_READINGS:],
                 news.read[-MAX_READINGS:],
                 news.open_work,
+                crashes,
             )
         )
         if self.transport is not None:
@@ -84,7 +87,9 @@
         except BadMessage as error:
             self.log_part.warning("Unreadable news.", reason=str(error))
             return
-        self.serving.load.hear(news, self.serving.clock())
+        now_s = self.serving.clock()
+        self.serving.load.hear(news, now_s)
+        self.serving.crashes.hear(news.crashes, now_s)
 
 
 class _Receiver(DatagramProtocol):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operators.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operators.py
@@ -75,6 +75,7 @@
                 for load in (state.load.load(name, now_s),)
             },
             "health": to_builtins(state.health.records),
+            "crashes": to_builtins(list(state.crashes.crashes)),
             "nodes": to_builtins(state.board.read(NodeListSection).nodes),
             "peers_heard_s": {
                 name: round(now_s - peer.heard_s, 3)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
@@ -32,7 +32,10 @@
         for zone in {upstream.zone for upstream in listed.values()}:
             if self.serving.avoid_zone_if_cut_off(zone):
                 self.log_part.warning("A zone seems to be cut off.", zone=zone)
-        names = self.serving.health.unreachable()
+        names = {
+            *self.serving.health.unreachable(),
+            *self.serving.crashes.doubtful(self.serving.clock()),
+        }
         await gather(*(self._try(listed[name]) for name in names if name in listed))
 
     async def _try(self, upstream: Upstream) -> None:
@@ -40,10 +43,11 @@
             connecting = open_connection(upstream.host, upstream.port)
             _, writer = await wait_for(connecting, CONNECT_LIMIT_S)
         except (OSError, TimeoutError):
-            # It is still out of reach, as the record says already.
+            self.serving.note_gone(upstream.instance)
             return
         writer.close()
-        self.serving.health.reached(upstream.instance)
-        self.log_part.info(
-            "An upstream can be reached again.", upstream=upstream.instance
-        )
+        self.serving.crashes.alive(upstream.instance)
+        if self.serving.health.reached(upstream.instance):
+            self.log_part.info(
+                "An upstream can be reached again.", upstream=upstream.instance
+            )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_job.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_job.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from lagoonhinge_core.forwarding.crashes import digest_request
 from lagoonhinge_core.forwarding.messages import AnswerHead, CallerRequest
 from lagoonhinge_core.forwarding.routes import Route
 from lagoonhinge_node.forwarding.serving_state import ServingState
@@ -75,6 +76,10 @@
     failed_answer: tuple[AnswerHead, bytes] | None = None
     kept_lines: list["KeptLine"] = field(default_factory=list)
 
+    def digest(self) -> str:
+        """Return the digest of what is asked, and for whom."""
+        return digest_request(self.request, self.account)
+
 
 @dataclass(frozen=True)
 class KeptLine:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
@@ -146,6 +146,7 @@
             case Lost():
                 result = "lost"
                 job.runs += 1
+                self.state.crashes.broke_off(job.digest(), instance, now_s)
                 self.state.health.lost(instance, now_s)
             case Failed():
                 result = "failed"
@@ -160,6 +161,8 @@
             self.log.remaining_s(job),
         )
         verdict = after_failure(job.route, history, failure)
+        if verdict is Verdict.SEND_AGAIN and self._is_harmful(job):
+            verdict = Verdict.FAIL
         self.log.tell_failure(
             job,
             "A send failed.",
@@ -173,6 +176,12 @@
         )
         return verdict
 
+    def _is_harmful(self, job: Job) -> bool:
+        crashes = self.state.crashes
+        if crashes.is_empty() or not job.runs:
+            return False
+        return not crashes.may_send_again(job.digest(), self.state.clock())
+
     def _count_send(self, choice: Choice, result: str) -> None:
         is_near = "yes" if choice.upstream.zone == self.state.zone else "no"
         self.metrics.sends.labels(result, is_near).inc()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/sending.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/sending.py
@@ -259,6 +259,8 @@
     def _note_health(self, send: Send) -> None:
         instance = send.choice.upstream.instance
         self.state.health.answered(instance, False, self.state.clock())
+        if not self.state.crashes.is_empty():
+            self.state.crashes.answered(send.job.digest())
 
     def _note_first_event(self, send: Send, sentence: str) -> None:
         """Count the prompt as read."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -6,12 +6,14 @@
 from typing import Any
 
 from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.forwarding.crashes import CrashBook
 from lagoonhinge_core.forwarding.freshness import Freshness
 from lagoonhinge_core.forwarding.health import HealthBook
 from lagoonhinge_core.forwarding.load_book import LoadBook
 from lagoonhinge_core.forwarding.retry_window import RetryBound, RetryWindow
 from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamDirectory
 from lagoonhinge_core.forwarding.zone_faults import ZoneSigns, seems_cut_off
+from lagoonhinge_node.logs import PartLogger
 
 
 class ServingState:
@@ -46,6 +48,7 @@
         self.load = LoadBook(node)
         self.background: set[Task[None]] = set()
         self.health = HealthBook()
+        self.crashes = CrashBook()
         self.retry_windows: dict[str, RetryWindow] = {}
         self.known_nodes = 1
         self.store_trouble = Event()
@@ -54,6 +57,7 @@
         self.turn = 0
         self.open_requests = 0
         self.is_stopping = False
+        self.log_part = PartLogger("health")
 
     def run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Run work that outlives its request."""
@@ -86,10 +90,18 @@
         return self.retry_window(service).allows_repeat(self.clock(), nodes)
 
     def note_not_reached(self, upstream: Upstream) -> None:
-        """Count a failed connection; it may tell of the whole zone."""
+        """Count a failed connection; it may tell of a crash, or of the whole zone."""
+        self.note_gone(upstream.instance)
         self.health.not_reached(upstream.instance, self.clock())
         self.avoid_zone_if_cut_off(upstream.zone)
 
+    def note_gone(self, instance: str) -> None:
+        """Take that an upstream has ended; a request that it ran may be the cause."""
+        for crash in self.crashes.gone(instance, self.clock()):
+            self.log_part.warning(
+                "A request was in a crash.", upstream=instance, digest=crash.request
+            )
+
     def avoid_zone_if_cut_off(self, zone: str) -> bool:
         """Avoid all upstreams of a zone that seems to be cut off from this one.
 
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -2,6 +2,7 @@
 
 from asyncio import sleep
 from dataclasses import dataclass, field
+from os import _exit
 from typing import Annotated, Any
 
 from aiohttp import web
@@ -26,6 +27,7 @@
 EVENTS = 5
 EVENT_PAUSE_S = 0.02
 SILENCE_S = 3600.0
+CRASH_STATUS = 70
 
 
 class WorkerFaults(Struct, frozen=True):
@@ -96,6 +98,8 @@
         }
     )
     try:
+        if fault == "crash":
+            _exit(CRASH_STATUS)
         if fault == "silent":
             await sleep(SILENCE_S)
         if request.path.startswith("/stream/"):
