--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -2,7 +2,9 @@
 
 A pass that serves answers makes `stride` steps, each of which yields a token of every
 answer and reads up to `chunk` tokens of waiting prompts. Without answers, a pass ends
-as soon as one part of a prompt has been read. Parts for other engines are read first.
+as soon as one part of a prompt has been read. Parts for other engines are read first,
+and the newest of them before the others: on the users' engines a long part overtakes
+all that were given before it.
 """
 
 from collections import deque
@@ -111,8 +113,8 @@
         self._wake(now_s)
 
     def help_read(self, request: EngineRequest, now_s: float) -> None:
-        """Read a part of a request that another engine answers."""
-        self.helping.append(self._part(request))
+        """Read a part of a request that another engine answers, before older parts."""
+        self.helping.insert(0, self._part(request))
         self._wake(now_s)
 
     def begin_answer(self, request: EngineRequest, now_s: float) -> None:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -194,7 +194,13 @@
     def _place_long(self) -> Placement:
         readers = self._long_readers()
         size = self.prompt.size()
-        first = min(readers, key=lambda e: (self._full_cost_s(e, size), e.load.tokens))
+        first = min(
+            readers,
+            key=lambda e: (
+                self._full_cost_s(e, size) + e.load.reading_s,
+                e.load.tokens,
+            ),
+        )
         return self._shared(first, readers)
 
     def _place_huge(self) -> Placement | None:
@@ -236,9 +242,10 @@
             return ranked[: profile.parts_within(prompt.tokens, limit_s, len(ranked))]
         late_s = weights.late_s * prompt.tokens / WORTH_UNIT
         best, best_s = 1, float("inf")
-        waiting_s = side_s = 0.0
+        waiting_s, side_s = float("inf"), 0.0
         for parts, engine in enumerate(ranked, 1):
-            waiting_s = max(waiting_s, engine.load.reading_s)
+            # Parts on the other readers overtake what waits there.
+            waiting_s = min(waiting_s, engine.load.reading_s)
             side_s += self._side_cost_s(engine)
             part_s = profile.read_s(prompt.tokens, parts)
             ready_s = waiting_s + part_s
