Prompts that can't be read in the time left are refused at once; given-up reading counts for a pass

The nodes counted its reading as over when it was given up, but an engine ends its pass first. Change: placement says when a prompt can't be read in time, the caller is told not to come back before its own time is over; a given-up reading stays predicted for a pass.

--- a/bench/emulator/fleet.py
+++ b/bench/emulator/fleet.py
@@ -15,6 +15,7 @@
     EngineChoice,
     Placement,
     Prompt,
+    TooLate,
 )
 
 NEWS_INTERVAL_S = 0.05  # as nodes tell their load
@@ -25,7 +26,7 @@
 STREAM_WAIT_PAUSES = 8.0  # the same, in limits of a pause
 
 Policy: TypeAlias = Callable[
-    [EngineProfile, tuple[EngineChoice, ...], Prompt], Placement | None
+    [EngineProfile, tuple[EngineChoice, ...], Prompt], Placement | TooLate | None
 ]
 
 
@@ -134,9 +135,8 @@
             for number, name in enumerate(self.engines)
         )
         placement = self.policy(self.profile, choices, prompt)
-        if placement is None:
-            return
-        _Send(self, book, outcome, prompt, placement).start(now_s)
+        if isinstance(placement, Placement):
+            _Send(self, book, outcome, prompt, placement).start(now_s)
 
 
 class _Send:
@@ -180,8 +180,11 @@
         self.book.start(self.placement.instance, self.size)
         for name, tokens in zip(self.names, self.request.held, strict=True):
             self.book.hold(name, tokens)
-            part_s, is_long = self.placement.part_s, self.placement.is_long
-            self.book.give_reading(Reading(self.number, name, part_s, is_long), now_s)
+            placed = self.placement
+            reading = Reading(
+                self.number, name, placed.part_s, placed.is_long, placed.pass_s
+            )
+            self.book.give_reading(reading, now_s)
         self.fleet.schedule(now_s + SEND_DELAY_S, self.request.send)
         self._watch(now_s)
 
@@ -197,6 +200,7 @@
             heard_s = outcome.arrival.at_s
         if now_s >= heard_s + self.wait_s:
             self.request.left = True
+            self.book.stop_reading(self.number, self.names, now_s)
             self._forget()
         else:
             self._watch(heard_s)
@@ -216,7 +220,6 @@
         self._forget()
 
     def _forget(self) -> None:
-        self.book.end_reading(self.number, self.names)
         self.book.finish(self.placement.instance, self.size)
         for name, tokens in zip(self.names, self.request.held, strict=True):
             self.book.hold(name, -tokens)
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -10,6 +10,7 @@
     Placement,
     PlacementWeights,
     Prompt,
+    TooLate,
     place_prompt,
 )
 
@@ -28,7 +29,8 @@
     ) -> Placement | None:
         """Return where a prompt goes."""
         engine = engines[next(self.turns) % len(engines)]
-        return Placement(engine.instance, (), profile.read_s(prompt.tokens), False)
+        part_s = profile.read_s(prompt.tokens)
+        return Placement(engine.instance, (), part_s, part_s, False)
 
 
 @dataclass(frozen=True)
@@ -43,7 +45,8 @@
     ) -> Placement | None:
         """Return where a prompt goes."""
         engine = min(engines, key=lambda e: (e.load.requests, e.load.tokens))
-        return Placement(engine.instance, (), profile.read_s(prompt.tokens), False)
+        part_s = profile.read_s(prompt.tokens)
+        return Placement(engine.instance, (), part_s, part_s, False)
 
 
 @dataclass(frozen=True)
@@ -61,7 +64,7 @@
         profile: EngineProfile,
         engines: tuple[EngineChoice, ...],
         prompt: Prompt,
-    ) -> Placement | None:
+    ) -> Placement | TooLate | None:
         """Return where a prompt goes."""
         return place_prompt(profile, engines, prompt, self.weights)
 
--- a/features/forwarding_placement.feature
+++ b/features/forwarding_placement.feature
@@ -80,6 +80,21 @@
       | 2       | 900000  | finds no room                |
       | 1       | 390000  | finds no room                |
 
+  Scenario Outline: A prompt that can't be read in the time left is not sent
+    Given <engines> idle engines
+    When a prompt of <tokens> tokens with <left> s left is placed
+    Then it <result>
+
+    Examples:
+      | engines | tokens | left | result                            |
+      | 16      | 900000 | 15.0 | is read by 10 engines at most     |
+      | 16      | 900000 | 0.5  | is too late                       |
+      | 16      | 900000 | 6.0  | is too late                       |
+      | 16      | 182000 | 0.2  | is too late                       |
+      | 16      | 182000 | 2.0  | is read by 16 engines at most     |
+      | 16      | 5000   | 0.01 | is too late                       |
+      | 16      | 5000   | 0.5  | is read by 1 engines at most      |
+
   Scenario Outline: Predictions end with what really happens
     Given an upstream that reads a prompt of 2 s
     When at the upstream <event>
@@ -93,6 +108,10 @@
       | it is 6 s late and nothing was heard  | 0    |
       | a peer gives it 1 s more              | 3.0  |
       | a peer's prompt there is read         | 2.0  |
+      | it is given up in a pass of 0.4 s     | 0.4  |
+      | it is given up 0.5 s ago, in a pass of 0.4 s | 0 |
+      | a peer gives up 3 s in a pass of 0.5 s | 2.5 |
+      | its first event comes, and then it is given up | 0 |
 
   Scenario: A silent peer no longer counts
     Given a peer with 3 requests open on an upstream
--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -120,6 +120,12 @@
       | 500000 | and leaves before the end      |
       | 500000 | while a worker breaks off      |
 
+  Scenario: A prompt that can't be read in the time left is refused at once
+    Given a node on the platform with four workers for models
+    When a prompt of 900000 tokens comes to the node with 1500 ms left
+    Then it gets status 503, and no worker ran it
+    And it is told to come back after 1 s at the earliest
+
   Scenario: A request that crashes every worker is refused at all nodes
     Given a node on the platform with four workers for models
     And another node beside it
--- a/features/steps/forwarding_placement_steps.py
+++ b/features/steps/forwarding_placement_steps.py
@@ -13,7 +13,9 @@
 )
 from lagoonhinge_core.forwarding.prompt_placement import (
     EngineChoice,
+    Placement,
     Prompt,
+    TooLate,
     place_prompt,
 )
 
@@ -69,8 +71,8 @@
         for number, name in enumerate(context.names)
     )
     placement = place_prompt(PROFILE, engines, prompt)
-    if placement is None:
-        return None
+    if not isinstance(placement, Placement):
+        return placement
     number = context.book.next_number()
     context.book.start(placement.instance, prompt.size())
     for name in (placement.instance, *placement.helpers):
@@ -84,6 +86,21 @@
     context.placement = _place(context, Prompt(tokens, 1000, target, 15.0))
 
 
+@when("a prompt of {tokens:d} tokens with {left:g} s left is placed")
+def step_place_late(context, tokens, left):
+    context.placement = _place(context, Prompt(tokens, 1000, 3.0, left))
+
+
+@then("it is too late")
+def step_too_late(context):
+    assert isinstance(context.placement, TooLate), context.placement
+
+
+@then("it is read by {count:d} engines at most")
+def step_read_by(context, count):
+    assert 1 + len(context.placement.helpers) <= count, context.placement
+
+
 @then("{parts:d} engines read it, each for at most {part:g} s")
 def step_parts(context, parts, part):
     placement = context.placement
@@ -167,6 +184,12 @@
     context.now_s = NOW_S
 
 
+def _give_up(book: LoadBook, node: str, number: int, read_s: float, pass_s: float):
+    assert book.node == node
+    book.give_reading(Reading(number, "e1", read_s, True, pass_s), NOW_S)
+    book.stop_reading(number, ("e1",), NOW_S)
+
+
 @when("at the upstream {event}")
 def step_event(context, event):
     book = context.book
@@ -179,6 +202,18 @@
             context.now_s += 3.0
         case "it is 6 s late and nothing was heard":
             context.now_s += 8.0
+        case "it is given up in a pass of 0.4 s":
+            _give_up(book, "node-1", 1, 2.0, 0.4)
+        case "it is given up 0.5 s ago, in a pass of 0.4 s":
+            _give_up(book, "node-1", 1, 2.0, 0.4)
+            context.now_s += 0.5
+        case "a peer gives up 3 s in a pass of 0.5 s":
+            peer = LoadBook("node-2")
+            _give_up(peer, "node-2", 7, 3.0, 0.5)
+            book.hear(peer.news(), NOW_S)
+        case "its first event comes, and then it is given up":
+            book.end_reading(1, ("e1",))
+            book.stop_reading(1, ("e1",), NOW_S)
         case "a peer gives it 1 s more":
             reading = Reading(7, "e1", 1.0, True)
             book.hear(LoadNews("node-2", (reading,), (), {}), NOW_S)
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -312,6 +312,19 @@
     context.answer = send(context.node, "POST", "/stream/1", BODY, headers, timeout_s)
 
 
+@when("a prompt of {tokens:d} tokens comes to the node with {limit:d} ms left")
+def step_hopeless_prompt(context, tokens, limit):
+    headers = {**client_headers(limit_ms=limit), TOKEN_COUNTS: f"{tokens},100"}
+    begun_s = monotonic()
+    context.answer = send(context.node, "POST", "/stream/1", BODY, headers)
+    assert monotonic() - begun_s < LEFT_S
+
+
+@then("it is told to come back after {least:g} s at the earliest")
+def step_late_return(context, least):
+    assert float(context.answer.headers[RETRY_AFTER]) >= least, context.answer
+
+
 @then("memory was set aside for it, and all of it is free afterwards")
 def step_memory_free(context):
     def check() -> None:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/engine_time.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/engine_time.py
@@ -51,6 +51,17 @@
         whole_s += pairs * self.pairs_s_per_million
         return whole_s / parts
 
+    def pass_s(self, prompt_tokens: int, parts: int = 1) -> float:
+        """Return the time for which one pass reads a part of a prompt, in seconds.
+
+        Args:
+            prompt_tokens: Length of the whole prompt, in tokens.
+            parts: Engines that share the prompt.
+        """
+        part_tokens = prompt_tokens / parts
+        share = min(1.0, self.stride * self.chunk / part_tokens) if part_tokens else 0.0
+        return share * self.read_s(prompt_tokens, parts)
+
     def parts_within(self, prompt_tokens: int, limit_s: float, most: int) -> int:
         """Return the fewest parts that are each read within a limit.
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_book.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_book.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from lagoonhinge_core.forwarding.crashes import Crash
 
@@ -27,12 +27,16 @@
         instance: The upstream.
         read_s: Time that it takes there, in seconds.
         is_long: Whether it delays short answers beside it noticeably.
+        pass_s: Time of it that the upstream can't be stopped in, in seconds.
+        given_up: Whether it was given up, and only a last pass is left of it.
     """
 
     number: int
     instance: str
     read_s: float
     is_long: bool
+    pass_s: float = 0.0
+    given_up: bool = False
 
 
 @dataclass(frozen=True)
@@ -110,6 +114,9 @@
         expired: list[ReadingKey] = []
         for key, (reading, given_s) in self.pending.items():
             end_s = max(end_s, given_s) + reading.read_s
+            if reading.given_up and now_s >= end_s:
+                expired.append(key)
+                continue
             if now_s - end_s > EXPIRY_S + (EXPIRY_FACTOR - 1) * reading.read_s:
                 expired.append(key)
                 continue
@@ -164,6 +171,22 @@
         self._end_reading((self.node, number), instances)
         self.untold_read.append(number)
 
+    def stop_reading(self, number: int, instances: Iterable[str], now_s: float) -> None:
+        """Count a prompt that was not read to its end as given up.
+
+        Its upstreams go on with it for the rest of a pass.
+        """
+        for instance in instances:
+            readings = self.readings.get(instance)
+            entry = (
+                None if readings is None else readings.pending.get((self.node, number))
+            )
+            if entry is None or entry[0].given_up:
+                continue
+            reading, _ = entry
+            rest_s = min(reading.read_s, reading.pass_s)
+            self.give_reading(replace(reading, read_s=rest_s, given_up=True), now_s)
+
     def hear(self, news: LoadNews, now_s: float) -> None:
         """Take a peer's news."""
         for reading in news.readings:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -33,6 +33,7 @@
         stalled_s: Cost of each answer that a long prompt's reader stalls.
         long_pause_s: Stall from which answers to long prompts become late as well.
         limit_share: Part of the time limit for a prompt that misses its target.
+        late_engines: Most engines that read such a prompt, of all engines.
         pack_s: Cost of a short prompt on the first engine in the shared order, falling
             to none on the last one.
         request_s: Cost of each open request, which lengthens the steps a little.
@@ -52,6 +53,7 @@
     stalled_s: float = 1.0
     long_pause_s: float = 0.8
     limit_share: float = 0.7
+    late_engines: float = 0.65
     pack_s: float = 0.2
     request_s: float = 0.002
     crowd_s: float = 0.6
@@ -115,6 +117,17 @@
     tokens: int
 
 
+@dataclass(frozen=True)
+class TooLate:
+    """A prompt can't be read within its time limit any more.
+
+    Attributes:
+        ready_s: Time until it would be read if it began at once, in seconds.
+    """
+
+    ready_s: float
+
+
 @dataclass(frozen=True)
 class Placement:
     """Where a prompt goes.
@@ -123,6 +136,7 @@
         instance: The engine that answers it.
         helpers: Engines that read parts of it beside that one.
         part_s: Predicted time to read one part, in seconds.
+        pass_s: Time of it that an engine can't be stopped in, in seconds.
         is_long: Whether its reading delays short answers noticeably.
         holdings: Memory to set aside on helpers.
     """
@@ -130,6 +144,7 @@
     instance: str
     helpers: tuple[str, ...]
     part_s: float
+    pass_s: float
     is_long: bool
     holdings: tuple[Holding, ...] = ()
 
@@ -139,7 +154,7 @@
     engines: tuple[EngineChoice, ...],
     prompt: Prompt,
     weights: PlacementWeights = DEFAULT_WEIGHTS,
-) -> Placement | None:
+) -> Placement | TooLate | None:
     """Return where a prompt goes, or `None` if there is no room for it.
 
     Args:
@@ -171,8 +186,14 @@
     usable: tuple[EngineChoice, ...]
     prompt: Prompt
 
-    def place(self) -> Placement | None:
+    def place(self) -> Placement | TooLate | None:
         """Return where the prompt goes, or `None` if there is no room for it."""
+        placement = self._place()
+        if placement is None or placement.part_s <= self.prompt.limit_s:
+            return placement
+        return TooLate(placement.part_s)
+
+    def _place(self) -> Placement | None:
         weights, tokens = self.weights, self.prompt.tokens
         if self.prompt.size() > weights.usable_memory * self.profile.kv_tokens:
             return self._place_huge()
@@ -238,8 +259,9 @@
         ranked = sorted(self.usable, key=lambda e: self._long_cost_s(e, shortest_s))
         ranked = ranked[:most]
         if shortest_s > weights.wide_share * prompt.target_s:
+            most = max(1, int(weights.late_engines * len(self.usable)))
             limit_s = weights.limit_share * prompt.limit_s
-            return ranked[: profile.parts_within(prompt.tokens, limit_s, len(ranked))]
+            return ranked[: profile.parts_within(prompt.tokens, limit_s, most)]
         late_s = weights.late_s * prompt.tokens / WORTH_UNIT
         best, best_s = 1, float("inf")
         waiting_s, side_s = float("inf"), 0.0
@@ -265,9 +287,11 @@
         holdings: tuple[Holding, ...] = (),
     ) -> Placement:
         helpers = tuple(e.instance for e in readers if e is not first)
-        part_s = self.profile.read_s(self.prompt.tokens, len(readers))
+        tokens, parts = self.prompt.tokens, len(readers)
+        part_s = self.profile.read_s(tokens, parts)
+        pass_s = self.profile.pass_s(tokens, parts)
         is_long = part_s > self.weights.small_part_s
-        return Placement(first.instance, helpers, part_s, is_long, holdings)
+        return Placement(first.instance, helpers, part_s, pass_s, is_long, holdings)
 
     def _small_cost_s(self, engine: EngineChoice, tokens: int) -> float:
         load, weights = engine.load, self.weights
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
@@ -11,6 +11,7 @@
     Holding,
     Placement,
     Prompt,
+    TooLate,
     place_prompt,
 )
 from lagoonhinge_core.forwarding.routes import Route
@@ -27,6 +28,7 @@
         upstream: The upstream that answers.
         helpers: Upstreams that read parts of the prompt.
         part_s: Predicted time to read one part, in seconds.
+        pass_s: Time of it that an engine can't be stopped in, in seconds.
         waiting_s: Predicted time until all of them begin on it, in seconds.
         is_long: Whether its reading delays short answers noticeably.
         tokens: Memory it takes, in tokens.
@@ -36,6 +38,7 @@
     upstream: Upstream
     helpers: tuple[Upstream, ...] = ()
     part_s: float = 0.0
+    pass_s: float = 0.0
     waiting_s: float = 0.0
     is_long: bool = False
     tokens: int = 0
@@ -50,7 +53,7 @@
         if not self.part_s:
             return []
         return [
-            Reading(number, instance, self.part_s, self.is_long)
+            Reading(number, instance, self.part_s, self.is_long, self.pass_s)
             for instance in self.instances()
         ]
 
@@ -72,7 +75,7 @@
         service: str,
         tried: set[str],
         remaining_s: float,
-    ) -> Choice | None:
+    ) -> Choice | TooLate | None:
         """Return where to send a request, or `None` if no upstream has room.
 
         Args:
@@ -112,7 +115,7 @@
         profile: EngineProfile,
         left: tuple[Upstream, ...],
         suspects: frozenset[str],
-    ) -> Choice | None:
+    ) -> Choice | TooLate | None:
         now_s = self.state.clock()
         load = self.state.load
         last = max(1, len(left) - 1)
@@ -126,9 +129,9 @@
             for number, entry in enumerate(left)
         )
         placement = place_prompt(profile, engines, prompt)
-        if placement is None:
-            return None
-        return self._choice(placement, prompt, now_s)
+        if isinstance(placement, Placement):
+            return self._choice(placement, prompt, now_s)
+        return placement
 
     def _choice(self, placement: Placement, prompt: Prompt, now_s: float) -> Choice:
         known = self.state.directory.by_instance
@@ -139,6 +142,7 @@
             known[placement.instance],
             tuple(known[instance] for instance in placement.helpers),
             placement.part_s,
+            placement.pass_s,
             waiting_s,
             placement.is_long,
             prompt.size() - held,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
@@ -5,6 +5,7 @@
 
 from returns.result import Failure, Success
 
+from lagoonhinge_core.forwarding.prompt_placement import TooLate
 from lagoonhinge_core.forwarding.sends import (
     Declined,
     Failed,
@@ -81,9 +82,21 @@
     async def _send_until_done(self, job: Job, sink: CallerSink) -> str:
         while True:
             choice = await self._choose(job)
-            if choice is None:
-                self.log.tell_failure(job, "No upstream has room.", sends=job.sends)
-                return await self._give_up(job, sink, Verdict.REFUSE)
+            match choice:
+                case None:
+                    self.log.tell_failure(job, "No upstream has room.", sends=job.sends)
+                    return await self._give_up(job, sink, Verdict.REFUSE)
+                case TooLate(ready_s):
+                    left_s = self.log.remaining_s(job)
+                    self.log.tell_failure(
+                        job,
+                        "Too late for any upstream.",
+                        ready_s=ready_s,
+                        remaining_s=left_s,
+                    )
+                    # To come back within the time that is left would be in vain.
+                    after_s = max(left_s, SHORT_RETRY_AFTER_S)
+                    return await self._give_up(job, sink, Verdict.REFUSE, after_s)
             sent = await self.sender.send(
                 job, choice, sink, partial(self._may_move, job, choice)
             )
@@ -98,12 +111,12 @@
             if job.runs or job.declined:
                 self.state.retry_window(job.service).count_repeat(self.state.clock())
 
-    def _choose_now(self, job: Job) -> Choice | None:
+    def _choose_now(self, job: Job) -> Choice | TooLate | None:
         return self.chooser.choose(
             job.request, job.route, job.service, job.tried, self.log.remaining_s(job)
         )
 
-    async def _choose(self, job: Job) -> Choice | None:
+    async def _choose(self, job: Job) -> Choice | TooLate | None:
         """Return where to send a request; waits a little for room."""
         until_s = self.state.clock() + ROOM_WAIT_SHARE * job.route.target_s
         while True:
@@ -125,7 +138,7 @@
         if not self.state.allows_repeat(job.service):
             return False
         other = self._choose_now(job)
-        return other is not None and other.waiting_s <= MOST_WAIT_AFTER_MOVE_S
+        return isinstance(other, Choice) and other.waiting_s <= MOST_WAIT_AFTER_MOVE_S
 
     def _judge(self, job: Job, choice: Choice, failure: SendFailure) -> Verdict:
         now_s = self.state.clock()
@@ -195,7 +208,13 @@
             if failure.culprit and upstream.address() == failure.culprit:
                 self.state.health.lost(upstream.instance, now_s)
 
-    async def _give_up(self, job: Job, sink: CallerSink, verdict: Verdict) -> str:
+    async def _give_up(
+        self,
+        job: Job,
+        sink: CallerSink,
+        verdict: Verdict,
+        retry_after_s: float = SHORT_RETRY_AFTER_S,
+    ) -> str:
         took_s = self.log.took_s(job)
         if sink.begun:
             self.log.tell_failure(job, "Broke off.", took_s=took_s, runs=job.runs)
@@ -208,7 +227,7 @@
             return "failure_passed_on"
         if verdict is Verdict.REFUSE and not job.runs:
             self.log.tell_failure(job, "Refused, not run.", took_s=took_s)
-            await sink.refuse(UNAVAILABLE, SHORT_RETRY_AFTER_S)
+            await sink.refuse(UNAVAILABLE, retry_after_s)
             return "refused"
         self.log.tell_failure(job, "Failed.", took_s=took_s, runs=job.runs)
         await sink.refuse(BAD_GATEWAY, None)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/sending.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/sending.py
@@ -115,16 +115,22 @@
             for reading in choice.readings(number):
                 state.load.give_reading(reading, state.clock())
             self._log_send(job, choice)
+            unrun = False
             try:
                 result = await self._exchange(job, choice, number, sink, may_move)
+                unrun = isinstance(result, Failure) and isinstance(
+                    result.failure(), NotDelivered | Declined
+                )
             finally:
                 state.load.finish(instance, choice.tokens)
-                state.load.end_reading(number, choice.instances())
+                if unrun:
+                    state.load.end_reading(number, choice.instances())
+                else:
+                    state.load.stop_reading(number, choice.instances(), state.clock())
         finally:
             held.free()
         # Not reached on a timeout, after which the send may still have run.
         if not isinstance(result, Success):
-            unrun = isinstance(result.failure(), NotDelivered | Declined)
             job.may_be_running = job.runs > 0 or not unrun
         return result
 
