--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -16,6 +16,17 @@
       | bounds.revokeMs  | soon        | is not a number      |
       | bounds.graceS    | -1          | must not be negative |
 
+  Scenario Outline: Operators may have a port of their own
+    When the variable for the metrics port is "<port>"
+    Then operators ask at <address>, or the errors name it with "<reason>"
+
+    Examples:
+      | port  | address        | reason         |
+      |       | 127.0.0.1:3    |                |
+      | 9464  | 127.0.0.1:9464 |                |
+      | many  | nowhere        | is not a range |
+      | 70000 | nowhere        | is not a range |
+
   Scenario: Unknown settings are ignored and every error is reported
     When the platform's settings are "new.field=1" alone
     Then the settings errors name node, ip, zone and listen.front
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -66,6 +66,25 @@
     context.result = parse_settings(_text({**SETTINGS, key: value}))
 
 
+@when('the variable for the metrics port is "{port}"')
+@when('the variable for the metrics port is ""')
+def step_metrics_port(context, port=""):
+    context.result = parse_settings(_text(SETTINGS), port)
+
+
+@then('operators ask at {address}, or the errors name it with "{reason}"')
+@then('operators ask at {address}, or the errors name it with ""')
+def step_operators(context, address, reason=""):
+    match context.result:
+        case Success(settings):
+            assert str(settings.metrics) == address, settings
+        case Failure((error,)):
+            assert address == "nowhere" and reason in str(error), error
+            assert names.METRICS_PORT_VARIABLE in str(error), error
+        case _:
+            raise AssertionError(context.result)
+
+
 @when('the platform\'s settings are "{text}" alone')
 def step_settings_alone(context, text):
     context.result = parse_settings(text)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/sending.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/sending.py
@@ -143,6 +143,7 @@
             job,
             "Sent.",
             upstream=choice.upstream.instance,
+            tokens=choice.tokens,
             helpers=len(choice.helpers),
             holdings=len(choice.holdings),
             waiting_s=choice.waiting_s,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -99,7 +99,9 @@
         """Take that an upstream has ended; a request that it ran may be the cause."""
         for crash in self.crashes.gone(instance, self.clock()):
             self.log_part.warning(
-                "A request was in a crash.", upstream=instance, digest=crash.request
+                "A request may have crashed an upstream.",
+                upstream=instance,
+                digest=crash.request,
             )
 
     def avoid_zone_if_cut_off(self, zone: str) -> bool:
