--- a/features/forwarding_decisions.feature
+++ b/features/forwarding_decisions.feature
@@ -25,6 +25,21 @@
       | resumable    | 1    | 0        | lost          | within | send again |
       | stream       | 1    | 0        | lost          | within | fail       |
 
+  Scenario Outline: A prompt goes on while its helpers are ruled out one by one
+    Given a resumable request that 0 upstreams ran and <declined> declined
+    And helpers were at fault for <blamed> of the declines
+    When its send ends with declined, within the retry bound
+    Then the sends are decided as <verdict>
+
+    Examples:
+      | declined | blamed | verdict    |
+      | 4        | 0      | send again |
+      | 5        | 0      | refuse     |
+      | 6        | 6      | send again |
+      | 12       | 8      | send again |
+      | 9        | 9      | refuse     |
+      | 13       | 8      | refuse     |
+
   Scenario: No time is left for another send
     Given a idempotent request that 1 upstreams ran and 0 declined
     When its send ends with lost and 0.01 s are left
--- a/features/steps/forwarding_decisions_steps.py
+++ b/features/steps/forwarding_decisions_steps.py
@@ -44,13 +44,23 @@
     services = (WeightedService("desk", 1.0),)
     upstreams = 1 if kind == "at most once" else 2
     context.route = Route("r", "h", "/", KINDS[kind], services, 3.0, 0.2, upstreams)
-    context.runs, context.declined = runs, declined
+    context.runs, context.declined, context.blamed = runs, declined, 0
+
+
+@given("helpers were at fault for {blamed:d} of the declines")
+def step_blamed(context, blamed):
+    context.blamed = blamed
 
 
 def _judge(context, failure: str, may_repeat: bool, remaining_s: float) -> None:
     not_delivered = int(failure == "not delivered")
     history = RequestHistory(
-        context.runs, context.declined, not_delivered, may_repeat, remaining_s
+        context.runs,
+        context.declined,
+        context.blamed,
+        not_delivered,
+        may_repeat,
+        remaining_s,
     )
     context.verdict = after_failure(context.route, history, FAILURES[failure])
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/sends.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/sends.py
@@ -72,6 +72,7 @@
     Attributes:
         runs: Upstreams that may have run it.
         declined: Sends that upstreams declined.
+        blamed: Those of them for which a helper was at fault.
         not_delivered: Sends that reached no upstream.
         may_repeat_send: Whether the retry bound allows one more send.
         remaining_s: Time left, in seconds.
@@ -79,12 +80,16 @@
 
     runs: int
     declined: int
+    blamed: int
     not_delivered: int
     may_repeat_send: bool
     remaining_s: float
 
 
 MAX_DECLINED = 4  # before the client is told to come back
+# Each takes some milliseconds and rules out one engine; while the platform's store is
+# away, several engines may have gone without notice.
+MAX_BLAMED = 8
 MAX_NOT_DELIVERED = 6  # as many cost a second, when an availability zone is cut off
 LEAST_USEFUL_S = 0.05  # a send with less time left can't be answered
 
@@ -109,7 +114,9 @@
             goes_on = may_send and history.not_delivered <= MAX_NOT_DELIVERED
             otherwise = Verdict.FAIL if history.runs else Verdict.REFUSE
         case Declined():
-            goes_on = may_repeat and history.declined <= MAX_DECLINED
+            own = history.declined - history.blamed
+            is_few = own <= MAX_DECLINED and history.blamed <= MAX_BLAMED
+            goes_on = may_repeat and is_few
             otherwise = Verdict.FAIL if history.runs else Verdict.REFUSE
         case Lost():
             goes_on = may_repeat and route.may_run_again(history.runs)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_job.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_job.py
@@ -53,6 +53,7 @@
         sends: Sends so far.
         runs: Sends that may have run.
         declined: Sends that upstreams declined.
+        blamed: Those of them for which a helper was at fault.
         not_delivered: Sends that reached no upstream.
         may_be_running: Whether a send is open that may run.
         last_event: Last event passed on, or the one that the caller had.
@@ -70,6 +71,7 @@
     sends: int = 0
     runs: int = 0
     declined: int = 0
+    blamed: int = 0
     not_delivered: int = 0
     may_be_running: bool = False
     last_event: str | None = None
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
@@ -151,7 +151,7 @@
             case Declined():
                 result = "declined"
                 job.declined += 1
-                self._blame_decline(choice, failure)
+                self._blame_decline(job, choice, failure)
             case Lost(timed_out=True):
                 result = "silent"
                 job.runs += 1
@@ -169,6 +169,7 @@
         history = RequestHistory(
             job.runs,
             job.declined,
+            job.blamed,
             job.not_delivered,
             self.state.allows_repeat(job.service),
             self.log.remaining_s(job),
@@ -199,7 +200,7 @@
         is_near = "yes" if choice.upstream.zone == self.state.zone else "no"
         self.metrics.sends.labels(result, is_near).inc()
 
-    def _blame_decline(self, choice: Choice, failure: Declined) -> None:
+    def _blame_decline(self, job: Job, choice: Choice, failure: Declined) -> None:
         """Avoid the upstream that caused a decline, if one is named."""
         now_s = self.state.clock()
         if failure.misdirected and not failure.culprit:
@@ -207,6 +208,7 @@
         for upstream in (choice.upstream, *choice.helpers):
             if failure.culprit and upstream.address() == failure.culprit:
                 self.state.health.lost(upstream.instance, now_s)
+                job.blamed += upstream is not choice.upstream
 
     async def _give_up(
         self,
