--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
@@ -121,18 +121,19 @@
         now_s = self.state.clock()
         load = self.state.load
         last = max(1, len(left) - 1)
+        placed = [(number / last, entry) for number, entry in enumerate(left)]
+        if is_short(profile, prompt):
+            size = sample_size(len(placed), self.state.known_nodes - 1)
+            placed = self.state.random.sample(placed, size)
         engines = tuple(
             EngineChoice(
                 entry.instance,
                 load.load(entry.instance, now_s),
                 entry.instance in suspects,
-                number / last,
+                place,
             )
-            for number, entry in enumerate(left)
+            for place, entry in placed
         )
-        if is_short(profile, prompt):
-            size = sample_size(len(engines), self.state.known_nodes - 1)
-            engines = tuple(self.state.random.sample(engines, size))
         placement = place_prompt(profile, engines, prompt)
         if isinstance(placement, Placement):
             return self._choice(placement, prompt, now_s)
