--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -41,6 +41,12 @@
     When these events come: 2 s pass
     Then peers are told of 0 crashes
 
+  Scenario: The book is bounded, and the newest crashes are kept
+    Given a node's book of crashes
+    When 2000 requests are in a crash, and then bad in 3
+    Then the book holds 1000 crashes at most, and tells peers of 100 at most
+    And the request "bad" is refused
+
   Scenario Outline: Which requests are alike
     Given a request to /a with the body x for the account mills
     When another one <differs>
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -52,6 +52,22 @@
     assert len(context.book.news(context.now_s)) == count
 
 
+@when("{count:d} requests are in a crash, and then bad in {crashes:d}")
+def step_many(context, count, crashes):
+    for number in range(count):
+        context.book.broke_off(f"request {number}", "0", context.now_s)
+        context.book.gone("0", context.now_s)
+    for number in range(1, crashes + 1):
+        context.book.broke_off("bad", str(number), context.now_s)
+        context.book.gone(str(number), context.now_s)
+
+
+@then("the book holds {most:d} crashes at most, and tells peers of {told:d} at most")
+def step_bounded(context, most, told):
+    assert len(context.book.news(context.now_s)) <= told
+    assert len(context.book.crashes) <= most, len(context.book.crashes)
+
+
 @given("a request to {target} with the body {body} for the account {account}")
 def step_request(context, target, body, account):
     context.asked = CallerRequest(
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
@@ -18,6 +18,9 @@
 SUSPECT_S = 6.0
 TELL_S = 1.0  # for which a crash is told to peers, as datagrams may be lost
 DIGEST_BYTES = 12
+# Most entries of each kind; a partition breaks off some tens of sends at each node.
+MAX_ENTRIES = 1000
+MAX_TOLD = 100  # in one message, which so stays within a datagram
 
 
 @dataclass(frozen=True)
@@ -64,7 +67,9 @@
     def broke_off(self, request: str, instance: str, now_s: float) -> None:
         """Count a send that broke off while its upstream ran it."""
         self._expire(now_s)
-        self.suspects[Crash(request, instance)] = now_s
+        crash = Crash(request, instance)
+        self.suspects.pop(crash, None)
+        self.suspects[crash] = now_s
 
     def gone(self, instance: str, now_s: float) -> tuple[Crash, ...]:
         """Take that an upstream is gone.
@@ -75,7 +80,8 @@
         self._expire(now_s)
         shown = tuple(crash for crash in self.suspects if crash.instance == instance)
         for crash in shown:
-            del self.suspects[crash]
+            for entries in (self.suspects, self.crashes, self.found):
+                entries.pop(crash, None)
             self.crashes[crash] = self.found[crash] = now_s
         return shown
 
@@ -93,11 +99,12 @@
         """Take crashes that a peer found."""
         for crash in crashes:
             self.crashes.setdefault(crash, now_s)
+        self._expire(now_s)
 
     def news(self, now_s: float) -> tuple[Crash, ...]:
         """Return the crashes that peers are to be told of."""
         self._expire(now_s)
-        return tuple(self.found)
+        return tuple(self.found)[-MAX_TOLD:]
 
     def answered(self, request: str) -> None:
         """Clear a request whose like has been answered."""
@@ -127,5 +134,9 @@
             (self.crashes, REFUSE_S),
             (self.found, TELL_S),
         ):
-            for crash in [c for c, at in entries.items() if now_s - at > lifetime_s]:
-                del entries[crash]
+            # Entries stand in order of time, so that the oldest come first.
+            while entries:
+                oldest, at_s = next(iter(entries.items()))
+                if now_s - at_s <= lifetime_s and len(entries) <= MAX_ENTRIES:
+                    break
+                del entries[oldest]
