--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -84,7 +84,7 @@
 
 
 def log_line_us(lines: int) -> float:
-    """Return the processor time of a log line, its writing included, in microseconds."""
+    """Return the processor time of a log line and its writing, in microseconds."""
     shown = dup(STDOUT)
     unread = open_file(devnull, O_WRONLY)
     dup2(unread, STDOUT)
