--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -32,7 +32,7 @@
 
     def key(self) -> str:
         """Return the name used in `KNOWN-RED.txt`."""
-        return f"{self.feature} :: {self.name}"
+        return f"{self.feature} :: {self.name.strip()}"
 
 
 def read_known_red() -> frozenset[str]:
