One call over HTTP for all clients that read a whole answer; statuses by their standard names

The platform's two clients, the product's own platform client, the engine client and lagoonctl each sent a call and turned the same three errors into values. They now share one function and keep what they make of an error. No behaviour changes.

--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/node_client.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/node_client.py
@@ -4,13 +4,14 @@
 from dataclasses import dataclass
 from typing import Any
 
-from aiohttp import ClientError, ClientSession
+from aiohttp import ClientSession
 from msgspec import ValidationError, convert
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.sections import MembersSection, NodeSection
 from lagoonhinge_ctl.options import FleetAccess
-from lagoonhinge_http.session import ConnectionLost, call_timeout
+from lagoonhinge_http.calls import WholeAnswer, call
+from lagoonhinge_http.session import call_timeout
 from lagoonhinge_http.wire import BadMessage, decode
 
 NODE_TIMEOUT_S = 1.0
@@ -68,20 +69,18 @@
 ) -> Result[NodeState, NodeUnreachable]:
     """Return the state dump of one node."""
     headers = {"Authorization": f"Bearer {access.token}"}
-    try:
-        async with session.get(
-            access.state_url(address),
-            headers=headers,
-            timeout=call_timeout(NODE_TIMEOUT_S),
-        ) as answer:
-            body = await answer.read()
-    except TimeoutError:
-        return Failure(NodeUnreachable(address, f"no answer within {NODE_TIMEOUT_S} s"))
-    except (ConnectionLost, ClientError) as error:
-        return Failure(NodeUnreachable(address, str(error)))
-    if answer.status != 200:
-        reason = f"status {answer.status}: {body.decode(errors='replace').strip()}"
-        return Failure(NodeUnreachable(address, reason))
+    url, limits = access.state_url(address), call_timeout(NODE_TIMEOUT_S)
+    match await call(session, "GET", url, limits, headers=headers):
+        case Failure(TimeoutError()):
+            reason = f"no answer within {NODE_TIMEOUT_S} s"
+            return Failure(NodeUnreachable(address, reason))
+        case Failure(error):
+            return Failure(NodeUnreachable(address, str(error)))
+        case Success(WholeAnswer(200, body)):
+            pass
+        case Success(answer):
+            text = answer.body.decode(errors="replace").strip()
+            return Failure(NodeUnreachable(address, f"status {answer.status}: {text}"))
     try:
         return Success(NodeState(address, decode(body, dict[str, Any])))
     except (BadMessage, ValidationError) as error:
--- a/packages/lagoonhinge-http/src/lagoonhinge_http/platform.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/platform.py
@@ -4,7 +4,7 @@
 from typing import TypeVar
 from urllib.parse import quote
 
-from aiohttp import ClientConnectorError, ClientError, ClientSession, hdrs
+from aiohttp import ClientConnectorError, ClientSession, hdrs
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.store_messages import (
@@ -17,7 +17,8 @@
     VmEntry,
     WriteError,
 )
-from lagoonhinge_http.session import ConnectionLost, call_timeout
+from lagoonhinge_http.calls import CallError, WholeAnswer, call
+from lagoonhinge_http.session import call_timeout
 from lagoonhinge_http.wire import BadMessage, decode, encode
 
 PLATFORM_TIMEOUT_S = 2.0
@@ -26,15 +27,6 @@
 MessageT = TypeVar("MessageT")
 
 
-@dataclass(frozen=True)
-class PlatformAnswer:
-    """An answer of the platform, before its status is looked at."""
-
-    status: int
-    body: bytes
-    etag: str = ""
-
-
 @dataclass(frozen=True)
 class KnownVms:
     """The VM list as last read, with the tag that tells whether it changed."""
@@ -63,7 +55,7 @@
     async def read(self, key: str) -> Result[Row, Unavailable]:
         """Return a row; version 0 stands for an absent one."""
         match await self._call("GET", f"/table/rows/{quote(key, safe='')}"):
-            case Success(PlatformAnswer(404)):
+            case Success(WholeAnswer(404)):
                 return Success(Row(key, 0, ""))
             case Success(answer):
                 return _decoded(answer, Row)
@@ -77,7 +69,7 @@
         """Write a row if it is at `if_version`; 0 means that it must be absent."""
         body = encode(Row(key, if_version, value))
         match await self._call("PUT", f"/table/rows/{quote(key, safe='')}", body):
-            case Success(PlatformAnswer(409, current)):
+            case Success(WholeAnswer(409, current)):
                 return _conflict(current)
             case Success(answer):
                 return _decoded(answer, Row)
@@ -98,9 +90,9 @@
     async def get(self, name: str) -> Result[bytes, ReadError]:
         """Return an object."""
         match await self._call("GET", f"/objects/{name}"):
-            case Success(PlatformAnswer(404)):
+            case Success(WholeAnswer(404)):
                 return Failure(NotStored(name))
-            case Success(PlatformAnswer(200, body)):
+            case Success(WholeAnswer(200, body)):
                 return Success(body)
             case Success(answer):
                 return Failure(_unexpected(answer))
@@ -113,7 +105,7 @@
         known = self.known_vms
         headers = {str(hdrs.IF_NONE_MATCH): known.etag} if known.etag else {}
         match await self._call("GET", "/vms", headers=headers):
-            case Success(PlatformAnswer(304)):
+            case Success(WholeAnswer(304)):
                 return Success(known.vms)
             case Success(answer):
                 vms = _decoded(answer, tuple[VmEntry, ...])
@@ -127,7 +119,7 @@
     async def take_ticket(self) -> Result[None, TicketRefused | Unavailable]:
         """Take the right to start one load of weights."""
         match await self._call("POST", "/weights/tickets"):
-            case Success(PlatformAnswer(429)):
+            case Success(WholeAnswer(429)):
                 return Failure(TicketRefused(TICKET_RETRY_AFTER_S))
             case Success(answer):
                 return _done(answer)
@@ -141,34 +133,29 @@
         path: str,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
-    ) -> Result[PlatformAnswer, Unavailable]:
-        try:
-            async with self.session.request(
-                method,
-                self.url + path,
-                data=body,
-                headers=headers,
-                timeout=call_timeout(self.timeout_s),
-            ) as answer:
-                etag = answer.headers.get(hdrs.ETAG, "")
-                return Success(PlatformAnswer(answer.status, await answer.read(), etag))
-        except ClientConnectorError as error:
-            return Failure(Unavailable(str(error), False))
-        except (ConnectionLost, ClientError, TimeoutError) as error:
-            return Failure(Unavailable(repr(error), True))
-
-
-def _unexpected(answer: PlatformAnswer) -> Unavailable:
+    ) -> Result[WholeAnswer, Unavailable]:
+        limits = call_timeout(self.timeout_s)
+        sent = await call(self.session, method, self.url + path, limits, body, headers)
+        return sent.alt(_unavailable)
+
+
+def _unavailable(error: CallError) -> Unavailable:
+    if isinstance(error, ClientConnectorError):
+        return Unavailable(str(error), False)
+    return Unavailable(repr(error), True)
+
+
+def _unexpected(answer: WholeAnswer) -> Unavailable:
     # A server error may come after the write; any other status came before it.
     return Unavailable(f"status {answer.status}", answer.status >= 500)
 
 
-def _done(answer: PlatformAnswer) -> Result[None, Unavailable]:
+def _done(answer: WholeAnswer) -> Result[None, Unavailable]:
     return Success(None) if answer.status == 200 else Failure(_unexpected(answer))
 
 
 def _conflict(current: bytes) -> Result[Row, WriteError]:
-    match _decoded(PlatformAnswer(200, current), Row):
+    match _decoded(WholeAnswer(200, current), Row):
         case Success(row):
             return Failure(Conflict(row))
         case Failure(error):
@@ -177,7 +164,7 @@
 
 
 def _decoded(
-    answer: PlatformAnswer, kind: type[MessageT]
+    answer: WholeAnswer, kind: type[MessageT]
 ) -> Result[MessageT, Unavailable]:
     if answer.status != 200:
         return Failure(_unexpected(answer))
--- a/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
@@ -66,14 +66,15 @@
 
 
 def call_timeout(
-    total_s: float | None, silence_s: float | None = None
+    total_s: float | None,
+    silence_s: float | None = None,
+    connect_s: float = CONNECT_TIMEOUT_S,
 ) -> ClientTimeout:
     """Return the time limits of one call.
 
     Args:
         total_s: Limit of the whole call, in seconds; `None` for none.
         silence_s: Limit between two reads, in seconds; `None` for none.
+        connect_s: Limit of the connection's establishment, in seconds.
     """
-    return ClientTimeout(
-        total=total_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=silence_s
-    )
+    return ClientTimeout(total=total_s, sock_connect=connect_s, sock_read=silence_s)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/engine_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/engine_client.py
@@ -18,6 +18,7 @@
 )
 from lagoonhinge_core.ports import EngineStream
 from lagoonhinge_core.upstream_errors import Broken, Gone, UpstreamError
+from lagoonhinge_http.calls import WholeAnswer, call
 from lagoonhinge_http.session import ConnectionLost, call_timeout
 from lagoonhinge_http.wire import BadMessage, decode, encode
 from lagoonhinge_node.engine_pools import EnginePool, EnginePools
@@ -159,17 +160,18 @@
         body = None if message is None else encode(message)
         pool = self.pools.join(url)
         try:
-            async with pool.session.request(
-                method, url + path, data=body, timeout=call_timeout(timeout_s)
-            ) as response:
-                answer = await response.read()
-        except (ConnectionLost, ClientError, TimeoutError) as error:
-            return Failure(error_of_exception(error, timeout_s))
+            limits = call_timeout(timeout_s)
+            sent = await call(pool.session, method, url + path, limits, body)
         finally:
             await self.pools.leave(pool)
-        if response.status != 200:
-            return Failure(error_of_status(response.status, answer))
-        return Success(answer)
+        match sent:
+            case Success(WholeAnswer(200, answer)):
+                return Success(answer)
+            case Success(WholeAnswer(status, answer)):
+                return Failure(error_of_status(status, answer))
+            case Failure(error):
+                return Failure(error_of_exception(error, timeout_s))
+        raise AssertionError("not a result")
 
     async def _get(
         self, url: str, path: str, kind: type[MessageT], timeout_s: float
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/callers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/callers.py
@@ -3,6 +3,7 @@
 from asyncio import sleep, timeout
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -35,13 +36,6 @@
 IDLE_LIMIT_S = 3600.0
 MAX_HEADERS = 256
 
-BAD_REQUEST = 400
-UNAUTHORIZED = 401
-NOT_FOUND = 404
-TOO_LARGE = 413
-HEADERS_TOO_LARGE = 431
-UNAVAILABLE = 503
-
 
 @dataclass(frozen=True)
 class Refusal:
@@ -185,7 +179,7 @@
         finally:
             self.state.open_requests -= 1
         # A stream that was cut has no response any more, and nothing can be sent.
-        return sink.response or web.Response(status=UNAVAILABLE)
+        return sink.response or web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
 
     async def _serve(self, http: web.BaseRequest, sink: HttpSink) -> None:
         arrived_s = self.state.clock()
@@ -221,7 +215,7 @@
         header_bytes = sum(len(n) + len(v) + 4 for n, v in http.raw_headers)
         if header_bytes > limits.header_bytes:
             reason = f"{header_bytes} bytes of headers"
-            return Failure(Refusal(HEADERS_TOO_LARGE, reason))
+            return Failure(Refusal(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, reason))
         if http.headers.get("Expect", "").lower() == "100-continue":
             assert http.transport is not None
             http.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -230,7 +224,7 @@
             body += data
             if len(body) > limits.body_bytes:
                 reason = f"over {limits.body_bytes} bytes of body"
-                return Failure(Refusal(TOO_LARGE, reason))
+                return Failure(Refusal(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, reason))
         request = self.codec.read_request(
             http.method, http.raw_path, http.raw_headers, bytes(body)
         )
@@ -273,7 +267,7 @@
         if not refused_s:
             return Success(job)
         reason = "requests like it crash upstreams"
-        return Failure(Refusal(UNAVAILABLE, reason, refused_s))
+        return Failure(Refusal(HTTPStatus.SERVICE_UNAVAILABLE, reason, refused_s))
 
     async def _confirm(self) -> None:
         """Wait a little while the configuration is stale, as after a pause."""
@@ -296,19 +290,19 @@
     """Return a request's route and the name of its client account, if it has one."""
     route = config.routes.find(request.host, request.target)
     if route is None:
-        return Failure(Refusal(NOT_FOUND, "no such route"))
+        return Failure(Refusal(HTTPStatus.NOT_FOUND, "no such route"))
     if not request.request_id:
-        return Failure(Refusal(BAD_REQUEST, "no identity of the attempt"))
+        return Failure(Refusal(HTTPStatus.BAD_REQUEST, "no identity of the attempt"))
     account = config.accounts.get(request.key) if request.key is not None else None
     if account is not None:
         return Success((route, account.name))
     if config.needs_key and not route.public:
-        return Failure(Refusal(UNAUTHORIZED, "no known key"))
+        return Failure(Refusal(HTTPStatus.UNAUTHORIZED, "no known key"))
     return Success((route, None))
 
 
 def _stale(reason: str) -> Failure[Refusal]:
-    return Failure(Refusal(UNAVAILABLE, reason, STALE_RETRY_AFTER_S))
+    return Failure(Refusal(HTTPStatus.SERVICE_UNAVAILABLE, reason, STALE_RETRY_AFTER_S))
 
 
 def _headers(headers: RawHeaders) -> CIMultiDict[str]:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/entry_node.py
@@ -3,6 +3,7 @@
 from asyncio import sleep
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 from random import Random
 from time import CLOCK_BOOTTIME, clock_gettime
 
@@ -47,7 +48,6 @@
 # a second apart, and one for their answers.
 BALANCER_LAG_S = 3.0
 STOP_MARGIN_S = 1.2  # before the process is killed, for its own end
-READY, NOT_READY = 200, 503
 
 
 def suspend_aware_s() -> float:
@@ -199,4 +199,7 @@
 
     async def _answer_check(self, request: web.BaseRequest) -> web.StreamResponse:
         is_check = request.path == self.settings.readiness_path
-        return web.Response(status=READY if is_check and self.is_ready() else NOT_READY)
+        is_good = is_check and self.is_ready()
+        return web.Response(
+            status=HTTPStatus.OK if is_good else HTTPStatus.SERVICE_UNAVAILABLE
+        )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operators.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operators.py
@@ -1,5 +1,6 @@
 """The operators' interface of a forwarding node: metrics and the state dump."""
 
+from http import HTTPStatus
 from typing import Any
 
 from aiohttp import web
@@ -40,7 +41,7 @@
                 body = json.encode(self.dump())
                 return web.Response(body=body, content_type="application/json")
             case _:
-                return web.Response(status=404)
+                return web.Response(status=HTTPStatus.NOT_FOUND)
 
     def dump(self) -> dict[str, Any]:
         """Return what the node believes, without any key."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
@@ -2,6 +2,7 @@
 
 from asyncio import sleep, timeout
 from functools import partial
+from http import HTTPStatus
 
 from returns.result import Failure, Success
 
@@ -33,10 +34,6 @@
 MOST_WAIT_AFTER_MOVE_S = 0.3
 MOST_BUSY_SILENCE_S = 1.6  # leaves time to move before callers leave, after 2 s
 
-BAD_GATEWAY = 502
-UNAVAILABLE = 503
-GATEWAY_TIMEOUT = 504
-
 
 class RequestRunner:
     """Runs requests.
@@ -229,10 +226,10 @@
             return "failure_passed_on"
         if verdict is Verdict.REFUSE and not job.runs:
             self.log.tell_failure(job, "Refused, not run.", took_s=took_s)
-            await sink.refuse(UNAVAILABLE, retry_after_s)
+            await sink.refuse(HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s)
             return "refused"
         self.log.tell_failure(job, "Failed.", took_s=took_s, runs=job.runs)
-        await sink.refuse(BAD_GATEWAY, None)
+        await sink.refuse(HTTPStatus.BAD_GATEWAY, None)
         return "failed"
 
     async def _time_out(self, job: Job, sink: CallerSink) -> None:
@@ -241,6 +238,6 @@
         if sink.begun:
             sink.break_off()
         elif job.may_be_running or job.runs:
-            await sink.refuse(GATEWAY_TIMEOUT, None)
+            await sink.refuse(HTTPStatus.GATEWAY_TIMEOUT, None)
         else:
-            await sink.refuse(UNAVAILABLE, SHORT_RETRY_AFTER_S)
+            await sink.refuse(HTTPStatus.SERVICE_UNAVAILABLE, SHORT_RETRY_AFTER_S)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/sending.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/sending.py
@@ -3,6 +3,7 @@
 from asyncio import timeout
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from returns.result import Failure, Result, Success
 
@@ -32,7 +33,6 @@
     UpstreamClient,
 )
 
-UNAVAILABLE = 503
 FIRST_FAILURE_STATUS = 500
 FIRST_REDIRECT_STATUS = 300
 
@@ -109,7 +109,7 @@
         held = HeldMemory(state, self.memory, self._ticket(number))
         try:
             if choice.holdings and not await held.take(choice.holdings):
-                return Failure(Declined(UNAVAILABLE))
+                return Failure(Declined(HTTPStatus.SERVICE_UNAVAILABLE.value))
             job.may_be_running = True
             state.load.start(instance, choice.tokens)
             for reading in choice.readings(number):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -8,6 +8,7 @@
 from asyncio import get_running_loop
 from dataclasses import dataclass
 from functools import partial
+from http import HTTPStatus
 from typing import Any
 
 from aiohttp import (
@@ -16,7 +17,6 @@
     ClientPayloadError,
     ClientResponse,
     ClientSession,
-    ClientTimeout,
     ConnectionTimeoutError,
 )
 from aiohttp.client_proto import ResponseHandler
@@ -37,14 +37,18 @@
     SendFailure,
 )
 from lagoonhinge_core.forwarding.upstreams import Upstream
-from lagoonhinge_http.session import ConnectionLost, open_session
+from lagoonhinge_http.session import ConnectionLost, call_timeout, open_session
 
 CONNECT_LIMIT_S = 0.15  # fifty round trips between availability zones
 MAX_ANSWER_BYTES = 8 << 20  # twice the largest body that callers may send
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
-MISDIRECTED = 421
 # Statuses that promise that the request did not run.
-REFUSING_STATUSES = (408, 421, 429, 503)
+REFUSING_STATUSES = (
+    HTTPStatus.REQUEST_TIMEOUT,
+    HTTPStatus.MISDIRECTED_REQUEST,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+)
 
 
 class _ResetAwareHandler(ResponseHandler):
@@ -142,7 +146,7 @@
                 skip_auto_headers=AUTOMATIC_HEADERS,
                 data=request.body or None,
                 allow_redirects=False,
-                timeout=ClientTimeout(total=None, sock_connect=CONNECT_LIMIT_S),
+                timeout=call_timeout(None, connect_s=CONNECT_LIMIT_S),
             )
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             return Failure(NotDelivered(_told(error)))
@@ -165,7 +169,7 @@
 def _fault_of(head: AnswerHead, request: CallerRequest) -> SendFailure | None:
     if head.request_id not in (None, request.request_id):
         return Lost("the answer is of another request")
-    if head.status == MISDIRECTED:
+    if head.status == HTTPStatus.MISDIRECTED_REQUEST:
         return Declined(head.status, True, head.culprit)
     if head.not_run:
         return Declined(head.status, False, head.culprit)
