One loop follows the platform's store for all three controllers

Configuration, upstreams and nodes each had the same loop with small differences: what is read, what is done with an update, and what a fault is noted as. These are now its arguments. The node list says as well when the history was lost.

--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
@@ -1,20 +1,19 @@
 """Controllers that follow the platform's store and post what they learn."""
 
-from asyncio import FIRST_COMPLETED, create_task, sleep, wait
+from asyncio import FIRST_COMPLETED, create_task, wait
 from collections.abc import Callable
 
 from mode import Service
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from lagoonhinge_core.forwarding.site_store import (
     ConfigUpdate,
-    HistoryLost,
     ListUpdate,
     NodeEntry,
     SiteStore,
-    StoreFault,
 )
 from lagoonhinge_core.forwarding.upstreams import Upstream
+from lagoonhinge_node.forwarding.following import Backoff, Following, StoreRead
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.state import (
     NodeListSection,
@@ -31,42 +30,11 @@
 CONFIG_PAUSE_S = 0.15  # under a tenth of the time within which it is in force
 UPSTREAMS_PAUSE_S = 0.5  # a quarter of the time within which a leaving one is unused
 NODES_PAUSE_S = 3.0  # a start of the whole system takes about as long
-FIRST_RETRY_S = 0.1
-LONGEST_RETRY_S = 0.5  # a quarter of the time within which a change is in force
-RETRY_JITTER = 0.5
 # Entries that lapse while the store is away are back within about two seconds.
 LAPSE_GRACE_S = 1.8
 OUTAGE_S = 3.0  # without an answer, after which entries may have lapsed
 
 
-class Backoff:
-    """Pauses between calls to a store that does not answer.
-
-    Args:
-        state: For the random numbers.
-        part: Name of the log part.
-    """
-
-    def __init__(self, state: ServingState, part: str):
-        self.serving = state
-        self.log_part = PartLogger(part)
-        self.failures = 0
-
-    async def failed(self, fault: StoreFault) -> None:
-        """Wait before the next call."""
-        self.failures += 1
-        if self.failures == 1:
-            self.log_part.warning("Lost the store.", reason=fault.reason)
-        pause_s = min(LONGEST_RETRY_S, FIRST_RETRY_S * 2 ** (self.failures - 1))
-        await sleep(pause_s * (1 - RETRY_JITTER * self.serving.random.random()))
-
-    def answered(self) -> None:
-        """Count an answer."""
-        if self.failures:
-            self.log_part.info("The store answers again.", failures=self.failures)
-        self.failures = 0
-
-
 class ConfigFollower(Service):
     """Keeps the newest configuration in force."""
 
@@ -76,40 +44,31 @@
         self.store = store
         self.log_part = PartLogger("config")
         self.writer = state.board.writer(SiteConfigSection(), "config follower")
+        self.asked_s = float("-inf")
 
     @Service.task
     async def follow(self) -> None:
         """Read the configuration whenever it changes."""
-        backoff = Backoff(self.serving, "config")
-        after: int | None = None
-        while not self.should_stop:
-            asked_s = self.serving.clock()
-            match await self.store.read_config(after, FOLLOW_WAIT_S):
-                case Success(update):
-                    backoff.answered()
-                    self._take(update, self._confirmed_s(asked_s, after, update))
-                    if update.version != after:
-                        await sleep(CONFIG_PAUSE_S)
-                    after = update.version
-                case Failure(HistoryLost()):
-                    self.log_part.info("The history was lost; reading all.")
-                    after = None
-                case Failure(fault):
-                    self.serving.tell_store_trouble()
-                    await backoff.failed(fault)
+        following = Following(
+            self._read, self._take, self.serving.tell_store_trouble, CONFIG_PAUSE_S
+        )
+        await following.run(self, Backoff(self.serving, self.log_part))
+
+    async def _read(self, after: int | None) -> StoreRead[ConfigUpdate]:
+        self.asked_s = self.serving.clock()
+        return await self.store.read_config(after, FOLLOW_WAIT_S)
 
-    def _confirmed_s(
-        self, asked_s: float, after: int | None, update: ConfigUpdate
-    ) -> float:
+    def _confirmed_s(self, update: ConfigUpdate, after: int | None) -> float:
         """Return the latest time of which the update surely tells."""
-        waited_s = asked_s + FOLLOW_WAIT_S
+        waited_s = self.asked_s + FOLLOW_WAIT_S
         is_quiet = after is not None and update.config is None and not update.fault
         # With nothing to tell, the store answered only after the whole wait.
         if is_quiet and update.version == after and self.serving.clock() >= waited_s:
             return waited_s
-        return asked_s
+        return self.asked_s
 
-    def _take(self, update: ConfigUpdate, confirmed_s: float) -> None:
+    def _take(self, update: ConfigUpdate, after: int | None) -> None:
+        confirmed_s = self._confirmed_s(update, after)
         section = self.serving.board.read(SiteConfigSection)
         if update.fault:
             self.log_part.error("Unusable configuration.", reason=update.fault)
@@ -148,35 +107,21 @@
     @Service.task
     async def follow(self) -> None:
         """Read the list whenever it changes."""
-        backoff = Backoff(self.serving, "upstreams")
-        after: int | None = None
-        while not self.should_stop:
-            match await self._read(after):
-                case None:
-                    self.in_trouble = True
-                case Success(update):
-                    backoff.answered()
-                    self._note_outage()
-                    self._take(update, after is None)
-                    if update.version != after:
-                        await sleep(UPSTREAMS_PAUSE_S)
-                    after = update.version
-                case Failure(HistoryLost()):
-                    self.log_part.info("The history was lost; reading all.")
-                    after = None
-                case Failure(fault):
-                    self.in_trouble = True
-                    await backoff.failed(fault)
+        following = Following(
+            self._read, self._take, self._note_trouble, UPSTREAMS_PAUSE_S
+        )
+        await following.run(self, Backoff(self.serving, self.log_part))
 
-    async def _read(
-        self, after: int | None
-    ) -> Result[ListUpdate[Upstream], StoreFault | HistoryLost] | None:
+    async def _read(self, after: int | None) -> StoreRead[ListUpdate[Upstream]]:
         """Return an update, or `None` if the store's trouble ended the wait."""
         reading = create_task(self.store.read_upstreams(after, UPSTREAMS_WAIT_S))
         trouble = create_task(self.serving.store_trouble.wait())
         try:
             await wait((reading, trouble), return_when=FIRST_COMPLETED)
-            return reading.result() if reading.done() else None
+            if reading.done():
+                return reading.result()
+            self._note_trouble()
+            return None
         finally:
             reading.cancel()
             trouble.cancel()
@@ -194,6 +139,9 @@
             self.serving.directory.update((), gone)
             self._post(self.serving.board.read(UpstreamListSection).version)
 
+    def _note_trouble(self) -> None:
+        self.in_trouble = True
+
     def _note_outage(self) -> None:
         now_s = self.serving.clock()
         if self.in_trouble and now_s - self.heard_s > OUTAGE_S:
@@ -201,10 +149,11 @@
         self.heard_s = now_s
         self.in_trouble = False
 
-    def _take(self, update: ListUpdate[Upstream], is_complete: bool) -> None:
+    def _take(self, update: ListUpdate[Upstream], after: int | None) -> None:
+        self._note_outage()
         known = self.serving.directory.by_instance
         removed = set(update.removed)
-        if is_complete:
+        if after is None:
             listed = {entry.instance for entry in update.changed}
             removed |= {name for name in known if name not in listed}
         removed &= set(known)
@@ -268,7 +217,7 @@
     @Service.task
     async def announce(self) -> None:
         """Write this node's entry until the store has it."""
-        backoff = Backoff(self.serving, "nodes")
+        backoff = Backoff(self.serving, self.log_part)
         while not self.should_stop:
             match await self.store.announce(self.own):
                 case Success(_):
@@ -280,25 +229,15 @@
     @Service.task
     async def follow(self) -> None:
         """Read the list whenever it changes."""
-        backoff = Backoff(self.serving, "nodes")
-        after: int | None = None
-        while not self.should_stop:
-            match await self.store.read_nodes(after, NODES_WAIT_S):
-                case Success(update):
-                    backoff.answered()
-                    self._take(update, after is None)
-                    if update.version != after:
-                        await sleep(NODES_PAUSE_S)
-                    after = update.version
-                case Failure(HistoryLost()):
-                    after = None
-                case Failure(fault):
-                    await backoff.failed(fault)
+        following = Following(self._read, self._take, _ignore, NODES_PAUSE_S)
+        await following.run(self, Backoff(self.serving, self.log_part))
 
-    def _take(self, update: ListUpdate[NodeEntry], is_complete: bool) -> None:
-        nodes = (
-            {} if is_complete else dict(self.serving.board.read(NodeListSection).nodes)
-        )
+    async def _read(self, after: int | None) -> StoreRead[ListUpdate[NodeEntry]]:
+        return await self.store.read_nodes(after, NODES_WAIT_S)
+
+    def _take(self, update: ListUpdate[NodeEntry], after: int | None) -> None:
+        known = self.serving.board.read(NodeListSection).nodes
+        nodes = {} if after is None else dict(known)
         for name in update.removed:
             nodes.pop(name, None)
         for entry in update.changed:
@@ -307,3 +246,7 @@
         self.serving.known_nodes = max(1, len(nodes))
         self.serving.zone_of_node = {node.name: node.zone for node in nodes.values()}
         self.on_listed([n for n in nodes.values() if n.name != self.own.name])
+
+
+def _ignore() -> None:
+    """Do nothing: the log tells of a lost store, and an old list still serves."""
