What a node compares engines by stands once; emulator with one clock and policies by match

- The places and the random draw of engines stood in the chooser, the emulator, a bench and the steps: compared_engines serves all.
Where all engines are compared nothing is drawn, which spares the hot path a shuffle and changes the emulator's random numbers.
- A placement says how long its readers are waited for; the chooser added their loads up a second time before.
- A request's digest is made once; the answer to prompts that are too late, news that are cut to a datagram, and given-up readings are said more simply.
- The emulator's clock served twice, its policies were three callables of one signature, the engines' figures stood in three files, and two counters were never read.

--- a/bench/emulate.py
+++ b/bench/emulate.py
@@ -7,14 +7,11 @@
 
 from cappa import Arg, command, parse
 
-from bench.emulator.fleet import EmulatedFleet, Outcome, Policy
-from bench.emulator.policies import POLICIES
+from bench.emulator.fleet import EmulatedFleet, Outcome
+from bench.emulator.policies import POLICIES, Policy
 from bench.emulator.results import kind_figures, share_earned, windows
-from bench.emulator.traffic import KINDS, PATTERNS, arrivals
-from lagoonhinge_core.forwarding.engine_time import EngineProfile
+from bench.emulator.traffic import KINDS, PATTERNS, PROFILE, arrivals
 
-# Speeds and memory that both users' engines are configured with.
-PROFILE = EngineProfile(8, 405_000, 0.00131, 154_000.0, 0.000162, 2048, 34)
 DRAIN_S = 20.0  # beyond the last arrival, longer than any time limit
 
 
--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -8,11 +8,10 @@
 """
 
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import ceil
-from typing import TypeAlias
 
+from bench.emulator.clock import Timed, VirtualClock
 from lagoonhinge_core.forwarding.engine_time import MILLION, EngineProfile
 
 # What an answer adds to each step, itself and by 1,000 tokens of context, in seconds.
@@ -21,9 +20,6 @@
 STEP_PER_HELPED_S = 1e-4  # of an answer whose prompt several engines hold
 CONTEXT_UNIT = 1000  # tokens
 
-Timed: TypeAlias = Callable[[float], None]
-Schedule: TypeAlias = Callable[[float, Timed], None]
-
 
 @dataclass(eq=False)
 class EngineRequest:
@@ -87,25 +83,23 @@
 
     Attributes:
         profile: Speeds and memory.
-        schedule: Has a function called at a time, in seconds.
+        clock: Calls back at the ends of passes.
         waiting: Requests without a slot, in order of arrival.
         helping: Parts of requests that other engines answer.
         reading: Parts of own requests, also while helpers still read.
         writing: Requests whose answers are being written.
         tokens: Memory in use, in tokens.
         in_pass: Whether a pass is under way.
-        busy_s: Time within passes so far, in seconds.
     """
 
     profile: EngineProfile
-    schedule: Schedule
+    clock: VirtualClock
     waiting: deque[EngineRequest] = field(default_factory=deque)
     helping: list[Part] = field(default_factory=list)
     reading: list[Part] = field(default_factory=list)
     writing: list[EngineRequest] = field(default_factory=list)
     tokens: int = 0
     in_pass: bool = False
-    busy_s: float = 0.0
 
     def submit(self, request: EngineRequest, now_s: float) -> None:
         """Queue a request that this engine is to answer."""
@@ -149,8 +143,9 @@
         profile = self.profile
         steps = profile.stride if writers else ceil(read_tokens / profile.chunk)
         took_s = steps * (profile.step_s + _answers_s(writers)) + read_s
-        self.busy_s += took_s
-        self.schedule(now_s + took_s, lambda at_s: self._end_pass(at_s, writers, done))
+        self.clock.schedule(
+            now_s + took_s, lambda at_s: self._end_pass(at_s, writers, done)
+        )
 
     def _read(
         self, queue: list[Part], serves_answers: bool
--- a/bench/emulator/fleet.py
+++ b/bench/emulator/fleet.py
@@ -1,23 +1,20 @@
 """Nodes that place prompts on emulated engines, with news of load on its way."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
-from itertools import count
 from random import Random
-from typing import TypeAlias
 
-from bench.emulator.engine import EmulatedEngine, EngineRequest, Timed
+from bench.emulator.clock import Timed, VirtualClock
+from bench.emulator.engine import EmulatedEngine, EngineRequest
+from bench.emulator.policies import Policy, place_by
 from bench.emulator.traffic import Arrival
+from lagoonhinge_core.forwarding.compared_engines import compared_engines
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
 from lagoonhinge_core.forwarding.load_book import LoadBook, Reading, news_slowdown
 from lagoonhinge_core.forwarding.prompt_placement import (
     EngineChoice,
     Placement,
     Prompt,
-    TooLate,
     is_short,
-    sample_size,
 )
 
 NEWS_INTERVAL_S = 0.05  # as nodes tell their load
@@ -27,10 +24,6 @@
 STREAM_WAIT_TARGETS = 4.0  # the same, in target times
 STREAM_WAIT_PAUSES = 8.0  # the same, in limits of a pause
 
-Policy: TypeAlias = Callable[
-    [EngineProfile, tuple[EngineChoice, ...], Prompt], Placement | TooLate | None
-]
-
 
 @dataclass
 class Outcome:
@@ -42,7 +35,6 @@
         last_s: When its last event so far came, in seconds.
         pause_s: Longest pause between events so far, in seconds.
         done: Whether the answer is whole.
-        parts: Engines that read the prompt.
     """
 
     arrival: Arrival
@@ -50,7 +42,6 @@
     last_s: float = float("inf")
     pause_s: float = 0.0
     done: bool = False
-    parts: int = 0
 
     def earned(self) -> float:
         """Return the worth of the answer."""
@@ -79,6 +70,7 @@
         nodes: What each node believes.
         random: Chooses the node of each request.
         outcomes: What became of the requests, in order of arrival.
+        clock: The clock.
     """
 
     profile: EngineProfile
@@ -87,30 +79,27 @@
     engines: dict[str, EmulatedEngine] = field(default_factory=dict)
     nodes: list[LoadBook] = field(default_factory=list)
     outcomes: list[Outcome] = field(default_factory=list)
-    events: list[tuple[float, int, Timed]] = field(default_factory=list)
-    order: count = field(default_factory=count)  # type: ignore[type-arg]
+    clock: VirtualClock = field(default_factory=VirtualClock)
 
     def build(self, engines: int, nodes: int) -> None:
         """Create engines and nodes."""
         for number in range(engines):
-            self.engines[f"e{number:03}"] = EmulatedEngine(self.profile, self.schedule)
+            self.engines[f"e{number:03}"] = EmulatedEngine(self.profile, self.clock)
         for number in range(nodes):
             self.nodes.append(LoadBook(f"n{number:03}"))
-            self.schedule(self.random.uniform(0.0, NEWS_INTERVAL_S), self._tell(number))
-
-    def schedule(self, at_s: float, what: Timed) -> None:
-        """Have a function called at a time."""
-        heappush(self.events, (at_s, next(self.order), what))
+            self.clock.schedule(
+                self.random.uniform(0.0, NEWS_INTERVAL_S), self._tell(number)
+            )
 
     def run(self, requests: list[Arrival], until_s: float) -> None:
         """Play requests until a time, in seconds."""
         for arrival in requests:
             outcome = Outcome(arrival)
             self.outcomes.append(outcome)
-            self.schedule(arrival.at_s, lambda at_s, o=outcome: self._serve(o, at_s))
-        while self.events and self.events[0][0] <= until_s:
-            at_s, _, what = heappop(self.events)
-            what(at_s)
+            self.clock.schedule(
+                arrival.at_s, lambda at_s, o=outcome: self._serve(o, at_s)
+            )
+        self.clock.run(until_s)
 
     def _tell(self, number: int) -> Timed:
         def tell(now_s: float) -> None:
@@ -121,9 +110,9 @@
                     if other != number:
                         book.hear(news, at_s)
 
-            self.schedule(now_s + NEWS_DELAY_S, hear)
+            self.clock.schedule(now_s + NEWS_DELAY_S, hear)
             pause_s = NEWS_INTERVAL_S * news_slowdown(len(self.nodes) - 1)
-            self.schedule(now_s + pause_s, tell)
+            self.clock.schedule(now_s + pause_s, tell)
 
         return tell
 
@@ -132,15 +121,13 @@
         kind = arrival.kind
         answer = arrival.answer_events * self.profile.stride
         prompt = Prompt(arrival.prompt_tokens, answer, kind.target_s, kind.limit_s)
-        last = len(self.engines) - 1
+        short, peers = is_short(self.profile, prompt), len(self.nodes) - 1
+        names = tuple(self.engines)
         choices = tuple(
-            EngineChoice(name, book.load(name, now_s), place=number / last)
-            for number, name in enumerate(self.engines)
+            EngineChoice(name, book.load(name, now_s), place=place)
+            for place, name in compared_engines(names, short, peers, self.random)
         )
-        if is_short(self.profile, prompt):
-            size = sample_size(len(choices), len(self.nodes) - 1)
-            choices = tuple(self.random.sample(choices, size))
-        placement = self.policy(self.profile, choices, prompt)
+        placement = place_by(self.policy, self.profile, choices, prompt)
         if isinstance(placement, Placement):
             _Send(self, book, outcome, prompt, placement).start(now_s)
 
@@ -162,7 +149,6 @@
         self.placement = placement
         self.number = book.next_number()
         self.names = (placement.instance, *placement.helpers)
-        outcome.parts = len(self.names)
         kind = outcome.arrival.kind
         self.wait_s = max(
             STREAM_WAIT_S,
@@ -191,11 +177,11 @@
                 self.number, name, placed.part_s, placed.is_long, placed.pass_s
             )
             self.book.give_reading(reading, now_s)
-        self.fleet.schedule(now_s + SEND_DELAY_S, self.request.send)
+        self.fleet.clock.schedule(now_s + SEND_DELAY_S, self.request.send)
         self._watch(now_s)
 
     def _watch(self, now_s: float) -> None:
-        self.fleet.schedule(now_s + self.wait_s, self._check_silence)
+        self.fleet.clock.schedule(now_s + self.wait_s, self._check_silence)
 
     def _check_silence(self, now_s: float) -> None:
         outcome = self.outcome
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from itertools import count
+from typing import TypeAlias, assert_never
 
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
 from lagoonhinge_core.forwarding.prompt_placement import (
@@ -15,39 +16,17 @@
 )
 
 
-@dataclass
+@dataclass(frozen=True)
 class RoundRobin:
     """Engines take turns; each reads its prompts alone."""
 
     turns: "count[int]" = field(default_factory=count)
 
-    def __call__(
-        self,
-        profile: EngineProfile,
-        engines: tuple[EngineChoice, ...],
-        prompt: Prompt,
-    ) -> Placement | None:
-        """Return where a prompt goes."""
-        engine = engines[next(self.turns) % len(engines)]
-        part_s = profile.read_s(prompt.tokens)
-        return Placement(engine.instance, (), part_s, part_s, False)
-
 
 @dataclass(frozen=True)
 class LeastInFlight:
     """The engine with the fewest open requests reads a prompt alone."""
 
-    def __call__(
-        self,
-        profile: EngineProfile,
-        engines: tuple[EngineChoice, ...],
-        prompt: Prompt,
-    ) -> Placement | None:
-        """Return where a prompt goes."""
-        engine = min(engines, key=lambda e: (e.load.requests, e.load.tokens))
-        part_s = profile.read_s(prompt.tokens)
-        return Placement(engine.instance, (), part_s, part_s, False)
-
 
 @dataclass(frozen=True)
 class Weighed:
@@ -59,19 +38,33 @@
 
     weights: PlacementWeights = DEFAULT_WEIGHTS
 
-    def __call__(
-        self,
-        profile: EngineProfile,
-        engines: tuple[EngineChoice, ...],
-        prompt: Prompt,
-    ) -> Placement | TooLate | None:
-        """Return where a prompt goes."""
-        return place_prompt(profile, engines, prompt, self.weights)
 
+Policy: TypeAlias = RoundRobin | LeastInFlight | Weighed
 
-POLICIES = {
+POLICIES: dict[str, Policy] = {
     "round_robin": RoundRobin(),
     "least_in_flight": LeastInFlight(),
     "spread": Weighed(PlacementWeights(pack_s=0.0, crowd_s=0.0)),
     "product": Weighed(),
 }
+
+
+def place_by(
+    policy: Policy,
+    profile: EngineProfile,
+    engines: tuple[EngineChoice, ...],
+    prompt: Prompt,
+) -> Placement | TooLate | None:
+    """Return where a prompt goes under a policy."""
+    match policy:
+        case Weighed(weights):
+            return place_prompt(profile, engines, prompt, weights)
+        case RoundRobin(turns):
+            engine = engines[next(turns) % len(engines)]
+        case LeastInFlight():
+            engine = min(engines, key=lambda e: (e.load.requests, e.load.tokens))
+        case _:
+            assert_never(policy)
+    part_s = profile.read_s(prompt.tokens)
+    waiting_s = engine.load.reading_s
+    return Placement(engine.instance, (), waiting_s, part_s, part_s, False)
--- a/bench/emulator/traffic.py
+++ b/bench/emulator/traffic.py
@@ -5,6 +5,8 @@
 from math import exp
 from random import Random
 
+from lagoonhinge_core.forwarding.engine_time import EngineProfile
+
 
 @dataclass(frozen=True)
 class PromptKind:
@@ -48,6 +50,8 @@
 FIXED_WEIGHT = 0.3
 MOST_WEIGHT = 4.0
 
+# Speeds and memory that both users' engines are configured with.
+PROFILE = EngineProfile(8, 405_000, 0.00131, 154_000.0, 0.000162, 2048, 34)
 # One engine's share of the two users' mean load.
 KINDS = (
     PromptKind("short", 1.0, 4_960, 0.9, 23_800, 38.5, 0.7, 0.3, 10.0, 0.25, 1.3, 0.33),
--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -11,7 +11,8 @@
 from cappa import Arg, command, parse
 from hdrh.histogram import HdrHistogram
 
-from lagoonhinge_core.forwarding.engine_time import EngineProfile
+from bench.emulator.traffic import PROFILE
+from lagoonhinge_core.forwarding.compared_engines import compared_engines
 from lagoonhinge_core.forwarding.load_book import (
     LoadBook,
     LoadNews,
@@ -23,12 +24,10 @@
     Prompt,
     is_short,
     place_prompt,
-    sample_size,
 )
 from lagoonhinge_http.wire import encode
 from lagoonhinge_node.logs import PartLogger, set_up_queued_logs
 
-PROFILE = EngineProfile(8, 405_000, 0.00131, 154_000.0, 0.000162, 2048, 34)
 PROMPTS = {
     "short": Prompt(4_960, 1_200, 0.3, 10.0),
     "long": Prompt(182_000, 700, 3.0, 15.0),
@@ -52,11 +51,8 @@
 
     def place(self, prompt: Prompt) -> None:
         """Decide once."""
-        last = len(self.names) - 1
-        placed = [(number / last, name) for number, name in enumerate(self.names)]
-        if is_short(PROFILE, prompt):
-            size = sample_size(len(placed), self.peers)
-            placed = self.random.sample(placed, size)
+        short = is_short(PROFILE, prompt)
+        placed = compared_engines(self.names, short, self.peers, self.random)
         engines = tuple(
             EngineChoice(name, self.book.load(name, NOW_S), False, place)
             for place, name in placed
--- a/features/steps/emulator_steps.py
+++ b/features/steps/emulator_steps.py
@@ -1,14 +1,13 @@
 """Steps about the emulator of engines and nodes."""
 
-from heapq import heappop, heappush
-from itertools import count
-
 from behave import given, then, when
 
-from bench.emulate import PROFILE, play
+from bench.emulate import play
+from bench.emulator.clock import VirtualClock
 from bench.emulator.engine import EmulatedEngine, EngineRequest
 from bench.emulator.policies import POLICIES
 from bench.emulator.results import kind_figures, share_earned, windows
+from bench.emulator.traffic import PROFILE
 
 ANSWER_TOKENS = 340
 OTHERS_PROMPT = 5000
@@ -18,22 +17,6 @@
 BASELINES = ("round_robin", "least_in_flight")
 
 
-class Clock:
-    """Calls functions in order of virtual time."""
-
-    def __init__(self):
-        self.events = []
-        self.order = count()
-
-    def schedule(self, at_s, what):
-        heappush(self.events, (at_s, next(self.order), what))
-
-    def run(self, until_s=float("inf")):
-        while self.events and self.events[0][0] <= until_s:
-            at_s, _, what = heappop(self.events)
-            what(at_s)
-
-
 class Probe:
     """A request and the times of its events."""
 
@@ -49,8 +32,8 @@
 
 
 def start_others(context, prompt_tokens):
-    context.clock = Clock()
-    context.engine = EmulatedEngine(PROFILE, context.clock.schedule)
+    context.clock = VirtualClock()
+    context.engine = EmulatedEngine(PROFILE, context.clock)
     context.others = [
         Probe(prompt_tokens, ANSWER_TOKENS, (context.engine,))
         for _ in range(context.other_count)
@@ -74,9 +57,7 @@
 
 @when("a prompt of {tokens:d} tokens is read by {engines:d} engines")
 def step_read(context, tokens, engines):
-    helpers = tuple(
-        EmulatedEngine(PROFILE, context.clock.schedule) for _ in range(engines - 1)
-    )
+    helpers = tuple(EmulatedEngine(PROFILE, context.clock) for _ in range(engines - 1))
     context.probe = Probe(tokens, ANSWER_TOKENS, (context.engine, *helpers))
     context.clock.schedule(context.now_s, context.probe.request.send)
     context.clock.run()
--- a/features/steps/forwarding_placement_steps.py
+++ b/features/steps/forwarding_placement_steps.py
@@ -1,10 +1,12 @@
 """Steps about the placement of prompts by predicted time."""
 
 from collections import Counter
+from random import Random
 
 from behave import given, then, when
 
-from lagoonhinge_core.forwarding.engine_time import EngineProfile
+from bench.emulator.traffic import PROFILE
+from lagoonhinge_core.forwarding.compared_engines import compared_engines, sample_size
 from lagoonhinge_core.forwarding.load_book import (
     LoadBook,
     LoadNews,
@@ -16,11 +18,10 @@
     Placement,
     Prompt,
     TooLate,
+    is_short,
     place_prompt,
-    sample_size,
 )
 
-PROFILE = EngineProfile(8, 405_000, 0.00131, 154_000.0, 0.000162, 2048, 34)
 SHORT = Prompt(4960, 1266, 0.3, 10.0)
 LONG = Prompt(100_000, 1000, 3.0, 15.0)
 NOW_S = 100.0
@@ -62,14 +63,15 @@
 
 
 def _place(context, prompt: Prompt):
+    short = is_short(PROFILE, prompt)
     engines = tuple(
         EngineChoice(
             name,
             context.book.load(name, NOW_S),
             name in context.suspects,
-            number / max(1, len(context.names) - 1),
+            place,
         )
-        for number, name in enumerate(context.names)
+        for place, name in compared_engines(context.names, short, 0, Random(1))
     )
     placement = place_prompt(PROFILE, engines, prompt)
     if not isinstance(placement, Placement):
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/health.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/health.py
@@ -1,6 +1,6 @@
 """Which upstreams to avoid, judged by the outcomes of sends to them."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 
 FIRST_REST_S = 0.5  # about what a connection that was reset needs to be possible again
@@ -109,7 +109,7 @@
         self.records[instance] = replace(record, unreachable=False, losses=0)
         return True
 
-    def forget_all_but(self, instances: frozenset[str]) -> None:
+    def forget_all_but(self, instances: Collection[str]) -> None:
         """Drop the records of upstreams that are no longer listed."""
         for instance in [name for name in self.records if name not in instances]:
             del self.records[instance]
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_book.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_book.py
@@ -5,7 +5,7 @@
 stream's first event tells that its prompt has been read, wherever its parts were.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field, replace
 
 from lagoonhinge_core.forwarding.crashes import Crash
@@ -184,16 +184,15 @@
 
         Its upstreams go on with it for the rest of a pass.
         """
+        key = (self.node, number)
         for instance in instances:
             readings = self.readings.get(instance)
-            entry = (
-                None if readings is None else readings.pending.get((self.node, number))
-            )
-            if entry is None or entry[0].given_up:
+            if readings is None or key not in readings.pending:
                 continue
-            reading, _ = entry
-            rest_s = min(reading.read_s, reading.pass_s)
-            self.give_reading(replace(reading, read_s=rest_s, given_up=True), now_s)
+            reading, _ = readings.pending[key]
+            if not reading.given_up:
+                rest_s = min(reading.read_s, reading.pass_s)
+                self.give_reading(replace(reading, read_s=rest_s, given_up=True), now_s)
 
     def hear(self, news: LoadNews, now_s: float) -> None:
         """Take a peer's news."""
@@ -229,10 +228,9 @@
         heard = (p.heard_s for p in self.peers.values())
         return 1 + sum(now_s - at_s <= PEER_SILENCE_S for at_s in heard)
 
-    def forget_all_but(self, instances: Iterable[str]) -> None:
+    def forget_all_but(self, instances: Collection[str]) -> None:
         """Drop the predictions of upstreams that are no longer listed."""
-        listed = frozenset(instances)
-        for instance in [name for name in self.readings if name not in listed]:
+        for instance in [name for name in self.readings if name not in instances]:
             del self.readings[instance]
 
     def _take_reading(self, node: str, reading: Reading, now_s: float) -> None:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -12,10 +12,9 @@
 from dataclasses import dataclass
 
 from lagoonhinge_core.forwarding.engine_time import MAX_HELPERS, EngineProfile
-from lagoonhinge_core.forwarding.load_book import Load, news_slowdown
+from lagoonhinge_core.forwarding.load_book import Load
 
 WORTH_UNIT = 100_000  # tokens
-LEAST_SAMPLE = 3  # engines; of so many drawn at random, one is rarely crowded
 
 
 @dataclass(frozen=True)
@@ -136,6 +135,7 @@
     Attributes:
         instance: The engine that answers it.
         helpers: Engines that read parts of it beside that one.
+        waiting_s: Predicted time until all readers begin on it, in seconds.
         part_s: Predicted time to read one part, in seconds.
         pass_s: Time of it that an engine can't be stopped in, in seconds.
         is_long: Whether its reading delays short answers noticeably.
@@ -144,6 +144,7 @@
 
     instance: str
     helpers: tuple[str, ...]
+    waiting_s: float
     part_s: float
     pass_s: float
     is_long: bool
@@ -157,21 +158,6 @@
     return profile.read_s(prompt.tokens) <= weights.small_part_s
 
 
-def sample_size(engines: int, peers: int) -> int:
-    """Return among how many engines, drawn at random, a node places a short prompt.
-
-    Nodes that decide on the same old news all choose the same engine. With few peers
-    news are fresh and all engines are compared; the more seldom they are told, and the
-    more nodes decide meanwhile, the fewer.
-
-    Args:
-        engines: Engines of the service.
-        peers: Other nodes that use them.
-    """
-    wanted = round(engines / news_slowdown(peers) ** 2)
-    return min(engines, max(LEAST_SAMPLE, wanted))
-
-
 def place_prompt(
     profile: EngineProfile,
     engines: tuple[EngineChoice, ...],
@@ -313,8 +299,15 @@
         tokens, parts = self.prompt.tokens, len(readers)
         part_s = self.profile.read_s(tokens, parts)
         pass_s = self.profile.pass_s(tokens, parts)
-        is_long = part_s > self.weights.small_part_s
-        return Placement(first.instance, helpers, part_s, pass_s, is_long, holdings)
+        return Placement(
+            first.instance,
+            helpers,
+            max(engine.load.reading_s for engine in readers),
+            part_s,
+            pass_s,
+            part_s > self.weights.small_part_s,
+            holdings,
+        )
 
     def _small_cost_s(self, engine: EngineChoice, tokens: int) -> float:
         load, weights = engine.load, self.weights
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/callers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/callers.py
@@ -263,7 +263,7 @@
         crashes = self.state.crashes
         if crashes.is_empty():
             return Success(job)
-        refused_s = crashes.refused_for_s(job.digest(), self.state.clock())
+        refused_s = crashes.refused_for_s(job.digest, self.state.clock())
         if not refused_s:
             return Success(job)
         reason = "requests like it crash upstreams"
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/choosing.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from lagoonhinge_core.forwarding.compared_engines import compared_engines
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
 from lagoonhinge_core.forwarding.load_book import Reading
 from lagoonhinge_core.forwarding.messages import CallerRequest
@@ -14,7 +15,6 @@
     TooLate,
     is_short,
     place_prompt,
-    sample_size,
 )
 from lagoonhinge_core.forwarding.routes import Route
 from lagoonhinge_core.forwarding.upstreams import Upstream
@@ -120,11 +120,8 @@
     ) -> Choice | TooLate | None:
         now_s = self.state.clock()
         load = self.state.load
-        last = max(1, len(left) - 1)
-        placed = [(number / last, entry) for number, entry in enumerate(left)]
-        if is_short(profile, prompt):
-            size = sample_size(len(placed), self.state.known_nodes - 1)
-            placed = self.state.random.sample(placed, size)
+        peers, random = self.state.known_nodes - 1, self.state.random
+        placed = compared_engines(left, is_short(profile, prompt), peers, random)
         engines = tuple(
             EngineChoice(
                 entry.instance,
@@ -136,20 +133,18 @@
         )
         placement = place_prompt(profile, engines, prompt)
         if isinstance(placement, Placement):
-            return self._choice(placement, prompt, now_s)
+            return self._choice(placement, prompt)
         return placement
 
-    def _choice(self, placement: Placement, prompt: Prompt, now_s: float) -> Choice:
+    def _choice(self, placement: Placement, prompt: Prompt) -> Choice:
         known = self.state.directory.by_instance
-        readers = (placement.instance, *placement.helpers)
-        waiting_s = max(self.state.load.load(r, now_s).reading_s for r in readers)
         held = sum(holding.tokens for holding in placement.holdings)
         return Choice(
             known[placement.instance],
             tuple(known[instance] for instance in placement.helpers),
             placement.part_s,
             placement.pass_s,
-            waiting_s,
+            placement.waiting_s,
             placement.is_long,
             prompt.size() - held,
             placement.holdings,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
@@ -186,7 +186,7 @@
         listed = self.serving.directory.by_instance
         self.writer.post(UpstreamListSection(dict(listed), version))
         self.serving.load.forget_all_but(listed)
-        self.serving.health.forget_all_but(frozenset(listed))
+        self.serving.health.forget_all_but(listed)
 
 
 class NodeFollower(Service):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -1,6 +1,7 @@
 """Exchange of load between nodes, by small datagrams that may be lost."""
 
 from asyncio import DatagramProtocol, DatagramTransport, get_running_loop
+from dataclasses import replace
 from typing import Any
 
 from mode import Service
@@ -62,15 +63,13 @@
         if not is_urgent and now_s - self.told_s < pause_s * TIMER_SLACK:
             return
         news = load.news()
-        crashes = self.serving.crashes.news(now_s)
         self.told_s, self.told_open = now_s, dict(load.own)
         message = encode(
-            LoadNews(
-                news.node,
-                news.readings[-MAX_READINGS:],
-                news.read[-MAX_READINGS:],
-                news.open_work,
-                crashes,
+            replace(
+                news,
+                readings=news.readings[-MAX_READINGS:],
+                read=news.read[-MAX_READINGS:],
+                crashes=self.serving.crashes.news(now_s),
             )
         )
         if self.transport is not None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_job.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_job.py
@@ -1,6 +1,7 @@
 """One request on its way, and the caller's end of it."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Protocol
 
 from lagoonhinge_core.forwarding.crashes import digest_request
@@ -78,6 +79,7 @@
     failed_answer: tuple[AnswerHead, bytes] | None = None
     kept_lines: list["KeptLine"] = field(default_factory=list)
 
+    @cached_property
     def digest(self) -> str:
         """Return the digest of what is asked, and for whom."""
         return digest_request(self.request, self.account)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_run.py
@@ -84,16 +84,7 @@
                     self.log.tell_failure(job, "No upstream has room.", sends=job.sends)
                     return await self._give_up(job, sink, Verdict.REFUSE)
                 case TooLate(ready_s):
-                    left_s = self.log.remaining_s(job)
-                    self.log.tell_failure(
-                        job,
-                        "Too late for any upstream.",
-                        ready_s=ready_s,
-                        remaining_s=left_s,
-                    )
-                    # To come back within the time that is left would be in vain.
-                    after_s = max(left_s, SHORT_RETRY_AFTER_S)
-                    return await self._give_up(job, sink, Verdict.REFUSE, after_s)
+                    return await self._give_up_late(job, sink, ready_s)
             sent = await self.sender.send(
                 job, choice, sink, partial(self._may_move, job, choice)
             )
@@ -156,7 +147,7 @@
             case Lost():
                 result = "lost"
                 job.runs += 1
-                self.state.crashes.broke_off(job.digest(), instance, now_s)
+                self.state.crashes.broke_off(job.digest, instance, now_s)
                 self.state.health.lost(instance, now_s)
             case Failed():
                 result = "failed"
@@ -191,7 +182,7 @@
         crashes = self.state.crashes
         if crashes.is_empty() or not job.runs:
             return False
-        return not crashes.may_send_again(job.digest(), self.state.clock())
+        return not crashes.may_send_again(job.digest, self.state.clock())
 
     def _count_send(self, choice: Choice, result: str) -> None:
         is_near = "yes" if choice.upstream.zone == self.state.zone else "no"
@@ -207,6 +198,15 @@
                 self.state.health.lost(upstream.instance, now_s)
                 job.blamed += upstream is not choice.upstream
 
+    async def _give_up_late(self, job: Job, sink: CallerSink, ready_s: float) -> str:
+        left_s = self.log.remaining_s(job)
+        self.log.tell_failure(
+            job, "Too late for any upstream.", ready_s=ready_s, remaining_s=left_s
+        )
+        # To come back within the time that is left would be in vain.
+        after_s = max(left_s, SHORT_RETRY_AFTER_S)
+        return await self._give_up(job, sink, Verdict.REFUSE, after_s)
+
     async def _give_up(
         self,
         job: Job,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/sending.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/sending.py
@@ -267,7 +267,7 @@
         instance = send.choice.upstream.instance
         self.state.health.answered(instance, False, self.state.clock())
         if not self.state.crashes.is_empty():
-            self.state.crashes.answered(send.job.digest())
+            self.state.crashes.answered(send.job.digest)
 
     def _note_first_event(self, send: Send, sentence: str) -> None:
         """Count the prompt as read."""
