A node whose store has no configuration is not ready

Cause: an answer of the store without a configuration counted as a confirmation, so the node said that it was ready and refused callers with 503 'no configuration' until the operator's row came. Ruled out: memory orders, placement, starvation of the stand-ins. Change: only a known configuration is confirmed. The scenario 'A node is ready only once it knows a configuration' failed first.

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -108,6 +108,11 @@
     Then it gets status 503, and no worker ran it
     And it is told when to come back
 
+  Scenario: A node is ready only once it knows a configuration
+    Given a node on the platform whose store has no configuration
+    Then it is not ready within a second
+    And it is ready soon after a configuration is written
+
   Scenario Outline: A prompt over one engine's memory is held by several
     Given a node on the platform with four workers for models
     When a client sends a prompt of <tokens> tokens <when>
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -81,6 +81,20 @@
     context.fleet.wait_listening(context.node)
 
 
+@then("it is not ready within a second")
+def step_not_ready(context):
+    until_s = monotonic() + 1.0
+    while monotonic() < until_s:
+        assert not context.fleet.is_ready(context.node), context.node.log.read_text()
+        sleep(0.05)
+
+
+@then("it is ready soon after a configuration is written")
+def step_ready_after(context):
+    context.fleet.put_config()
+    context.fleet.wait_ready(context.node)
+
+
 @when("a client sends {method} {target} with {change}")
 def step_send_changed(context, method, target, change):
     context.sent = (method, target, BODIES.get(change, b""))
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/followers.py
@@ -84,7 +84,9 @@
                 version=config.version,
                 accounts=len(config.accounts),
             )
-        if not self.serving.board.read(SiteConfigSection).fault:
+        section = self.serving.board.read(SiteConfigSection)
+        # A store without a configuration confirms none.
+        if section.config is not None and not section.fault:
             self.serving.freshness.confirm(confirmed_s)
 
 
