One node of each zone watches the store and passes its news on

Change: news of the three tables goes out in datagrams within a zone, with versions and the time of the store's clock; a node reads the store itself when the last known state is older than a random share of the time in force. While the store fails, the nodes of a zone take turns.

--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -17,7 +17,7 @@
 from lagoonhinge_platform import names
 from lagoonhinge_platform.headers import PlatformHeaders
 from lagoonhinge_platform.settings import parse_settings
-from lagoonhinge_platform.site_rows import StoreRow, decode_config, decode_upstream
+from lagoonhinge_platform.site_rows import PlatformRows, StoreRow, table_row
 
 ROOT = Path(__file__).parents[2]
 SETTINGS = {
@@ -115,7 +115,7 @@
             fields = {**WORKER_ENTRY, **WORKER_ENTRY_CHANGES[change]}
             kept = {key: value for key, value in fields.items() if value is not None}
             value = b64encode(json.encode(kept)).decode()
-    context.upstream = decode_upstream(StoreRow("i-1", value, 7))
+    context.upstream = PlatformRows().upstream(table_row(StoreRow("i-1", value, 7)))
 
 
 @then("the entry yields {result}")
@@ -143,7 +143,7 @@
         case _:
             text["version"] = "seven"
     value = b64encode(json.encode(text)).decode()
-    context.result = decode_config(StoreRow("config", value, 7))
+    context.result = PlatformRows().config(table_row(StoreRow("config", value, 7)))
 
 
 @then('the configuration is refused with "{reason}"')
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_store.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_store.py
@@ -1,9 +1,11 @@
 """Interface to the platform's store, for what a node reads and announces there."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Generic, Protocol, TypeVar
 
-from returns.result import Result
+from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.forwarding.site_config import SiteConfig
 from lagoonhinge_core.forwarding.upstreams import Upstream
@@ -28,6 +30,14 @@
     zone: str
 
 
+class StoreTable(Enum):
+    """Tables of the store that every node follows."""
+
+    CONFIG = "config"
+    UPSTREAMS = "upstreams"
+    NODES = "nodes"
+
+
 @dataclass(frozen=True)
 class StoreFault:
     """A call to the store that failed or got an invalid answer."""
@@ -40,6 +50,36 @@
     """The store no longer has the requested changes; everything must be read again."""
 
 
+@dataclass(frozen=True)
+class TableRow:
+    """A row of a table.
+
+    Attributes:
+        key: Key of the row.
+        value: Its value, not decoded; `None` if the row was removed.
+        version: Version of the store at which the row was written.
+    """
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@dataclass(frozen=True)
+class TableChanges:
+    """Rows of a table that were read together.
+
+    Attributes:
+        rows: The last state of each changed row; all rows if everything was read.
+        version: Version of the store up to which the rows are complete.
+        store_time_s: Time of the store's clock at which they were, in seconds.
+    """
+
+    rows: tuple[TableRow, ...]
+    version: int
+    store_time_s: float
+
+
 @dataclass(frozen=True)
 class ConfigUpdate:
     """The configuration, if it changed.
@@ -47,12 +87,10 @@
     Attributes:
         config: The newest configuration; `None` if there is no change or none exists.
         fault: Why the newest configuration is unusable; empty if it is usable.
-        version: Version of the store's rows up to which the update is complete.
     """
 
     config: SiteConfig | None
-    fault: str
-    version: int
+    fault: str = ""
 
 
 @dataclass(frozen=True)
@@ -62,36 +100,68 @@
     Attributes:
         changed: New and changed entries; all of them if everything was read.
         removed: Names of entries that are no longer listed or are unusable.
-        version: Version of the store's rows up to which the update is complete.
     """
 
     changed: tuple[EntryT, ...]
     removed: tuple[str, ...]
-    version: int
 
 
-class SiteStore(Protocol):
-    """Store of the platform, as far as a node needs it.
+def config_update(
+    rows: tuple[TableRow, ...],
+    decode_config: Callable[[TableRow], Result[SiteConfig, str]],
+) -> ConfigUpdate:
+    """Return the newest configuration in the rows of its table."""
+    present = [row for row in rows if row.value is not None]
+    if not present:
+        return ConfigUpdate(None)
+    match decode_config(max(present, key=lambda row: row.version)):
+        case Success(config):
+            return ConfigUpdate(config)
+        case Failure(reason):
+            return ConfigUpdate(None, reason)
+    raise AssertionError("not a result")
 
-    Each read method returns everything if `after` is `None`. Otherwise it returns the
-    changes after that version, as soon as there are any and after `wait_s` seconds at
-    the latest.
-    """
 
-    async def read_config(
-        self, after: int | None, wait_s: float
-    ) -> Result[ConfigUpdate, StoreFault | HistoryLost]:
-        """Return the configuration."""
+def list_update(
+    rows: tuple[TableRow, ...], decode_entry: Callable[[TableRow], EntryT | None]
+) -> ListUpdate[EntryT]:
+    """Return the changes of a list in the rows of its table."""
+    entries = {
+        row.key: None if row.value is None else decode_entry(row) for row in rows
+    }
+    return ListUpdate(
+        tuple(entry for entry in entries.values() if entry is not None),
+        tuple(key for key, entry in entries.items() if entry is None),
+    )
+
+
+class RowDecoder(Protocol):
+    """Translation of the store's rows."""
+
+    def config(self, row: TableRow) -> Result[SiteConfig, str]:
+        """Return the configuration in a row, or why it is unusable."""
 
-    async def read_upstreams(
-        self, after: int | None, wait_s: float
-    ) -> Result[ListUpdate[Upstream], StoreFault | HistoryLost]:
-        """Return the listed upstreams."""
+    def upstream(self, row: TableRow) -> Upstream | None:
+        """Return the upstream in a row, or `None` if there is no usable one."""
 
-    async def read_nodes(
-        self, after: int | None, wait_s: float
-    ) -> Result[ListUpdate[NodeEntry], StoreFault | HistoryLost]:
-        """Return the announced nodes."""
+    def node(self, row: TableRow) -> NodeEntry | None:
+        """Return the node announced in a row, or `None` if the row is invalid."""
+
+
+class SiteStore(Protocol):
+    """Store of the platform, as far as a node needs it."""
+
+    async def read_table(
+        self, table: StoreTable, after: int | None, wait_s: float
+    ) -> Result[TableChanges, StoreFault | HistoryLost]:
+        """Return a table, or its changes.
+
+        Args:
+            table: The table.
+            after: Version after which changes are returned, as soon as there are any;
+                `None` for all rows.
+            wait_s: Time to wait for a change, in seconds.
+        """
 
     async def announce(self, entry: NodeEntry) -> Result[None, StoreFault]:
         """Announce this node to the other nodes; may be repeated."""
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/watch_role.py
@@ -0,0 +1,130 @@
+"""Which nodes of an availability zone read the platform's store.
+
+Calls to the store are limited and priced, so one node of each zone watches it and
+passes its news on to the others. Any node can take over: one that has not heard of a
+recent state of the store for a random time reads it itself, and its news keeps the
+others from doing the same. While the store fails, the nodes of a zone take turns in
+the same way, so that the rate of calls does not grow with their number.
+
+There is no election and nothing to agree on. Two nodes that watch at the same time
+cost calls and nothing else, and the one that is later in a shared order stops.
+"""
+
+from dataclasses import dataclass
+from hashlib import blake2b
+from random import Random
+
+# Shares of the time within which a change must be in force everywhere.
+POLL_SHARE = 0.3
+LEAST_PATIENCE_SHARE = 0.5  # three pieces of news may be lost or late
+MOST_PATIENCE_SHARE = 0.8  # leaves time to read the change and apply it
+NEWS_PER_POLL = 2
+FAILED_CALLS_PER_S = 4.0  # of all nodes of a zone together, while the store fails
+LEAST_RETRY_SPREAD_S = 0.5  # a quarter of the shortest time in force
+MOST_RETRY_SPREAD_S = 3.0  # a node that hears no other one retries within this time
+
+
+@dataclass(frozen=True)
+class WatchTimes:
+    """Times of the watch, in seconds.
+
+    Attributes:
+        poll_s: Wait of each call for a change of the configuration.
+        news_s: Interval between news for the other nodes.
+        least_patience_s: Least age of the last known state at which a node reads the
+            store itself.
+        most_patience_s: Greatest such age.
+    """
+
+    poll_s: float
+    news_s: float
+    least_patience_s: float
+    most_patience_s: float
+
+
+def watch_times(in_force_s: float) -> WatchTimes:
+    """Return the times with which a change is in force everywhere within a bound.
+
+    Args:
+        in_force_s: The bound, in seconds.
+    """
+    return WatchTimes(
+        POLL_SHARE * in_force_s,
+        POLL_SHARE * in_force_s / NEWS_PER_POLL,
+        LEAST_PATIENCE_SHARE * in_force_s,
+        MOST_PATIENCE_SHARE * in_force_s,
+    )
+
+
+def watch_rank(node: str) -> bytes:
+    """Return the position of a node in the order that all nodes share."""
+    return blake2b(node.encode(), digest_size=8).digest()
+
+
+def retry_spread_s(zone_nodes: int) -> float:
+    """Return the time over which the nodes of a zone spread calls to a failed store.
+
+    Args:
+        zone_nodes: Listed nodes of the zone.
+    """
+    spread_s = zone_nodes / FAILED_CALLS_PER_S
+    return min(MOST_RETRY_SPREAD_S, max(LEAST_RETRY_SPREAD_S, spread_s))
+
+
+class WatchRole:
+    """Decides when one node reads the store itself.
+
+    Args:
+        node: Name of the node.
+        times: Times of the watch.
+        random: Random number generator.
+    """
+
+    def __init__(self, node: str, times: WatchTimes, random: Random):
+        self.rank = watch_rank(node)
+        self.times = times
+        self.random = random
+        self.is_watching = False
+        self.known_s = float("-inf")
+        self.due_s = float("-inf")
+
+    def start_watching(self) -> None:
+        """Record that this node watches the store from now on."""
+        self.is_watching = True
+
+    def record_state(self, known_s: float) -> None:
+        """Record that the node holds the store's state of a time, in seconds."""
+        if known_s > self.known_s:
+            self.known_s = known_s
+            self.due_s = known_s + self._patience_s()
+
+    def record_news(self, sender: str, known_s: float) -> None:
+        """Record news of a node that watches the store.
+
+        Args:
+            sender: Name of that node.
+            known_s: Time of the state that it passed on, in seconds.
+        """
+        lead_s = known_s - self.known_s
+        self.record_state(known_s)
+        is_earlier = watch_rank(sender) < self.rank
+        # A watcher that is cut off from the store stops for any other one.
+        margin_s = self.times.least_patience_s
+        if lead_s > margin_s or (is_earlier and lead_s > -margin_s):
+            self.is_watching = False
+
+    def record_peer_failure(self, now_s: float, zone_nodes: int) -> None:
+        """Record that a call of another node of the zone failed."""
+        spread_s = retry_spread_s(zone_nodes)
+        self.due_s = max(self.due_s, now_s + self.random.uniform(0.0, spread_s))
+
+    def record_failure(self, now_s: float, zone_nodes: int) -> None:
+        """Record that a call of this node failed."""
+        self.is_watching = False
+        spread_s = retry_spread_s(zone_nodes)
+        self.due_s = now_s + self.random.uniform(0.0, spread_s)
+
+    def _patience_s(self) -> float:
+        return self.random.uniform(
+            self.times.least_patience_s, self.times.most_patience_s
+        )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/board_sections.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/board_sections.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True)
 class SiteConfigSection:
-    """The configuration in force; written by the configuration watcher.
+    """The configuration in force; written by the configuration controller.
 
     Attributes:
         config: The configuration; `None` before the first one.
@@ -24,19 +24,13 @@
 
 @dataclass(frozen=True)
 class UpstreamListSection:
-    """Listed upstreams; written by the upstream watcher.
-
-    Attributes:
-        upstreams: By instance.
-        version: Version of the store's rows up to which the list is complete.
-    """
+    """Listed upstreams by instance; written by the upstream controller."""
 
     upstreams: dict[str, Upstream] = field(default_factory=dict)
-    version: int = 0
 
 
 @dataclass(frozen=True)
 class NodeListSection:
-    """Announced nodes by name; written by the node watcher."""
+    """Announced nodes by name; written by the node controller."""
 
     nodes: dict[str, NodeEntry] = field(default_factory=dict)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
@@ -14,7 +14,8 @@
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.forwarding.freshness import Freshness, Staleness
 from lagoonhinge_core.forwarding.messages import EngineMemory, HeaderCodec
-from lagoonhinge_core.forwarding.site_store import NodeEntry, SiteStore
+from lagoonhinge_core.forwarding.site_store import NodeEntry, RowDecoder, SiteStore
+from lagoonhinge_core.forwarding.watch_role import watch_times
 from lagoonhinge_http.session import open_session
 from lagoonhinge_node.addresses import Address
 from lagoonhinge_node.forwarding.attempt_sender import AttemptSender
@@ -22,6 +23,7 @@
 from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.load_exchange import LoadExchange
 from lagoonhinge_node.forwarding.operator_interface import OperatorInterface
+from lagoonhinge_node.forwarding.peer_messages import PeerSocket
 from lagoonhinge_node.forwarding.reachability import ReachabilityController
 from lagoonhinge_node.forwarding.request_context import RequestLog
 from lagoonhinge_node.forwarding.request_runner import RequestRunner
@@ -32,11 +34,12 @@
     ReadSettings,
     SettingsController,
 )
-from lagoonhinge_node.forwarding.store_watchers import (
-    ConfigWatcher,
-    NodeWatcher,
-    UpstreamWatcher,
+from lagoonhinge_node.forwarding.site_controllers import (
+    ConfigController,
+    NodeController,
+    UpstreamController,
 )
+from lagoonhinge_node.forwarding.store_watch import StoreWatch
 from lagoonhinge_node.forwarding.upstream_choice import UpstreamChooser
 from lagoonhinge_node.forwarding.upstream_client import (
     UpstreamClient,
@@ -65,6 +68,7 @@
         readiness: Listening address for readiness checks.
         readiness_path: Path of readiness checks.
         metrics: Listening address for metrics and the state dump.
+        in_force_s: Time within which a change must be in force, in seconds.
         live: Settings that may change while the node runs.
     """
 
@@ -73,6 +77,7 @@
     readiness: Address
     readiness_path: str
     metrics: Address
+    in_force_s: float
     live: LiveSettings
 
 
@@ -82,12 +87,14 @@
 
     Attributes:
         codec: Translation of headers.
+        decoder: Translation of the store's rows.
         open_store: Create the client of the platform's store on a session.
         open_memory: Create the client for memory reservations on engines on a session.
         read_settings: Read the settings again.
     """
 
     codec: HeaderCodec
+    decoder: RowDecoder
     open_store: Callable[[ClientSession], SiteStore]
     open_memory: Callable[[ClientSession], EngineMemory]
     read_settings: ReadSettings
@@ -125,15 +132,29 @@
             settings.entry.zone,
         )
         store = self.adapters.open_store(self._register_session(open_session()))
-        exchange = LoadExchange(self.serving, settings.entry)
+        socket = PeerSocket(settings.entry)
+        exchange = LoadExchange(self.serving, socket)
+        decoder = self.adapters.decoder
+        upstreams = UpstreamController(self.serving, decoder)
+        watch = StoreWatch(
+            self.serving,
+            store,
+            settings.entry,
+            socket,
+            watch_times(settings.in_force_s),
+            ConfigController(self.serving, decoder),
+            upstreams,
+            NodeController(self.serving, decoder, settings.entry, exchange.set_peers),
+        )
+        socket.handlers += [exchange.receive, watch.receive]
         self.settings_controller = SettingsController(
             self.serving, self.adapters.read_settings, settings.live
         )
         return [
-            ConfigWatcher(self.serving, store),
-            UpstreamWatcher(self.serving, store),
+            socket,
+            watch,
+            upstreams,
             exchange,
-            NodeWatcher(self.serving, store, settings.entry, exchange.set_peers),
             ReachabilityController(self.serving),
             self.settings_controller,
         ]
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -1,6 +1,6 @@
 """State shared by all requests of a node: upstreams, retry budgets, clock."""
 
-from asyncio import Event, Task, create_task
+from asyncio import Task, create_task
 from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Any
@@ -11,6 +11,7 @@
 from lagoonhinge_core.forwarding.health import HealthTracker
 from lagoonhinge_core.forwarding.load_tracker import LoadTracker
 from lagoonhinge_core.forwarding.retry_window import RetryBound, RetryWindow
+from lagoonhinge_core.forwarding.store_contact import StoreContact
 from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamDirectory
 from lagoonhinge_core.forwarding.zone_partitions import (
     ZoneObservation,
@@ -54,7 +55,7 @@
         self.crashes = CrashTracker()
         self.retry_windows: dict[str, RetryWindow] = {}
         self.node_count = 1
-        self.store_failure = Event()
+        self.store_contact = StoreContact()
         self.zone = zone
         self.zone_of_node: dict[str, str] = {}
         self.rotation_index = 0
@@ -68,11 +69,6 @@
         self.background_tasks.add(task)
         task.add_done_callback(self.background_tasks.discard)
 
-    def report_store_failure(self) -> None:
-        """End the waits for the store's changes; their connections may be lost too."""
-        self.store_failure.set()
-        self.store_failure = Event()
-
     def retry_window(self, service: str) -> RetryWindow:
         """Return the retry window of a service."""
         window = self.retry_windows.get(service)
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -0,0 +1,203 @@
+"""Controllers that apply the rows of the platform's store to the blackboard."""
+
+from collections.abc import Callable
+
+from mode import Service
+
+from lagoonhinge_core.forwarding.site_store import (
+    ConfigUpdate,
+    ListUpdate,
+    NodeEntry,
+    RowDecoder,
+    TableRow,
+    config_update,
+    list_update,
+)
+from lagoonhinge_core.forwarding.upstreams import Upstream
+from lagoonhinge_node.forwarding.board_sections import (
+    NodeListSection,
+    SiteConfigSection,
+    UpstreamListSection,
+)
+from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.logs import PartLogger
+
+
+class ConfigController:
+    """Puts the newest configuration into force.
+
+    Args:
+        serving: State shared by all requests.
+        decoder: Translation of the store's rows.
+    """
+
+    def __init__(self, serving: ServingState, decoder: RowDecoder):
+        self.serving = serving
+        self.decoder = decoder
+        self.log_part = PartLogger("config")
+        self.writer = serving.board.writer(SiteConfigSection(), "config controller")
+
+    def apply(self, rows: tuple[TableRow, ...]) -> None:
+        """Apply rows of the configuration's table."""
+        update = config_update(rows, self.decoder.config)
+        section = self.serving.board.read(SiteConfigSection)
+        if update.fault:
+            self.log_part.error(
+                "Ignored an unusable configuration.",
+                reason=update.fault,
+            )
+            self.writer.post(
+                SiteConfigSection(section.config, update.fault, section.adopted_s)
+            )
+            return
+        self._put_into_force(update, section)
+
+    def _put_into_force(self, update: ConfigUpdate, section: SiteConfigSection) -> None:
+        config, current = update.config, section.config
+        if config is None or (current and config.version <= current.version):
+            return
+        self.writer.post(SiteConfigSection(config, "", self.serving.clock()))
+        self.log_part.info(
+            "A configuration is in force.",
+            version=config.version,
+            accounts=len(config.accounts),
+        )
+
+    def confirm(self, known_s: float) -> None:
+        """Record that no newer configuration existed at a time, in seconds."""
+        section = self.serving.board.read(SiteConfigSection)
+        # A store without a configuration does not confirm the one in force.
+        if section.config is not None and not section.fault:
+            self.serving.freshness.confirm(known_s)
+
+
+class UpstreamController(Service):
+    """Maintains the list of upstreams.
+
+    Args:
+        serving: State shared by all requests.
+        decoder: Translation of the store's rows.
+    """
+
+    def __init__(self, serving: ServingState, decoder: RowDecoder):
+        super().__init__()
+        self.serving = serving
+        self.decoder = decoder
+        self.log_part = PartLogger("upstreams")
+        self.writer = serving.board.writer(UpstreamListSection(), "upstream controller")
+        # Upstreams removed after an outage of the store, and when the removal takes
+        # effect.
+        self.pending_removals: dict[str, float] = {}
+
+    @Service.timer(0.2)
+    async def apply_due_removals(self) -> None:
+        """Remove upstreams that did not reappear after an outage of the store."""
+        now_s = self.serving.clock()
+        due = [
+            name
+            for name, removal_due_s in self.pending_removals.items()
+            if removal_due_s <= now_s
+        ]
+        for instance in due:
+            del self.pending_removals[instance]
+            self.log_part.info(
+                "An upstream did not reappear after the outage; removed it.",
+                upstream=instance,
+            )
+            self.serving.record_exit(instance)
+        if due:
+            self.serving.directory.update((), due)
+            self._post()
+
+    def apply(self, rows: tuple[TableRow, ...], is_complete: bool) -> None:
+        """Apply rows of the upstreams' table.
+
+        Args:
+            rows: The rows.
+            is_complete: Whether these are all rows, and not changes of some.
+        """
+        update: ListUpdate[Upstream] = list_update(rows, self.decoder.upstream)
+        current = self.serving.directory.by_instance
+        removed = set(update.removed)
+        if is_complete:
+            listed = {entry.instance for entry in update.changed}
+            removed |= {name for name in current if name not in listed}
+        removed &= set(current)
+        for entry in update.changed:
+            self.pending_removals.pop(entry.instance, None)
+            self._log_change(current.get(entry.instance), entry)
+        grace_end_s = self.serving.store_contact.grace_end_s
+        if self.serving.clock() < grace_end_s:
+            for instance in removed:
+                self.pending_removals.setdefault(instance, grace_end_s)
+            removed = set()
+        for instance in removed:
+            self.log_part.info("An upstream is no longer listed.", upstream=instance)
+            self.serving.record_exit(instance)
+        self.serving.directory.update(update.changed, removed)
+        self._post()
+
+    def _log_change(self, old: Upstream | None, new: Upstream) -> None:
+        if old is None:
+            self.log_part.info(
+                "An upstream is listed.",
+                upstream=new.instance,
+                address=new.address(),
+                leaving=new.leaving,
+            )
+        elif new.leaving and not old.leaving:
+            self.log_part.info("An upstream is leaving.", upstream=new.instance)
+
+    def _post(self) -> None:
+        listed = self.serving.directory.by_instance
+        self.writer.post(UpstreamListSection(dict(listed)))
+        self.serving.load.retain_only(listed)
+        self.serving.health.retain_only(listed)
+
+
+class NodeController:
+    """Maintains the list of announced nodes.
+
+    Args:
+        serving: State shared by all requests.
+        decoder: Translation of the store's rows.
+        own_entry: This node's entry.
+        on_change: Called with the other nodes after each update.
+    """
+
+    def __init__(
+        self,
+        serving: ServingState,
+        decoder: RowDecoder,
+        own_entry: NodeEntry,
+        on_change: Callable[[list[NodeEntry]], None],
+    ):
+        self.serving = serving
+        self.decoder = decoder
+        self.own_entry = own_entry
+        self.on_change = on_change
+        self.writer = serving.board.writer(NodeListSection(), "node controller")
+
+    def apply(self, rows: tuple[TableRow, ...], is_complete: bool) -> None:
+        """Apply rows of the nodes' table.
+
+        Args:
+            rows: The rows.
+            is_complete: Whether these are all rows, and not changes of some.
+        """
+        update: ListUpdate[NodeEntry] = list_update(rows, self.decoder.node)
+        current = self.serving.board.read(NodeListSection).nodes
+        nodes = {} if is_complete else dict(current)
+        for name in update.removed:
+            nodes.pop(name, None)
+        for entry in update.changed:
+            nodes[entry.name] = entry
+        self.writer.post(NodeListSection(nodes))
+        self.serving.node_count = max(1, len(nodes))
+        self.serving.zone_of_node = {node.name: node.zone for node in nodes.values()}
+        self.on_change([n for n in nodes.values() if n.name != self.own_entry.name])
+
+    def is_announced(self) -> bool:
+        """Return whether the list has this node's entry as it is now."""
+        nodes = self.serving.board.read(NodeListSection).nodes
+        return nodes.get(self.own_entry.name) == self.own_entry
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -0,0 +1,322 @@
+"""Keeps this node's copy of the store's tables up to date.
+
+One node of each availability zone watches the store with long polls and passes on what
+it reads; the others read the store only when that news stops (see `watch_role`).
+"""
+
+from asyncio import FIRST_COMPLETED, Event, create_task, sleep, wait
+
+from mode import Service
+from returns.result import Failure, Success
+
+from lagoonhinge_core.forwarding.site_store import (
+    HistoryLost,
+    NodeEntry,
+    SiteStore,
+    StoreFault,
+    StoreTable,
+    TableChanges,
+    TableRow,
+)
+from lagoonhinge_core.forwarding.store_clock import StoreClock
+from lagoonhinge_core.forwarding.table_replica import (
+    MissingRows,
+    NewRows,
+    TableNews,
+    TableReplica,
+)
+from lagoonhinge_core.forwarding.watch_role import WatchRole, WatchTimes
+from lagoonhinge_node.forwarding.board_sections import NodeListSection
+from lagoonhinge_node.forwarding.peer_messages import (
+    MAX_DATAGRAM_BYTES,
+    PeerMessage,
+    PeerSocket,
+    StoreCallFailed,
+    StoreNews,
+    encode_message,
+)
+from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.site_controllers import (
+    ConfigController,
+    NodeController,
+    UpstreamController,
+)
+from lagoonhinge_node.logs import PartLogger
+
+UPSTREAMS_WAIT_S = 3.0
+NODES_WAIT_S = 20.0  # nodes rarely change, and a stale list only costs accuracy
+# Changes come in bursts; a pause after each update lets one call read several.
+CONFIG_PAUSE_S = 0.15  # under a tenth of the time within which a change is in force
+UPSTREAMS_PAUSE_S = 0.5  # a quarter of the time within which draining takes effect
+NODES_PAUSE_S = 3.0  # about the startup time of the whole system
+# Longest delay before a node reads rows that were too large for the news, so that not
+# all nodes read at once.
+MISSING_ROWS_SPREAD_S = 0.2  # a tenth of the time within which a change is in force
+START_RETRY_S = 0.5  # longest pause between failed calls before the first answer
+IDLE_CHECK_S = 0.05  # between checks whether this node has to read the store
+
+
+class StoreWatch(Service):
+    """Reads the tables, applies them, and exchanges news with the zone's nodes.
+
+    Args:
+        serving: State shared by all requests.
+        store: The platform's store.
+        own_entry: This node's entry.
+        socket: Sends messages to other nodes.
+        times: Times of the watch.
+        config: Applies the configuration.
+        upstreams: Applies the list of upstreams.
+        nodes: Applies the list of nodes.
+    """
+
+    def __init__(
+        self,
+        serving: ServingState,
+        store: SiteStore,
+        own_entry: NodeEntry,
+        socket: PeerSocket,
+        times: WatchTimes,
+        config: ConfigController,
+        upstreams: UpstreamController,
+        nodes: NodeController,
+    ):
+        super().__init__()
+        self.serving = serving
+        self.store = store
+        self.own_entry = own_entry
+        self.socket = socket
+        self.times = times
+        self.config = config
+        self.upstreams = upstreams
+        self.nodes = nodes
+        self.clock = StoreClock()
+        self.role = WatchRole(own_entry.name, times, serving.random)
+        self.replicas = {table: TableReplica() for table in StoreTable}
+        self.waits_s = {
+            StoreTable.CONFIG: times.poll_s,
+            StoreTable.UPSTREAMS: UPSTREAMS_WAIT_S,
+            StoreTable.NODES: NODES_WAIT_S,
+        }
+        self.pauses_s = {
+            StoreTable.CONFIG: CONFIG_PAUSE_S,
+            StoreTable.UPSTREAMS: UPSTREAMS_PAUSE_S,
+            StoreTable.NODES: NODES_PAUSE_S,
+        }
+        self.log_part = PartLogger("store")
+        self.failures = 0
+        self.calls = 0
+        self.last_news_s = float("-inf")
+        self.stopped_watching = Event()
+        self.incomplete: set[StoreTable] = set()
+
+    @Service.task
+    async def run(self) -> None:
+        """Read all tables, then follow them."""
+        for table in (StoreTable.CONFIG, StoreTable.UPSTREAMS, StoreTable.NODES):
+            while not await self._read(table, 0.0):
+                await sleep(START_RETRY_S * self.serving.random.random())
+        while not self.should_stop:
+            if self.serving.clock() < self.role.due_s:
+                await sleep(IDLE_CHECK_S)
+            elif await self._read(StoreTable.CONFIG, 0.0):
+                await self._watch()
+            else:
+                self._record_failure()
+
+    @Service.task
+    async def announce(self) -> None:
+        """Write this node's entry unless the store has it."""
+        while self.replicas[StoreTable.NODES].version is None:
+            await sleep(IDLE_CHECK_S)
+        while not self.nodes.is_announced() and not self.should_stop:
+            self.calls += 1
+            match await self.store.announce(self.own_entry):
+                case Success(_):
+                    return
+                case Failure(fault):
+                    self._log_fault(fault)
+                    await sleep(START_RETRY_S * self.serving.random.random())
+
+    @Service.task
+    async def read_missing_rows(self) -> None:
+        """Read tables of which the news was incomplete."""
+        while not self.should_stop:
+            await sleep(IDLE_CHECK_S)
+            if not self.incomplete:
+                continue
+            await sleep(self.serving.random.uniform(0.0, MISSING_ROWS_SPREAD_S))
+            for table in tuple(self.incomplete):
+                self.incomplete.discard(table)
+                await self._read(table, 0.0)
+
+    async def _watch(self) -> None:
+        """Follow all tables until a call fails or another node does it."""
+        self.role.start_watching()
+        self.stopped_watching.clear()
+        self.log_part.info("Watching the store for the zone.")
+        polls = [create_task(self._poll(table)) for table in StoreTable]
+        news = create_task(self._send_news_regularly())
+        stopped = create_task(self.stopped_watching.wait())
+        tasks = {*polls, news, stopped}
+        try:
+            await wait(tasks, return_when=FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+        if any(task.done() and not task.cancelled() for task in polls):
+            self._record_failure()
+        self.log_part.info("Stopped watching the store.", failures=self.failures)
+
+    async def _poll(self, table: StoreTable) -> None:
+        """Read the changes of one table until a call fails."""
+        while True:
+            before = self.replicas[table].version
+            if not await self._read(table, self.waits_s[table]):
+                return
+            if self.replicas[table].recent:
+                self.send_news()
+            if self.replicas[table].version != before:
+                await sleep(self.pauses_s[table])
+
+    async def _send_news_regularly(self) -> None:
+        while True:
+            self.send_news()
+            await sleep(self.times.news_s)
+
+    async def _read(self, table: StoreTable, wait_s: float) -> bool:
+        """Read a table or its changes and apply them; return whether that worked."""
+        replica = self.replicas[table]
+        while True:
+            after, requested_s = replica.version, self.serving.clock()
+            self.calls += 1
+            result = await self.store.read_table(table, after, wait_s)
+            match result:
+                case Success(changes):
+                    self._record_answer(requested_s, changes)
+                    rows = replica.record_read(after, changes, self.serving.clock())
+                    is_stale = after is None and replica.version != changes.version
+                    if not is_stale and (rows or after is None):
+                        self._apply(table, rows, after is None)
+                    if table is StoreTable.CONFIG:
+                        self._confirm_config(changes.store_time_s)
+                    return True
+                case Failure(HistoryLost()):
+                    self.log_part.info(
+                        "The store no longer has the history; reading all rows.",
+                        table=table.value,
+                    )
+                    replica.version = None
+                case Failure(fault):
+                    self._log_fault(fault)
+                    return False
+
+    def _record_answer(self, requested_s: float, changes: TableChanges) -> None:
+        now_s = self.serving.clock()
+        self.clock.observe(requested_s, now_s, changes.store_time_s)
+        self.serving.store_contact.record_answer(now_s)
+        if self.failures:
+            self.log_part.info("The store answers again.", failures=self.failures)
+        self.failures = 0
+
+    def _log_fault(self, fault: StoreFault | HistoryLost) -> None:
+        self.failures += 1
+        self.serving.store_contact.record_failure()
+        if self.failures == 1:
+            self.log_part.warning(
+                "A call to the store failed; retrying.", reason=repr(fault)
+            )
+
+    def _record_failure(self) -> None:
+        zone_peers = self._zone_peers()
+        self.role.record_failure(self.serving.clock(), len(zone_peers) + 1)
+        notice = PeerMessage(call_failed=StoreCallFailed(self.own_entry.name))
+        self.socket.send(encode_message(notice), zone_peers)
+
+    def _apply(
+        self, table: StoreTable, rows: tuple[TableRow, ...], is_complete: bool
+    ) -> None:
+        match table:
+            case StoreTable.CONFIG:
+                self.config.apply(rows)
+            case StoreTable.UPSTREAMS:
+                self.upstreams.apply(rows, is_complete)
+            case StoreTable.NODES:
+                self.nodes.apply(rows, is_complete)
+
+    def _zone_peers(self) -> list[tuple[str, int]]:
+        nodes = self.serving.board.read(NodeListSection).nodes.values()
+        return [
+            (node.host, node.port)
+            for node in nodes
+            if node.zone == self.own_entry.zone and node.name != self.own_entry.name
+        ]
+
+    def send_news(self) -> None:
+        """Send the state of all tables to the other nodes of the zone."""
+        now_s = self.serving.clock()
+        tables = tuple(
+            replica.news(table.value, now_s) for table, replica in self.replicas.items()
+        )
+        data = self._encode_news(tables)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            data = self._encode_news(
+                tuple(
+                    TableNews(news.table, news.version, news.version, news.store_time_s)
+                    for news in tables
+                )
+            )
+        self.socket.send(data, self._zone_peers())
+
+    def _encode_news(self, tables: tuple[TableNews, ...]) -> bytes:
+        news = StoreNews(self.own_entry.name, tables)
+        return encode_message(PeerMessage(news=news))
+
+    def receive(self, message: PeerMessage) -> None:
+        """Apply a message of another node."""
+        if message.news is not None:
+            self._receive_news(message.news)
+        if message.call_failed is not None:
+            zone_nodes = len(self._zone_peers()) + 1
+            self.serving.store_contact.record_failure()
+            self.role.record_peer_failure(self.serving.clock(), zone_nodes)
+
+    def _receive_news(self, news: StoreNews) -> None:
+        names = {table.value: table for table in StoreTable}
+        for table_news in news.tables:
+            table = names.get(table_news.table)
+            if table is not None:
+                self._merge(news.node, table, table_news)
+
+    def _merge(self, sender: str, table: StoreTable, news: TableNews) -> None:
+        now_s = self.serving.clock()
+        if self.clock.local_s(news.store_time_s, now_s) is None:
+            return
+        match self.replicas[table].merge(news, now_s):
+            case MissingRows():
+                if self.replicas[table].version is not None:
+                    self.incomplete.add(table)
+                return
+            case NewRows(rows):
+                self._apply(table, rows, False)
+        if table is StoreTable.CONFIG:
+            self._record_news(sender, news.store_time_s)
+
+    def _confirm_config(self, store_time_s: float) -> None:
+        """Record that no newer configuration existed at a time of the store."""
+        known_s = self.clock.local_s(store_time_s, self.serving.clock())
+        if known_s is not None:
+            self.config.confirm(known_s)
+            self.role.record_state(known_s)
+
+    def _record_news(self, sender: str, store_time_s: float) -> None:
+        now_s = self.serving.clock()
+        known_s = self.clock.local_s(store_time_s, now_s)
+        if known_s is None:
+            return
+        if known_s > self.role.known_s:
+            self.serving.store_contact.record_answer(now_s)
+        self.config.confirm(known_s)
+        self.role.record_news(sender, known_s)
+        if not self.role.is_watching:
+            self.stopped_watching.set()
