News of the store is compared by digests of the rows' versions

A refused half of a zone delayed a change beyond two seconds when early failures already spread the calls over seconds. Tests: feature store_watch, the product's watch in virtual time under lost and late messages, stopped, refused and silenced watchers, and outages; both faults failed there.

--- /dev/null
+++ b/features/steps/store_watch_steps.py
@@ -0,0 +1,273 @@
+"""Steps about the news of the store within a zone."""
+
+from asyncio import sleep
+from random import Random
+from zlib import compress
+
+from behave import given, then, when
+
+from features.support.virtual_time import VirtualLoop
+from features.support.watch_fleet import IN_FORCE_S, WatchFleet
+from lagoonhinge_core.forwarding.site_store import StoreTable
+from lagoonhinge_core.forwarding.store_clock import StoreClock
+from lagoonhinge_core.forwarding.store_contact import StoreContact
+from lagoonhinge_node.forwarding.peer_messages import (
+    PeerMessage,
+    StoreCallFailed,
+    decode_message,
+    encode_message,
+)
+
+START_S = 3.5
+CHECK_INTERVAL_S = 0.1
+OUTAGE_S = 8.0
+
+
+def _new_fleet(context, seed: int) -> WatchFleet:
+    if hasattr(context, "loop"):
+        context.loop.close()
+    context.loop = loop = VirtualLoop()
+    context.zone = fleet = WatchFleet(loop, Random(seed))
+
+    async def start() -> None:
+        fleet.put_config(1)
+        fleet.store.write(StoreTable.UPSTREAMS, "u1", "north")
+        for number in range(context.node_count):
+            await fleet.start_node(f"n{number:02}")
+            await sleep(fleet.random.random() * 0.3 / context.node_count)
+        await sleep(START_S)
+
+    loop.run_until_complete(start())
+    return fleet
+
+
+async def _pass_time(fleet: WatchFleet, seconds: float) -> None:
+    end_s = fleet.loop.time() + seconds
+    while fleet.loop.time() < end_s:
+        await sleep(CHECK_INTERVAL_S)
+        fleet.check_confirmations()
+
+
+@given("a zone of {count:d} nodes that have started")
+def step_zone(context, count):
+    context.node_count = count
+    _new_fleet(context, 1)
+
+
+@when("{seconds:d} seconds pass with a change of the configuration each {gap:d} s")
+def step_pass(context, seconds, gap):
+    fleet = context.zone
+    context.calls_before = len(fleet.store.calls)
+    context.seconds = seconds
+
+    async def run() -> None:
+        for number in range(seconds // gap):
+            await _pass_time(fleet, gap)
+            fleet.put_config(number + 2)
+            # Changes within the pause after a change are not seen at once.
+            await _pass_time(fleet, 0.01)
+
+    context.loop.run_until_complete(run())
+
+
+@then("the zone made at most {most:d} calls a second, and one node watches the store")
+def step_call_rate(context, most):
+    calls = len(context.zone.store.calls) - context.calls_before
+    assert calls <= most * context.seconds, calls / context.seconds
+    assert len(context.zone.watchers()) == 1, context.zone.watchers()
+
+
+@given("{loss:d} of 100 messages are lost, and others are late by up to {lateness:g} s")
+def step_network(context, loss, lateness):
+    context.loss, context.lateness_s = loss / 100, lateness
+
+
+async def _apply_fault(fleet: WatchFleet, fault: str) -> None:
+    watchers = fleet.watchers()
+    match fault.split():
+        case [*_, "silent", "for", "the", "watching", "node"]:
+            fleet.store.silent.update(watchers)
+        case ["the", "store", "refuses", "the", *_]:
+            fleet.store.refused.update(watchers)
+        case ["the", "store", "refuses", "half", *_]:
+            names = sorted(fleet.watches)
+            fleet.store.refused.update(fleet.random.sample(names, len(names) // 2))
+            fleet.store.refused.update(watchers)
+        case ["the", "store", "loses", *_]:
+            fleet.store.forgets = True
+        case [*_, "stops", "just", _]:
+            for name in watchers:
+                await fleet.stop_node(name)
+
+
+@when("a configuration is written at a random moment and {fault}, for {seeds:d} seeds")
+def step_change(context, fault, seeds):
+    context.late = []
+    for seed in range(seeds):
+        fleet = _new_fleet(context, seed)
+        fleet.loss, fleet.lateness_s = context.loss, context.lateness_s
+
+        async def run(fleet=fleet, seed=seed) -> None:
+            await _pass_time(fleet, fleet.random.random() * IN_FORCE_S)
+            if not fault.endswith("after"):
+                await _apply_fault(fleet, fault)
+            fleet.put_config(2)
+            if fault.endswith("after"):
+                await _apply_fault(fleet, fault)
+            await _pass_time(fleet, IN_FORCE_S)
+            cut_off = fleet.store.refused | fleet.store.silent
+            context.late += [
+                (seed, name)
+                for name in fleet.watches
+                if fleet.config_version(name) != 2 and name not in cut_off
+            ]
+            await _pass_time(fleet, IN_FORCE_S)
+
+        context.loop.run_until_complete(run())
+
+
+@then("it is in force within two seconds at every node that reaches the store")
+def step_in_force(context):
+    assert not context.late, context.late
+
+
+@then("no node ever confirmed an older configuration after the change")
+def step_confirmations(context):
+    # Checked at each step of the virtual time.
+    context.zone.check_confirmations()
+
+
+@when("the calls of all nodes are {fault} for 8 seconds")
+def step_outage(context, fault):
+    fleet = context.zone
+    faulty = fleet.store.refused if fault == "refused" else fleet.store.silent
+    context.calls_before = len(fleet.store.calls)
+
+    async def run() -> None:
+        faulty.update(fleet.watches)
+        fleet.store.wake()
+        await _pass_time(fleet, OUTAGE_S)
+        faulty.clear()
+
+    context.loop.run_until_complete(run())
+    context.calls_after = len(fleet.store.calls)
+
+
+@then("the zone made at most {most:d} calls a second meanwhile")
+def step_failed_call_rate(context, most):
+    calls = context.calls_after - context.calls_before
+    assert calls <= most * OUTAGE_S, calls / OUTAGE_S
+
+
+@then("every node has a confirmation within a second of its return")
+def step_back(context):
+    fleet = context.zone
+    returned_s = fleet.loop.time()
+    context.loop.run_until_complete(_pass_time(fleet, 1.0))
+    late = [
+        name
+        for name, watch in fleet.watches.items()
+        if watch.serving.freshness.confirmed_s < returned_s
+    ]
+    assert not late, late
+
+
+@given("configurations 2, 3 and 4 are written, and an upstream is removed")
+def step_changes(context):
+    fleet = context.zone
+
+    async def run() -> None:
+        for version in (2, 3, 4):
+            fleet.put_config(version)
+            await _pass_time(fleet, 1.0)
+        fleet.store.write(StoreTable.UPSTREAMS, "u1", None)
+        await _pass_time(fleet, 2.0)
+
+    context.loop.run_until_complete(run())
+
+
+@when("every message so far is delivered again {order}")
+def step_replay(context, order):
+    fleet = context.zone
+    messages = list(fleet.sent_messages)
+    match order:
+        case "in reverse order":
+            messages.reverse()
+        case "in random order":
+            Random(1).shuffle(messages)
+    for data in messages:
+        for name in fleet.watches:
+            fleet.deliver(name, data)
+
+
+@then("every node has configuration {version:d} and not the upstream")
+def step_newest(context, version):
+    for name, watch in context.zone.watches.items():
+        assert context.zone.config_version(name) == version, name
+        assert not watch.serving.directory.by_instance, name
+
+
+@when("a datagram {content} is decoded")
+def step_decode(context, content):
+    message = PeerMessage(call_failed=StoreCallFailed("n" * 2000))
+    data = encode_message(message)
+    assert decode_message(data) == message
+    match content.split():
+        case ["of", "random", "bytes"]:
+            data = b"\xc1\x00\x17"
+        case ["of", "a", "number"]:
+            data = b"\x07"
+        case [*_, "truncated"]:
+            data = data[:-6]
+        case [*_, "damaged"]:
+            data = data[:-1] + bytes((data[-1] ^ 1,))
+        case _:
+            data = compress(bytes(5 << 20), 1)
+    context.error = None
+    try:
+        decode_message(data)
+    except ValueError as error:
+        context.error = str(error)
+
+
+@then('the datagram is refused with "{reason}"')
+def step_decode_error(context, reason):
+    assert context.error is not None and reason in context.error, context.error
+
+
+@given("calls to the store that took {calls}")
+def step_calls(context, calls):
+    context.clock = StoreClock()
+    if calls == "none":
+        return
+    for call in calls.split(", "):
+        times, _, store_s = call.partition(":")
+        requested_s, _, received_s = times.partition("-")
+        context.clock.observe(float(requested_s), float(received_s), float(store_s))
+
+
+@then("the store's time {store:g} is the node's time {local} at time {now:g}")
+def step_local(context, store, local, now):
+    expected = None if local == "unknown" else float(local)
+    assert context.clock.local_s(store, now) == expected, context.clock
+
+
+@given("the store answered {answers}")
+def step_answered(context, answers):
+    context.contact = StoreContact()
+    if answers != "not yet":
+        context.contact.record_answer(float(answers.split()[1]))
+
+
+@when("a call {failure}, and the store answers again at {again:g} s")
+def step_answers_again(context, failure, again):
+    if failure == "fails":
+        context.contact.record_failure()
+    context.again_s = again
+    context.contact.record_answer(again)
+
+
+@then("missing entries are kept for {grace:g} s from then on")
+def step_grace(context, grace):
+    kept_s = max(0.0, context.contact.grace_end_s - context.again_s)
+    assert round(kept_s, 6) == grace, kept_s
--- /dev/null
+++ b/features/store_watch.feature
@@ -0,0 +1,101 @@
+Feature: One node of a zone reads the store, and the others hear from it
+
+  Scenario Outline: Calls to the store do not grow with the nodes of a zone
+    Given a zone of <nodes> nodes that have started
+    When 20 seconds pass with a change of the configuration each 5 s
+    Then the zone made at most 3 calls a second, and one node watches the store
+
+    Examples:
+      | nodes |
+      | 1     |
+      | 3     |
+      | 13    |
+      | 39    |
+
+  Scenario Outline: A change is in force at every node within the bound
+    Given a zone of <nodes> nodes that have started
+    And <loss> of 100 messages are lost, and others are late by up to <lateness> s
+    When a configuration is written at a random moment and <fault>, for 4 seeds
+    Then it is in force within two seconds at every node that reaches the store
+    And no node ever confirmed an older configuration after the change
+
+    Examples:
+      | nodes | loss | lateness | fault                                          |
+      | 1     | 0    | 0        | nothing fails                                  |
+      | 3     | 0    | 0        | nothing fails                                  |
+      | 39    | 0    | 0        | nothing fails                                  |
+      | 39    | 30   | 0        | nothing fails                                  |
+      | 13    | 0    | 3        | nothing fails                                  |
+      | 39    | 100  | 0        | nothing fails                                  |
+      | 3     | 0    | 0        | the watching node stops just before            |
+      | 39    | 0    | 0        | the watching node stops just before            |
+      | 3     | 0    | 0        | the watching node stops just after             |
+      | 39    | 5    | 0.1      | the watching node stops just after             |
+      | 3     | 0    | 0        | the store is silent for the watching node      |
+      | 39    | 0    | 0        | the store is silent for the watching node      |
+      | 39    | 0    | 0        | the store refuses the watching node            |
+      | 39    | 0    | 0        | the store refuses half of the nodes            |
+      | 13    | 0    | 0        | the store loses its history                    |
+
+  Scenario Outline: While the store fails, the calls of a zone are limited
+    Given a zone of <nodes> nodes that have started
+    When the calls of all nodes are <fault> for 8 seconds
+    Then the zone made at most <most> calls a second meanwhile
+    And every node has a confirmation within a second of its return
+
+    Examples:
+      | nodes | fault   | most |
+      | 1     | refused | 6    |
+      | 3     | refused | 8    |
+      | 39    | refused | 16   |
+      | 39    | silent  | 16   |
+
+  Scenario Outline: Messages of a node can't bring back an older state
+    Given a zone of 5 nodes that have started
+    And configurations 2, 3 and 4 are written, and an upstream is removed
+    When every message so far is delivered again <order>
+    Then every node has configuration 4 and not the upstream
+
+    Examples:
+      | order            |
+      | in order         |
+      | in reverse order |
+      | in random order  |
+
+  Scenario Outline: A message that can't be read is refused
+    When a datagram <content> is decoded
+    Then the datagram is refused with "<reason>"
+
+    Examples:
+      | content                   | reason     |
+      | of random bytes           | MessagePack |
+      | of a number               | Expected   |
+      | whose data is truncated   | incomplete |
+      | whose data is damaged     | incorrect  |
+      | that unpacks to 5 MB      | too large  |
+
+  Scenario Outline: The time of the store's clock is translated to the node's
+    Given calls to the store that took <calls>
+    Then the store's time <store> is the node's time <local> at time <now>
+
+    Examples: each call as local request and answer, and the store's time
+      | calls                             | store | local   | now |
+      | none                              | 50    | unknown | 120 |
+      | 100-101:50                        | 50    | 100     | 120 |
+      | 100-101:50                        | 60    | 110     | 120 |
+      | 100-101:50                        | 75    | unknown | 120 |
+      | 100-110:50, 110-110.5:52          | 52    | 110     | 120 |
+      | 100-101:50, 110-111:900           | 900   | 110     | 120 |
+      | 100-101:50, 110-111:900           | 50    | -740    | 120 |
+
+  Scenario Outline: Missing entries are kept only after an outage
+    Given the store answered <answers>
+    When a call <failure>, and the store answers again at <again> s
+    Then missing entries are kept for <grace> s from then on
+
+    Examples:
+      | answers   | failure | again | grace |
+      | at 0 s    | fails   | 10    | 1.8   |
+      | at 0 s    | fails   | 2     | 0     |
+      | at 0 s    | works   | 10    | 0     |
+      | not yet   | fails   | 10    | 0     |
--- /dev/null
+++ b/features/support/watch_fleet.py
@@ -0,0 +1,252 @@
+"""Nodes of one zone that share the news of a store, in virtual time."""
+
+from asyncio import Event, sleep, wait_for
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from msgspec import json
+from returns.result import Failure, Result, Success
+
+from features.support.virtual_time import VirtualLoop
+from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.forwarding.freshness import Freshness, FreshnessLimits
+from lagoonhinge_core.forwarding.retry_window import RetryBound
+from lagoonhinge_core.forwarding.routes import RouteTable
+from lagoonhinge_core.forwarding.site_config import CallerLimits, SiteConfig
+from lagoonhinge_core.forwarding.site_store import (
+    HistoryLost,
+    NodeEntry,
+    StoreFault,
+    StoreTable,
+    TableChanges,
+    TableRow,
+)
+from lagoonhinge_core.forwarding.upstreams import Upstream
+from lagoonhinge_core.forwarding.watch_role import watch_times
+from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
+from lagoonhinge_node.forwarding.peer_messages import decode_message
+from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.site_controllers import (
+    ConfigController,
+    NodeController,
+    UpstreamController,
+)
+from lagoonhinge_node.forwarding.store_watch import StoreWatch
+
+IN_FORCE_S = 2.0
+ZONE = "north"
+STORE_CLOCK_S = 70_000.0  # store time minus virtual time
+STORE_DELAY_S = 0.004
+STORE_TIMEOUT_S = 0.8  # beyond the requested wait, as of the platform's client
+NETWORK_DELAY_S = 0.001
+CLOCK_PRECISION_S = 1e-6  # above the rounding of virtual time
+
+
+class FakeRows:
+    """Rows whose values are JSON: a version, an upstream's zone, or a node's port."""
+
+    def config(self, row: TableRow) -> Result[SiteConfig, str]:
+        """Return the configuration in a row."""
+        assert row.value is not None
+        version = json.decode(row.value)
+        return Success(
+            SiteConfig(version, RouteTable(()), {}, {}, CallerLimits(), True)
+        )
+
+    def upstream(self, row: TableRow) -> Upstream | None:
+        """Return the upstream in a row."""
+        return Upstream(row.key, "desk", "h", 1, ZONE, 8)
+
+    def node(self, row: TableRow) -> NodeEntry | None:
+        """Return the node in a row."""
+        assert row.value is not None
+        return NodeEntry(row.key, row.key, json.decode(row.value), ZONE)
+
+
+@dataclass
+class FakeStore:
+    """The store's tables, with faults for single nodes.
+
+    Attributes:
+        loop: Virtual time.
+        rows: Last state of each row.
+        version: Newest version.
+        refused: Nodes whose calls fail at once.
+        silent: Nodes whose calls get no answer.
+        forgets: Whether the history is discarded.
+        calls: Times of all calls.
+    """
+
+    loop: VirtualLoop
+    rows: dict[tuple[StoreTable, str], TableRow] = field(default_factory=dict)
+    version: int = 0
+    refused: set[str] = field(default_factory=set)
+    silent: set[str] = field(default_factory=set)
+    forgets: bool = False
+    calls: list[float] = field(default_factory=list)
+    changed: Event = field(default_factory=Event)
+
+    def write(self, table: StoreTable, key: str, value: object) -> None:
+        """Write a row; `None` removes it."""
+        self.version += 1
+        data = None if value is None else json.encode(value)
+        self.rows[(table, key)] = TableRow(key, data, self.version)
+        self.wake()
+
+    def wake(self) -> None:
+        """Let waiting calls look at the rows and faults again."""
+        self.changed.set()
+        self.changed = Event()
+
+    def changes(self, table: StoreTable, after: int | None) -> TableChanges:
+        """Return the rows of a table after a version, or all."""
+        rows = tuple(
+            row
+            for (name, _), row in self.rows.items()
+            if name is table
+            and (row.version > after if after is not None else row.value is not None)
+        )
+        return TableChanges(rows, self.version, self.loop.time() + STORE_CLOCK_S)
+
+
+@dataclass
+class StoreClient:
+    """One node's client of the store."""
+
+    store: FakeStore
+    node: str
+
+    async def read_table(
+        self, table: StoreTable, after: int | None, wait_s: float
+    ) -> Result[TableChanges, StoreFault | HistoryLost]:
+        """Return a table, or its changes after a version."""
+        store = self.store
+        store.calls.append(store.loop.time())
+        end_s = store.loop.time() + wait_s
+        await sleep(STORE_DELAY_S / 2)
+        while True:
+            if self.node in store.refused:
+                return Failure(StoreFault("refused"))
+            if self.node in store.silent:
+                await sleep(max(0.0, end_s + STORE_TIMEOUT_S - store.loop.time()))
+                return Failure(StoreFault("silent"))
+            if store.forgets and after is not None and after < store.version:
+                return Failure(HistoryLost())
+            changes = store.changes(table, after)
+            rest_s = end_s - store.loop.time()
+            if after is None or changes.rows or rest_s < CLOCK_PRECISION_S:
+                await sleep(STORE_DELAY_S / 2)
+                return Success(changes)
+            try:
+                await wait_for(store.changed.wait(), rest_s)
+            except TimeoutError:
+                continue
+
+    async def announce(self, entry: NodeEntry) -> Result[None, StoreFault]:
+        """Write a node's row."""
+        self.store.calls.append(self.store.loop.time())
+        if self.node in self.store.refused | self.store.silent:
+            return Failure(StoreFault("refused"))
+        self.store.write(StoreTable.NODES, entry.name, entry.port)
+        return Success(None)
+
+
+@dataclass
+class FakeSocket:
+    """One node's socket."""
+
+    fleet: "WatchFleet"
+    node: str
+
+    def send(self, data: bytes, peers: Iterable[tuple[str, int]]) -> None:
+        """Deliver a message to each peer, late or never."""
+        fleet = self.fleet
+        fleet.sent_messages.append(data)
+        for name, _ in peers:
+            if fleet.random.random() >= fleet.loss:
+                delay_s = NETWORK_DELAY_S + fleet.random.random() * fleet.lateness_s
+                fleet.loop.call_later(delay_s, fleet.deliver, name, data)
+
+
+@dataclass
+class WatchFleet:
+    """Nodes of one zone, each with the product's own watch.
+
+    Attributes:
+        loop: Virtual time.
+        random: Random numbers of network and nodes.
+        loss: Share of lost messages.
+        lateness_s: Greatest random delay of a message, in seconds.
+    """
+
+    loop: VirtualLoop
+    random: Random
+    loss: float = 0.0
+    lateness_s: float = 0.0
+    watches: dict[str, StoreWatch] = field(default_factory=dict)
+    sent_messages: list[bytes] = field(default_factory=list)
+    changed_s: dict[int, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.store = FakeStore(self.loop)
+
+    def put_config(self, version: int) -> None:
+        """Write a configuration."""
+        self.store.write(StoreTable.CONFIG, "config", version)
+        self.changed_s[version] = self.loop.time()
+
+    async def start_node(self, name: str) -> None:
+        """Start a node."""
+        serving = ServingState(
+            Blackboard(),
+            Freshness(FreshnessLimits(2.6, 4.5)),
+            RetryBound(10.0, 0.2, 100.0),
+            Random(self.random.random()),
+            self.loop.time,
+            name,
+            ZONE,
+        )
+        entry = NodeEntry(name, name, 1, ZONE)
+        rows = FakeRows()
+        upstreams = UpstreamController(serving, rows)
+        watch = StoreWatch(
+            serving,
+            StoreClient(self.store, name),
+            entry,
+            FakeSocket(self, name),
+            watch_times(IN_FORCE_S),
+            ConfigController(serving, rows),
+            upstreams,
+            NodeController(serving, rows, entry, lambda _: None),
+        )
+        self.watches[name] = watch
+        await watch.start()
+
+    async def stop_node(self, name: str) -> None:
+        """Stop a node without notice."""
+        await self.watches.pop(name).stop()
+
+    def deliver(self, name: str, data: bytes) -> None:
+        """Hand a message to a node, if it runs."""
+        if name in self.watches:
+            self.watches[name].receive(decode_message(data))
+
+    def watchers(self) -> list[str]:
+        """Return the nodes that watch the store."""
+        return [name for name, w in self.watches.items() if w.role.is_watching]
+
+    def config_version(self, name: str) -> int:
+        """Return the version of the configuration in force at a node; 0 for none."""
+        board = self.watches[name].serving.board
+        config = board.read(SiteConfigSection).config
+        return 0 if config is None else config.version
+
+    def check_confirmations(self) -> None:
+        """Check that no node confirmed a version after a newer one was written."""
+        for name, watch in self.watches.items():
+            confirmed_s = watch.serving.freshness.confirmed_s
+            version = self.config_version(name)
+            newer = [at_s for v, at_s in self.changed_s.items() if v > version]
+            if confirmed_s is not None and newer:
+                assert confirmed_s <= min(newer), (name, version, confirmed_s, newer)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/table_replica.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/table_replica.py
@@ -1,11 +1,14 @@
 """A node's copy of one table of the store, and the news of it for other nodes."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from lagoonhinge_core.forwarding.site_store import TableChanges, TableRow
 
 # Rows are repeated in the news for this time, since datagrams may be lost.
 REPEAT_S = 0.7
+DIGEST_BYTES = 8  # a wrong match of two tables is as rare as one in 2^64
 
 
 @dataclass(frozen=True)
@@ -14,16 +17,16 @@
 
     Attributes:
         table: Name of the table.
-        after: The rows are complete for a receiver that has this version.
-        version: Version up to which the rows are complete.
-        store_time_s: Time of the store's clock at which `version` was its newest state,
-            in seconds.
-        rows: Rows that changed after `after`.
+        version: Version of the store up to which the state is known.
+        digest: Digest of the versions of all rows.
+        store_time_s: Time of the store's clock at which this was the newest state, in
+            seconds.
+        rows: Rows that changed recently.
     """
 
     table: str
-    after: int
     version: int
+    digest: int
     store_time_s: float
     rows: tuple[TableRow, ...] = ()
 
@@ -42,31 +45,42 @@
 
 @dataclass(frozen=True)
 class MissingRows:
-    """Rows between the replica's version and the news are missing."""
+    """A replica lacks rows that are not in the news."""
+
+
+def _row_digest(key: str, version: int) -> int:
+    text = f"{key}\0{version}".encode()
+    return int.from_bytes(blake2b(text, digest_size=DIGEST_BYTES).digest(), "big")
 
 
 @dataclass
 class TableReplica:
-    """Version of one table at a node, and its latest rows.
+    """Versions of one table's rows at a node, and its latest rows.
 
     Versions never decrease, so late, repeated or replayed news can't bring back an
-    older row.
+    older row. Replicas are compared by the digest of their rows' versions, since the
+    store's version also grows with changes of other tables.
 
     Attributes:
-        version: Version up to which the table is known; `None` before it was read.
+        version: Version of the store up to which the table is known; `None` before it
+            was read.
         store_time_s: Time of the store's clock at which this was the newest state, in
             seconds.
-        recent: Recently changed rows by key, with the time at which they were received
-            and the version of the replica before them.
+        row_versions: Version of each row.
+        digest: Digest of these versions.
+        recent: Recently changed rows by key, with the time at which they were received,
+            in seconds.
     """
 
     version: int | None = None
     store_time_s: float = float("-inf")
-    recent: dict[str, tuple[TableRow, float, int]] = field(default_factory=dict)
+    row_versions: dict[str, int] = field(default_factory=dict)
+    digest: int = 0
+    recent: dict[str, tuple[TableRow, float]] = field(default_factory=dict)
 
     def record_read(
         self, after: int | None, changes: TableChanges, now_s: float
-    ) -> tuple[TableRow, ...]:
+    ) -> tuple[TableRow, ...] | None:
         """Record rows that were read from the store.
 
         Args:
@@ -75,19 +89,22 @@
             now_s: The time, in seconds.
 
         Returns:
-            The rows to apply: those that news has not overtaken during the call.
+            The rows to apply: those that news has not overtaken during the call; `None`
+            if news has overtaken all of it.
         """
         known = self.version if self.version is not None else -1
+        if changes.version < known:
+            return None
         if after is None:
-            # Receivers of news must not take this for a list of changes.
-            self.recent.clear()
-            rows = changes.rows if changes.version >= known else ()
+            rows = changes.rows
+            self.row_versions, self.digest = {}, 0
         else:
             rows = tuple(row for row in changes.rows if row.version > known)
-            self._remember(rows, max(after, known), now_s)
-        if changes.version >= known:
-            self.version = changes.version
-            self.store_time_s = max(self.store_time_s, changes.store_time_s)
+        self._record(rows)
+        if after is not None:
+            self._remember(rows, now_s)
+        self.version = changes.version
+        self.store_time_s = max(self.store_time_s, changes.store_time_s)
         return rows
 
     def merge(self, news: TableNews, now_s: float) -> UpToDate | NewRows | MissingRows:
@@ -96,35 +113,46 @@
         Returns:
             The rows to apply, or why there are none.
         """
-        if self.version is None or news.after > self.version:
+        if self.version is None:
             return MissingRows()
         if news.version < self.version:
             return UpToDate()
-        self.store_time_s = max(self.store_time_s, news.store_time_s)
         rows = tuple(row for row in news.rows if row.version > self.version)
-        self._remember(rows, self.version, now_s)
+        if self.digest ^ self._digest_change(rows) != news.digest:
+            return MissingRows()
+        self._record(rows)
+        self._remember(rows, now_s)
         self.version = news.version
+        self.store_time_s = max(self.store_time_s, news.store_time_s)
         return NewRows(rows) if rows else UpToDate()
 
     def news(self, table: str, now_s: float) -> TableNews:
         """Return the news of the table for other nodes."""
         assert self.version is not None
-        expired = [
-            key
-            for key, (_, received_s, _) in self.recent.items()
-            if now_s - received_s > REPEAT_S
-        ]
-        for key in expired:
-            del self.recent[key]
-        after = min((before for _, _, before in self.recent.values()), default=None)
-        return TableNews(
-            table,
-            self.version if after is None else after,
-            self.version,
-            self.store_time_s,
-            tuple(row for row, _, _ in self.recent.values()),
-        )
-
-    def _remember(self, rows: tuple[TableRow, ...], before: int, now_s: float) -> None:
+        self.recent = {
+            key: (row, received_s)
+            for key, (row, received_s) in self.recent.items()
+            if now_s - received_s <= REPEAT_S
+        }
+        rows = tuple(row for row, _ in self.recent.values())
+        return TableNews(table, self.version, self.digest, self.store_time_s, rows)
+
+    def _digest_change(self, rows: Iterable[TableRow]) -> int:
+        change = 0
+        for row in rows:
+            if row.key in self.row_versions:
+                change ^= _row_digest(row.key, self.row_versions[row.key])
+            if row.value is not None:
+                change ^= _row_digest(row.key, row.version)
+        return change
+
+    def _remember(self, rows: tuple[TableRow, ...], now_s: float) -> None:
+        self.recent.update((row.key, (row, now_s)) for row in rows)
+
+    def _record(self, rows: tuple[TableRow, ...]) -> None:
+        self.digest ^= self._digest_change(rows)
         for row in rows:
-            self.recent[row.key] = (row, now_s, before)
+            if row.value is None:
+                self.row_versions.pop(row.key, None)
+            else:
+                self.row_versions[row.key] = row.version
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/watch_role.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/watch_role.py
@@ -20,7 +20,9 @@
 MOST_PATIENCE_SHARE = 0.8  # leaves time to read the change and apply it
 NEWS_PER_POLL = 2
 FAILED_CALLS_PER_S = 4.0  # of all nodes of a zone together, while the store fails
+FAILURES_OF_OUTAGE = 8  # as many in a row are rarely faults of single nodes
 LEAST_RETRY_SPREAD_S = 0.5  # a quarter of the shortest time in force
+LEAST_RETRY_S = 0.1  # pause of a node after its own failed call
 MOST_RETRY_SPREAD_S = 3.0  # a node that hears no other one retries within this time
 
 
@@ -61,14 +63,18 @@
     return blake2b(node.encode(), digest_size=8).digest()
 
 
-def retry_spread_s(zone_nodes: int) -> float:
+def retry_spread_s(zone_nodes: int, failures: int) -> float:
     """Return the time over which the nodes of a zone spread calls to a failed store.
 
+    The first failures may concern single nodes, so the others hardly wait.
+
     Args:
         zone_nodes: Listed nodes of the zone.
+        failures: Failed calls in the zone since the last answer.
     """
     spread_s = zone_nodes / FAILED_CALLS_PER_S
-    return min(MOST_RETRY_SPREAD_S, max(LEAST_RETRY_SPREAD_S, spread_s))
+    spread_s = min(MOST_RETRY_SPREAD_S, max(LEAST_RETRY_SPREAD_S, spread_s))
+    return spread_s * min(1.0, failures / FAILURES_OF_OUTAGE)
 
 
 class WatchRole:
@@ -87,6 +93,7 @@
         self.is_watching = False
         self.known_s = float("-inf")
         self.due_s = float("-inf")
+        self.failures = 0
 
     def start_watching(self) -> None:
         """Record that this node watches the store from now on."""
@@ -95,6 +102,7 @@
     def record_state(self, known_s: float) -> None:
         """Record that the node holds the store's state of a time, in seconds."""
         if known_s > self.known_s:
+            self.failures = 0
             self.known_s = known_s
             self.due_s = known_s + self._patience_s()
 
@@ -115,14 +123,16 @@
 
     def record_peer_failure(self, now_s: float, zone_nodes: int) -> None:
         """Record that a call of another node of the zone failed."""
-        spread_s = retry_spread_s(zone_nodes)
+        self.failures += 1
+        spread_s = retry_spread_s(zone_nodes, self.failures)
         self.due_s = max(self.due_s, now_s + self.random.uniform(0.0, spread_s))
 
     def record_failure(self, now_s: float, zone_nodes: int) -> None:
         """Record that a call of this node failed."""
         self.is_watching = False
-        spread_s = retry_spread_s(zone_nodes)
-        self.due_s = now_s + self.random.uniform(0.0, spread_s)
+        self.failures += 1
+        spread_s = retry_spread_s(zone_nodes, FAILURES_OF_OUTAGE)
+        self.due_s = now_s + self.random.uniform(LEAST_RETRY_S, spread_s)
 
     def _patience_s(self) -> float:
         return self.random.uniform(
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -5,6 +5,7 @@
 """
 
 from asyncio import FIRST_COMPLETED, Event, create_task, sleep, wait
+from dataclasses import replace
 
 from mode import Service
 from returns.result import Failure, Success
@@ -195,8 +196,7 @@
                 case Success(changes):
                     self._record_answer(requested_s, changes)
                     rows = replica.record_read(after, changes, self.serving.clock())
-                    is_stale = after is None and replica.version != changes.version
-                    if not is_stale and (rows or after is None):
+                    if rows or (rows is not None and after is None):
                         self._apply(table, rows, after is None)
                     if table is StoreTable.CONFIG:
                         self._confirm_config(changes.store_time_s)
@@ -260,12 +260,7 @@
         )
         data = self._encode_news(tables)
         if len(data) > MAX_DATAGRAM_BYTES:
-            data = self._encode_news(
-                tuple(
-                    TableNews(news.table, news.version, news.version, news.store_time_s)
-                    for news in tables
-                )
-            )
+            data = self._encode_news(tuple(replace(news, rows=()) for news in tables))
         self.socket.send(data, self._zone_peers())
 
     def _encode_news(self, tables: tuple[TableNews, ...]) -> bytes:
