Cells: nodes of a zone share its engines, and know a summary of the others

Cause: with 194 peers a changed load was told every 1.2 s and an idle one every 4.8 s, beyond the 3 s after which it was dropped; nodes compared 3 of 135 engines by old loads. Change: the nodes of a zone with enough engines form a cell, tell each other every change, and place prompts on its engines; summaries of other cells come with the news of the zone's watcher, and prompts go there when the own cell is full or would miss the target. Crashes are still told to all nodes.

--- a/bench/emulate.py
+++ b/bench/emulate.py
@@ -1,6 +1,6 @@
 """Runs load patterns on emulated engines in virtual time, to compare placements."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from random import Random
 from typing import Annotated
@@ -16,12 +16,22 @@
 
 
 def run_pattern(
-    policy: Policy, pattern: str, engines: int, nodes: int, seed: int, rate: float
+    policy: Policy,
+    pattern: str,
+    engines: int,
+    nodes: int,
+    seed: int,
+    rate: float,
+    zones: int = 1,
+    zone_shares: tuple[float, ...] = (),
+    slots: int = PROFILE.slots,
 ) -> list[Outcome]:
     """Run a pattern once, and return the outcomes of its requests."""
     requests = arrivals(pattern, engines, seed, rate)
-    fleet = EmulatedFleet(PROFILE, policy, Random(seed))
-    fleet.build(engines, nodes)
+    fleet = EmulatedFleet(
+        replace(PROFILE, slots=slots), policy, Random(seed), zone_shares=zone_shares
+    )
+    fleet.build(engines, nodes, zones)
     fleet.run(requests, sum(phase.duration_s for phase in PATTERNS[pattern]) + DRAIN_S)
     return fleet.outcomes
 
--- a/bench/emulator/fleet.py
+++ b/bench/emulator/fleet.py
@@ -1,13 +1,17 @@
 """Nodes that place prompts on emulated engines and exchange delayed load updates."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from bench.emulator.clock import TimedCallback, VirtualClock
 from bench.emulator.engine import EmulatedEngine, EngineRequest
-from bench.emulator.policies import Policy, place_with_policy
+from bench.emulator.policies import Policy, PredictedCost, place_with_policy
 from bench.emulator.traffic import Arrival
-from lagoonhinge_core.forwarding.engine_sampling import sample_engines
+from lagoonhinge_core.forwarding.cells import cell_zones, count_by_zone
+from lagoonhinge_core.forwarding.engine_sampling import (
+    sample_engines,
+    sample_remote_engines,
+)
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
 from lagoonhinge_core.forwarding.load_tracker import (
     LoadTracker,
@@ -19,10 +23,13 @@
     Placement,
     Prompt,
     is_short,
+    place_long_prompt,
 )
 
 UPDATE_INTERVAL_S = 0.05  # between load updates, as of the nodes
 UPDATE_DELAY_S = 0.002  # one way between availability zones, and two event loops
+SUMMARY_INTERVAL_S = 0.3  # between summaries of a cell, as of the nodes
+SUMMARY_DELAY_S = 0.35  # until all nodes of other cells have them
 SEND_DELAY_S = 0.003  # from a node to an engine, including connection setup
 # A caller disconnects after the longest of these times without an event.
 MIN_STALL_TIMEOUT_S = 2.0
@@ -77,6 +84,9 @@
         engines: The engines by name, in the order that all nodes share.
         trackers: Load tracker of each node.
         outcomes: Results of the requests, in order of arrival.
+        zones: Availability zones.
+        zone_shares: Share of the requests that arrive in each zone; even if empty.
+        engine_zones: Zone of each engine.
         clock: Clock of all engines and nodes.
     """
 
@@ -86,17 +96,64 @@
     engines: dict[str, EmulatedEngine] = field(default_factory=dict)
     trackers: list[LoadTracker] = field(default_factory=list)
     outcomes: list[Outcome] = field(default_factory=list)
+    zones: tuple[str, ...] = ("z0",)
+    zone_shares: tuple[float, ...] = ()
+    engine_zones: dict[str, str] = field(default_factory=dict)
     clock: VirtualClock = field(default_factory=VirtualClock)
 
-    def build(self, engines: int, nodes: int) -> None:
-        """Create engines and nodes."""
+    def build(self, engines: int, nodes: int, zones: int = 1) -> None:
+        """Create engines and nodes, evenly in some zones."""
+        self.zones = tuple(f"z{number}" for number in range(zones))
         for number in range(engines):
-            self.engines[f"e{number:03}"] = EmulatedEngine(self.profile, self.clock)
+            name = f"e{number:03}"
+            self.engines[name] = EmulatedEngine(self.profile, self.clock)
+            self.engine_zones[name] = self.zones[number % zones]
         for number in range(nodes):
             self.trackers.append(LoadTracker(f"n{number:03}"))
             self.clock.schedule(
                 self.random.uniform(0.0, UPDATE_INTERVAL_S), self._update_sender(number)
             )
+        if self.cell(self.zones[0]) != frozenset(self.zones):
+            for zone in self.zones:
+                self.clock.schedule(0.0, self._summary_sender(zone))
+
+    def node_zone(self, number: int) -> str:
+        """Return the zone of a node."""
+        return self.zones[number % len(self.zones)]
+
+    def cell(self, zone: str) -> frozenset[str]:
+        """Return the zones that form one cell with a zone."""
+        return cell_zones(zone, count_by_zone(self.engine_zones.values()))
+
+    def _peers(self, number: int) -> list[int]:
+        """Return the nodes that get a node's updates."""
+        tracker, zones = self.trackers[number], self.cell(self.node_zone(number))
+        used = {self.engine_zones[name] for name in tracker.own_work}
+        return [
+            peer
+            for peer in range(len(self.trackers))
+            if peer != number and self.node_zone(peer) in zones | used
+        ]
+
+    def _cell_size(self, number: int) -> int:
+        zones = self.cell(self.node_zone(number))
+        return sum(self.node_zone(n) in zones for n in range(len(self.trackers)))
+
+    def _summary_sender(self, zone: str) -> TimedCallback:
+        def send_summary(now_s: float) -> None:
+            names = [name for name, z in self.engine_zones.items() if z == zone]
+            tracker = self.trackers[self.zones.index(zone)]
+            summary = tracker.summarize(zone, names, now_s)
+
+            def receive_summary(at_s: float) -> None:
+                delayed = replace(summary, age_s=at_s - now_s)
+                for other in self.trackers:
+                    other.merge_summary(delayed, at_s)
+
+            self.clock.schedule(now_s + SUMMARY_DELAY_S, receive_summary)
+            self.clock.schedule(now_s + SUMMARY_INTERVAL_S, send_summary)
+
+        return send_summary
 
     def run(self, requests: list[Arrival], until_s: float) -> None:
         """Run requests until a time, in seconds."""
@@ -112,36 +169,78 @@
         def send_update(now_s: float) -> None:
             update = self.trackers[number].take_update()
 
+            peers = self._peers(number)
+
             def receive_update(at_s: float) -> None:
-                for peer, tracker in enumerate(self.trackers):
-                    if peer != number:
-                        tracker.merge(update, at_s)
+                for peer in peers:
+                    self.trackers[peer].merge(update, at_s)
 
             self.clock.schedule(now_s + UPDATE_DELAY_S, receive_update)
             interval_s = UPDATE_INTERVAL_S * update_interval_factor(
-                len(self.trackers) - 1
+                self._cell_size(number) - 1
             )
             self.clock.schedule(now_s + interval_s, send_update)
 
         return send_update
 
     def _place(self, outcome: Outcome, now_s: float) -> None:
-        arrival, tracker = outcome.arrival, self.random.choice(self.trackers)
+        arrival = outcome.arrival
+        number = self.random.choice(self._nodes_for(arrival, now_s))
+        tracker = self.trackers[number]
         kind = arrival.kind
         answer_tokens = arrival.answer_events * self.profile.steps_per_pass
         prompt = Prompt(
             arrival.prompt_tokens, answer_tokens, kind.target_s, kind.time_limit_s
         )
-        short, peers = is_short(self.profile, prompt), len(self.trackers) - 1
-        names = tuple(self.engines)
+        short, peers = is_short(self.profile, prompt), self._cell_size(number) - 1
+        zones = self.cell(self.node_zone(number))
+        own = [name for name, zone in self.engine_zones.items() if zone in zones]
         candidates = tuple(
             EngineCandidate(name, tracker.load(name, now_s), position=position)
-            for position, name in sample_engines(names, short, peers, self.random)
+            for position, name in sample_engines(own, short, peers, self.random)
         )
-        placement = place_with_policy(self.policy, self.profile, candidates, prompt)
+        others = self._remote_candidates(tracker, zones, now_s)
+        if short:
+            remote = [engine for cell in others for engine in cell]
+            candidates += tuple(sample_remote_engines(remote, self.random))
+            placement = place_with_policy(self.policy, self.profile, candidates, prompt)
+        elif isinstance(self.policy, PredictedCost):
+            placement = place_long_prompt(
+                self.profile, (candidates, *others), prompt, self.policy.weights
+            )
+        else:
+            placement = place_with_policy(self.policy, self.profile, candidates, prompt)
         if isinstance(placement, Placement):
             _Attempt(self, tracker, outcome, prompt, placement).start(now_s)
 
+    def _nodes_for(self, arrival: Arrival, now_s: float) -> list[int]:
+        """Return the nodes of the zone that a request arrives in."""
+        if len(self.zones) == 1 or not self.zone_shares:
+            return list(range(len(self.trackers)))
+        (zone,) = self.random.choices(self.zones, self.zone_shares)
+        return [n for n in range(len(self.trackers)) if self.node_zone(n) == zone]
+
+    def _remote_candidates(
+        self, tracker: LoadTracker, zones: frozenset[str], now_s: float
+    ) -> list[tuple[EngineCandidate, ...]]:
+        cells: list[tuple[EngineCandidate, ...]] = []
+        for zone in self.zones:
+            summary = tracker.current_summary(zone, now_s)
+            if zone not in zones and summary is not None:
+                cells.append(
+                    tuple(
+                        EngineCandidate(
+                            name,
+                            tracker.remote_load(name, summary, now_s),
+                            is_remote=True,
+                        )
+                        for name, engine_zone in self.engine_zones.items()
+                        if engine_zone == zone
+                    )
+                )
+        self.random.shuffle(cells)
+        return cells
+
 
 class _Attempt:
     """Attempt at one request, and its entries in the node's load tracker."""
--- a/features/emulator.feature
+++ b/features/emulator.feature
@@ -44,6 +44,15 @@
     When the pattern "turnover" runs on 40 engines by 48 nodes at 0.8 of its rates
     Then "product" has a value share of at least 0.85
 
+  Scenario Outline: A large fleet serves as large a share as a small one
+    When the pattern "turnover" runs on <engines> engines by <nodes> nodes in <zones> zones, with <shares> of the requests
+    Then "product" has a value share of at least <share>
+
+    Examples:
+      | engines | nodes | zones | shares        | share |
+      | 54      | 64    | 3     | equal parts   | 0.93  |
+      | 54      | 64    | 3     | 2, 1, 1 parts | 0.85  |
+
   Scenario: Nearly all of a steady load is served
     When the pattern "steady" runs on 16 engines with 3 seeds
     Then "product" has a higher value share than each baseline, at least 0.95
--- a/features/forwarding_placement.feature
+++ b/features/forwarding_placement.feature
@@ -130,3 +130,58 @@
     Given a peer with 3 requests open on an upstream
     When it sends nothing for 3.1 s
     Then the upstream has 0 open requests
+
+  Scenario Outline: Zones with enough engines are cells of their own
+    Given <engines> engines in the zones north, east and south
+    Then the cell of a node in <zone> is <cell>
+
+    Examples:
+      | engines     | zone  | cell                  |
+      | 6, 5 and 5  | north | north, east and south |
+      | 8, 8 and 7  | north | north, east and south |
+      | 9, 9 and 9  | east  | east                  |
+      | 18, 18, 18  | south | south                 |
+      | 27, 27, 0   | south | south                 |
+      | 20, 0, 0    | north | north, east and south |
+
+  Scenario Outline: A short prompt leaves its cell only when the cell is full
+    Given 6 engines of the own cell, each with <own> open requests
+    And 6 engines of another cell, each with <other> open requests
+    When a short prompt is placed among both
+    Then it goes to <cell>
+
+    Examples: engines with 8 slots
+      | own | other | cell           |
+      | 0   | 0     | the own cell   |
+      | 5   | 0     | the own cell   |
+      | 8   | 0     | the other cell |
+      | 9   | 2     | the other cell |
+      | 9   | 9     | the own cell   |
+
+  Scenario Outline: A long prompt leaves its cell only if it would miss its target there
+    Given 6 engines of the own cell, each with <own> s of prefill
+    And 6 engines of another cell, each with <other> s of prefill
+    When a long prompt with a target of 3 s is placed among both
+    Then it goes to <cell>
+
+    Examples:
+      | own | other | cell           |
+      | 0   | 0     | the own cell   |
+      | 1   | 0     | the own cell   |
+      | 6   | 0     | the other cell |
+      | 6   | 8     | the own cell   |
+
+  Scenario Outline: The load of another cell's engine is the greater of what is known
+    Given a summary of another cell that is <age> s old, with <told> open requests and 1.5 s of prefill on an engine
+    And this node has <own> open requests there
+    Then that engine has <requests> open requests and <prefill> s of prefill
+
+    Examples:
+      | age | told | own | requests | prefill |
+      | 0   | 3    | 0   | 3        | 1.5     |
+      | 0.5 | 3    | 5   | 5        | 1.0     |
+      | 2   | 3    | 1   | 3        | 0       |
+
+  Scenario: A summary that is too old is not used
+    Given a summary of another cell that is 2.5 s old, with 3 open requests and 1.5 s of prefill on an engine
+    Then the load of that cell is unknown
--- a/features/steps/emulator_steps.py
+++ b/features/steps/emulator_steps.py
@@ -121,6 +121,18 @@
     context.runs = {"product": [run]}
 
 
+@when(
+    'the pattern "{pattern}" runs on {engines:d} engines by {nodes:d} nodes '
+    "in {zones:d} zones, with {shares} of the requests"
+)
+def step_run_zones(context, pattern, engines, nodes, zones, shares):
+    weights = () if shares == "equal parts" else (2.0, 1.0, 1.0)
+    run = run_pattern(
+        POLICIES["product"], pattern, engines, nodes, 1, 0.7, zones, weights, 5
+    )
+    context.runs = {"product": [run]}
+
+
 @then('"product" has a value share of at least {share:g}')
 def step_value_share(context, share):
     actual_share = value_share(all_outcomes(context, "product"))
--- a/features/steps/forwarding_placement_steps.py
+++ b/features/steps/forwarding_placement_steps.py
@@ -6,8 +6,11 @@
 from behave import given, then, when
 
 from bench.emulator.traffic import PROFILE
+from lagoonhinge_core.forwarding.cells import cell_zones
 from lagoonhinge_core.forwarding.engine_sampling import sample_engines, sample_size
 from lagoonhinge_core.forwarding.load_tracker import (
+    CellSummary,
+    Load,
     LoadTracker,
     LoadUpdate,
     OpenWork,
@@ -19,12 +22,14 @@
     Placement,
     Prompt,
     is_short,
+    place_long_prompt,
     place_prompt,
 )
 
 SHORT = Prompt(4960, 1266, 0.3, 10.0)
 LONG = Prompt(100_000, 1000, 3.0, 15.0)
 NOW_S = 100.0
+ZONES = ("north", "east", "south")
 TOLERANCE_S = 0.02
 
 
@@ -265,3 +270,89 @@
 @then("the upstream has {count:d} open requests")
 def step_open_requests(context, count):
     assert context.tracker.load("e1", context.now_s).requests == count
+
+
+@given("{counts} engines in the zones north, east and south")
+def step_zone_engines(context, counts):
+    numbers = [
+        int(number)
+        for number in counts.replace("and", ",").split(",")
+        if number.strip()
+    ]
+    context.engines_by_zone = dict(zip(ZONES, numbers, strict=True))
+
+
+@then("the cell of a node in {zone} is {cell}")
+def step_cell(context, zone, cell):
+    expected = {name for name in ZONES if name in cell}
+    assert cell_zones(zone, context.engines_by_zone) == expected
+
+
+def _cell(prefix: str, load: Load, is_remote: bool) -> tuple[EngineCandidate, ...]:
+    return tuple(
+        EngineCandidate(f"{prefix}{number}", load, is_remote=is_remote)
+        for number in range(6)
+    )
+
+
+@given("6 engines of the own cell, each with {amount:g} {what}")
+def step_own_cell(context, amount, what):
+    context.own_cell = _cell("own", _load(amount, what), False)
+
+
+@given("6 engines of another cell, each with {amount:g} {what}")
+def step_other_cell(context, amount, what):
+    context.other_cell = _cell("other", _load(amount, what), True)
+
+
+def _load(amount: float, what: str) -> Load:
+    if what.startswith("open"):
+        return Load(requests=int(amount))
+    return Load(prefill_s=amount)
+
+
+@when("a short prompt is placed among both")
+def step_place_short_in_cells(context):
+    engines = context.own_cell + context.other_cell
+    context.placement = place_prompt(PROFILE, engines, SHORT)
+
+
+@when("a long prompt with a target of {target:g} s is placed among both")
+def step_place_long_in_cells(context, target):
+    cells = (context.own_cell, context.other_cell)
+    prompt = Prompt(182_000, 1000, target, 15.0)
+    context.placement = place_long_prompt(PROFILE, cells, prompt)
+
+
+@then("it goes to the {cell} cell")
+def step_goes_to_cell(context, cell):
+    names = (context.placement.instance, *context.placement.helpers)
+    assert all(name.startswith(cell) for name in names), context.placement
+
+
+@given(
+    "a summary of another cell that is {age:g} s old, with {told:d} open requests "
+    "and {prefill:g} s of prefill on an engine"
+)
+def step_summary(context, age, told, prefill):
+    context.tracker = LoadTracker("n1")
+    upstreams = {"e1": (round(prefill * 1000), told, 40)}
+    context.tracker.merge_summary(CellSummary("east", age, upstreams), NOW_S)
+
+
+@given("this node has {own:d} open requests there")
+def step_own_requests(context, own):
+    for _ in range(own):
+        context.tracker.start_request("e1", 0)
+
+
+@then("that engine has {requests:d} open requests and {prefill:g} s of prefill")
+def step_remote_load(context, requests, prefill):
+    summary = context.tracker.current_summary("east", NOW_S)
+    load = context.tracker.remote_load("e1", summary, NOW_S)
+    assert (load.requests, round(load.prefill_s, 6)) == (requests, prefill), load
+
+
+@then("the load of that cell is unknown")
+def step_unknown_load(context):
+    assert context.tracker.current_summary("east", NOW_S) is None
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/engine_sampling.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/engine_sampling.py
@@ -14,6 +14,9 @@
 
 MIN_SAMPLE_SIZE = 3  # engines; the best of three random ones is rarely saturated
 
+# Engines of other cells that are compared for a short prompt.
+REMOTE_SAMPLE_SIZE = 3
+
 EngineT = TypeVar("EngineT")
 
 
@@ -49,3 +52,15 @@
     if not is_short or size == len(positioned):
         return positioned
     return random.sample(positioned, size)
+
+
+def sample_remote_engines(
+    engines: Sequence[EngineT], random: Random
+) -> Sequence[EngineT]:
+    """Return the engines of other cells to compare for a short prompt.
+
+    Args:
+        engines: Engines of other cells.
+        random: Random number generator of the sample.
+    """
+    return random.sample(engines, min(REMOTE_SAMPLE_SIZE, len(engines)))
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -10,6 +10,7 @@
 
 from lagoonhinge_core.forwarding.crashes import Crash
 
+SUMMARY_TIMEOUT_S = 2.0  # several summaries in a row were lost
 PEER_TIMEOUT_S = 3.0  # the load of a peer that is silent for longer is ignored
 # Least remaining share of the predicted work of an engine that is overdue.
 OVERDUE_SHARE = 0.15
@@ -88,6 +89,23 @@
     open_work: dict[str, OpenWork]
 
 
+@dataclass(frozen=True)
+class CellSummary:
+    """Load of the upstreams of another cell.
+
+    Attributes:
+        zone: Zone of these upstreams.
+        age_s: Age of the summary when it was sent, in seconds.
+        upstreams: Load by upstream, without those that have none: the time until its
+            assigned prefills are finished, in milliseconds, its open requests, and the
+            KV cache that they use, in thousands of tokens.
+    """
+
+    zone: str
+    age_s: float
+    upstreams: dict[str, tuple[int, int, int]]
+
+
 @dataclass(frozen=True)
 class Load:
     """Predicted load of one upstream.
@@ -152,6 +170,8 @@
         self.unsent_prefills: list[Prefill] = []
         self.unsent_finished: list[int] = []
         self.prompt_count = 0
+        # Summary of each other zone, and the time at which it held.
+        self.summaries: dict[str, tuple[CellSummary, float]] = {}
 
     def start_request(self, instance: str, tokens: int) -> None:
         """Count a request that is dispatched to an upstream."""
@@ -205,6 +225,50 @@
             self._finish_prefill((update.node, number), tuple(self.queues))
         self.peers[update.node] = PeerLoad(now_s, update.open_work)
 
+    def merge_summary(self, summary: CellSummary, now_s: float) -> None:
+        """Replace the summary of another zone by a newer one."""
+        taken_s = now_s - summary.age_s
+        old = self.summaries.get(summary.zone)
+        if old is None or taken_s > old[1]:
+            self.summaries[summary.zone] = (summary, taken_s)
+
+    def current_summary(self, zone: str, now_s: float) -> CellSummary | None:
+        """Return the summary of another zone with its age, unless it is too old."""
+        if zone not in self.summaries:
+            return None
+        summary, taken_s = self.summaries[zone]
+        age_s = now_s - taken_s
+        return replace(summary, age_s=age_s) if age_s <= SUMMARY_TIMEOUT_S else None
+
+    def summarize(
+        self, zone: str, instances: Iterable[str], now_s: float
+    ) -> CellSummary:
+        """Return the summary of upstreams of this node's own cell."""
+        loads = {instance: self.load(instance, now_s) for instance in instances}
+        return CellSummary(
+            zone,
+            0.0,
+            {
+                instance: (
+                    round(load.prefill_s * 1000),
+                    load.requests,
+                    load.tokens // 1000,
+                )
+                for instance, load in loads.items()
+                if load.requests or load.prefill_s or load.tokens
+            },
+        )
+
+    def remote_load(self, instance: str, summary: CellSummary, now_s: float) -> Load:
+        """Return the predicted load of an upstream of another cell."""
+        prefill_ms, requests, kilotokens = summary.upstreams.get(instance, (0, 0, 0))
+        known = self.load(instance, now_s)
+        return Load(
+            max(known.prefill_s, prefill_ms / 1000 - summary.age_s),
+            max(known.requests, requests),
+            max(known.tokens, kilotokens * 1000),
+        )
+
     def take_update(self) -> LoadUpdate:
         """Return the changes since the last call, as an update for the peers."""
         prefills, self.unsent_prefills = tuple(self.unsent_prefills), []
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -19,6 +19,7 @@
   reserve memory for what the answering engine can't hold.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from lagoonhinge_core.forwarding.engine_time import MAX_HELPERS, EngineProfile
@@ -59,6 +60,8 @@
         queued_cost_s: Cost of each request without a free slot on an engine, including
             the prompt's own.
         no_memory_cost_s: Cost of an engine without enough free memory.
+        remote_cost_s: Cost of an engine of another cell, whose load is known less
+            well.
         usable_memory_share: Share of an engine's free memory that placement uses;
             requests that peers have not reported yet take the rest.
     """
@@ -78,6 +81,7 @@
     saturation_from_share: float = 0.75
     queued_cost_s: float = 1.0
     no_memory_cost_s: float = 1.0
+    remote_cost_s: float = 0.2
     usable_memory_share: float = 0.9
 
 
@@ -94,12 +98,14 @@
         recently_failed: Whether recent attempts at it failed.
         position: Position in the order that all nodes share, from 0 for the first
             engine to 1 for the last.
+        is_remote: Whether it is an engine of another cell.
     """
 
     instance: str
     load: Load
     recently_failed: bool = False
     position: float = 0.0
+    is_remote: bool = False
 
 
 @dataclass(frozen=True)
@@ -201,6 +207,51 @@
     return _Placer(profile, weights, usable, prompt).place()
 
 
+def place_long_prompt(
+    profile: EngineProfile,
+    cells: Iterable[tuple[EngineCandidate, ...]],
+    prompt: Prompt,
+    weights: PlacementWeights = DEFAULT_WEIGHTS,
+) -> Placement | DeadlineUnreachable | None:
+    """Return where a prompt goes that one engine can't prefill in a short time.
+
+    Another cell takes it only if the own one can't prefill it within its target.
+
+    Args:
+        profile: Speed and memory of the engines.
+        cells: Engines of each cell, the own cell first; the others are drawn only if
+            they are needed.
+        prompt: The prompt.
+        weights: Limits and costs.
+    """
+    best: Placement | DeadlineUnreachable | None = None
+    best_s = float("inf")
+    limit_s = weights.safe_target_share * prompt.target_s
+    for engines in cells:
+        result = place_prompt(profile, engines, prompt, weights)
+        ready_s = float("inf")
+        if isinstance(result, Placement):
+            ready_s = _ready_s(profile, engines, result, weights)
+        if best is None or ready_s < best_s - weights.remote_cost_s:
+            best, best_s = result, ready_s
+        if best_s <= limit_s:
+            break
+    return best
+
+
+def _ready_s(
+    profile: EngineProfile,
+    engines: tuple[EngineCandidate, ...],
+    placement: Placement,
+    weights: PlacementWeights,
+) -> float:
+    """Return when a prompt is prefilled, with the cost of missing slots, in seconds."""
+    answering = next(e for e in engines if e.instance == placement.instance)
+    missing_slots = max(0, answering.load.requests + 1 - profile.slots)
+    queued_s = weights.queued_cost_s * missing_slots
+    return placement.waiting_s + placement.prefill_s + queued_s
+
+
 @dataclass(frozen=True)
 class _Placer:
     """Calculation of the placement of one prompt.
@@ -345,6 +396,7 @@
         load, weights = engine.load, self.weights
         cost_s = load.prefill_s + load.requests * weights.request_cost_s
         cost_s += weights.packing_cost_s * (1 - engine.position)
+        cost_s += weights.remote_cost_s * engine.is_remote
         return cost_s + self._saturation_cost_s(engine, tokens)
 
     def _long_cost_s(self, engine: EngineCandidate, prefill_s: float) -> float:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
@@ -20,6 +20,7 @@
 from lagoonhinge_node.addresses import Address
 from lagoonhinge_node.forwarding.attempt_sender import AttemptSender
 from lagoonhinge_node.forwarding.caller_interface import CallerInterface
+from lagoonhinge_node.forwarding.cell_exchange import CellExchange
 from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.load_exchange import LoadExchange
 from lagoonhinge_node.forwarding.operator_interface import OperatorInterface
@@ -146,7 +147,8 @@
             upstreams,
             NodeController(self.serving, decoder, settings.entry, exchange.set_peers),
         )
-        socket.handlers += [exchange.receive, watch.receive]
+        cells = CellExchange(self.serving, socket, watch)
+        socket.handlers += [exchange.receive, watch.receive, cells.receive]
         self.settings_controller = SettingsController(
             self.serving, self.adapters.read_settings, settings.live
         )
@@ -155,6 +157,7 @@
             watch,
             upstreams,
             exchange,
+            cells,
             ReachabilityController(self.serving),
             self.settings_controller,
         ]
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -34,13 +34,33 @@
         super().__init__()
         self.serving = serving
         self.socket = socket
-        self.peers: list[tuple[str, int]] = []
+        self.nodes: list[NodeEntry] = []
         self.last_sent_s = 0.0
         self.last_sent_work: dict[str, Any] = {}
 
     def set_peers(self, nodes: list[NodeEntry]) -> None:
-        """Replace the list of peers."""
-        self.peers = [(node.host, node.port) for node in nodes]
+        """Replace the list of other nodes."""
+        self.nodes = nodes
+
+    def _receivers(self) -> list[tuple[str, int]]:
+        """Return the addresses of the nodes that need this node's updates.
+
+        These are the nodes of its cell and of cells whose upstreams it uses. All nodes
+        must know of crashes.
+        """
+        upstreams = self.serving.directory.by_instance
+        used = {
+            upstreams[instance].zone
+            for instance in self.serving.load.own_work
+            if instance in upstreams
+        }
+        zones = self.serving.cell | used
+        is_for_all = bool(self.serving.crashes.gossiped)
+        return [
+            (node.host, node.port)
+            for node in self.nodes
+            if is_for_all or node.zone in zones
+        ]
 
     @Service.timer(SEND_INTERVAL_S)
     async def send_update(self) -> None:
@@ -54,9 +74,10 @@
         )
         is_unchanged = not has_changes and load.own_work == self.last_sent_work
         interval_s = IDLE_INTERVAL_S if is_unchanged else SEND_INTERVAL_S
-        interval_s *= update_interval_factor(len(self.peers))
+        interval_s *= update_interval_factor(self.serving.cell_peers())
         if not is_urgent and now_s - self.last_sent_s < interval_s * TIMER_TOLERANCE:
             return
+        receivers = self._receivers()
         update = load.take_update()
         self.last_sent_s, self.last_sent_work = now_s, dict(load.own_work)
         update = replace(
@@ -65,7 +86,7 @@
             read=update.read[-MAX_PREFILLS:],
             crashes=self.serving.crashes.crashes_to_gossip(now_s),
         )
-        self.socket.send(encode_message(PeerMessage(load=update)), self.peers)
+        self.socket.send(encode_message(PeerMessage(load=update)), receivers)
 
     def receive(self, message: PeerMessage) -> None:
         """Apply the load update in a message, if it has one."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/peer_messages.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/peer_messages.py
@@ -10,7 +10,7 @@
 from mode import Service
 from msgspec import DecodeError, ValidationError, msgpack
 
-from lagoonhinge_core.forwarding.load_tracker import LoadUpdate
+from lagoonhinge_core.forwarding.load_tracker import CellSummary, LoadUpdate
 from lagoonhinge_core.forwarding.site_store import NodeEntry
 from lagoonhinge_core.forwarding.table_replica import TableNews
 from lagoonhinge_node.logs import PartLogger
@@ -31,10 +31,12 @@
     Attributes:
         node: Name of the node.
         tables: State of each table.
+        cells: Load of other cells.
     """
 
     node: str
     tables: tuple[TableNews, ...]
+    cells: tuple[CellSummary, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -55,6 +57,7 @@
     load: LoadUpdate | None = None
     news: StoreNews | None = None
     call_failed: StoreCallFailed | None = None
+    cell: CellSummary | None = None
 
 
 _ENCODER = msgpack.Encoder()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -1,11 +1,12 @@
 """State shared by all requests of a node: upstreams, retry budgets, clock."""
 
 from asyncio import Task, create_task
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from random import Random
 from typing import Any
 
 from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.forwarding.cells import cell_zones, count_by_zone
 from lagoonhinge_core.forwarding.crashes import CrashTracker
 from lagoonhinge_core.forwarding.freshness import Freshness
 from lagoonhinge_core.forwarding.health import HealthTracker
@@ -58,6 +59,8 @@
         self.store_contact = StoreContact()
         self.zone = zone
         self.zone_of_node: dict[str, str] = {}
+        # Zones whose nodes and engines form one cell with this node.
+        self.cell: frozenset[str] = frozenset((zone,))
         self.rotation_index = 0
         self.open_requests = 0
         self.is_stopping = False
@@ -89,6 +92,22 @@
         nodes = max(self.node_count, self.load.count_nodes(self.clock()))
         return self.retry_window(service).allows_retry(self.clock(), nodes)
 
+    def update_cell(self, engine_services: Iterable[str]) -> None:
+        """Determine the cell of this node anew from the listed engines.
+
+        Args:
+            engine_services: Services whose upstreams are model engines.
+        """
+        engines = [u for name in engine_services for u in self.directory.usable(name)]
+        zones = count_by_zone(engine.zone for engine in engines)
+        zones_without_engines = dict.fromkeys(self.zone_of_node.values(), 0)
+        self.cell = cell_zones(self.zone, {**zones_without_engines, **zones})
+
+    def cell_peers(self) -> int:
+        """Return the number of other nodes in this node's cell."""
+        nodes = sum(zone in self.cell for zone in self.zone_of_node.values())
+        return max(0, nodes - 1)
+
     def record_connect_failure(self, upstream: Upstream) -> None:
         """Record a failed connection, which a crash or a partition may have caused."""
         self.record_exit(upstream.instance)
@@ -121,7 +140,7 @@
             tuple(
                 now_s - peer.received_s
                 for name, peer in self.load.peers.items()
-                if self.zone_of_node.get(name) == zone
+                if zone in self.cell and self.zone_of_node.get(name) == zone
             ),
         )
         if not is_likely_partitioned(observation):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -23,6 +23,13 @@
 from lagoonhinge_node.logs import PartLogger
 
 
+def update_cell(serving: ServingState) -> None:
+    """Determine the cell of this node from the lists in force."""
+    config = serving.board.find(SiteConfigSection()).config
+    services = config.services.values() if config is not None else ()
+    serving.update_cell(entry.name for entry in services if entry.engine is not None)
+
+
 class ConfigController:
     """Puts the newest configuration into force.
 
@@ -57,6 +64,7 @@
         if config is None or (current and config.version <= current.version):
             return
         self.writer.post(SiteConfigSection(config, "", self.serving.clock()))
+        update_cell(self.serving)
         self.log_part.info(
             "A configuration is in force.",
             version=config.version,
@@ -151,6 +159,7 @@
     def _post(self) -> None:
         listed = self.serving.directory.by_instance
         self.writer.post(UpstreamListSection(dict(listed)))
+        update_cell(self.serving)
         self.serving.load.retain_only(listed)
         self.serving.health.retain_only(listed)
 
@@ -195,6 +204,7 @@
         self.writer.post(NodeListSection(nodes))
         self.serving.node_count = max(1, len(nodes))
         self.serving.zone_of_node = {node.name: node.zone for node in nodes.values()}
+        update_cell(self.serving)
         self.on_change([n for n in nodes.values() if n.name != self.own_entry.name])
 
     def is_announced(self) -> bool:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -10,6 +10,7 @@
 from mode import Service
 from returns.result import Failure, Success
 
+from lagoonhinge_core.forwarding.load_tracker import CellSummary
 from lagoonhinge_core.forwarding.site_store import (
     HistoryLost,
     NodeEntry,
@@ -110,6 +111,8 @@
         self.last_news_s = float("-inf")
         self.stopped_watching = Event()
         self.incomplete: set[StoreTable] = set()
+        # Address of the node that watches the store for the zone, if it is another one.
+        self.watcher: tuple[str, int] | None = None
 
     @Service.task
     async def run(self) -> None:
@@ -264,9 +267,14 @@
         self.socket.send(data, self._zone_peers())
 
     def _encode_news(self, tables: tuple[TableNews, ...]) -> bytes:
-        news = StoreNews(self.own_entry.name, tables)
+        news = StoreNews(self.own_entry.name, tables, self._cell_summaries())
         return encode_message(PeerMessage(news=news))
 
+    def _cell_summaries(self) -> tuple[CellSummary, ...]:
+        now_s, load = self.serving.clock(), self.serving.load
+        summaries = (load.current_summary(zone, now_s) for zone in load.summaries)
+        return tuple(summary for summary in summaries if summary is not None)
+
     def receive(self, message: PeerMessage) -> None:
         """Apply a message of another node."""
         if message.news is not None:
@@ -277,6 +285,12 @@
             self.role.record_peer_failure(self.serving.clock(), zone_nodes)
 
     def _receive_news(self, news: StoreNews) -> None:
+        now_s, load = self.serving.clock(), self.serving.load
+        for summary in news.cells:
+            if summary.zone not in self.serving.cell:
+                load.merge_summary(summary, now_s)
+        node = self.serving.board.read(NodeListSection).nodes.get(news.node)
+        self.watcher = None if node is None else (node.host, node.port)
         names = {table.value: table for table in StoreTable}
         for table_news in news.tables:
             table = names.get(table_news.table)
