A few ended upstreams no longer make a zone count as partitioned; cells share probes

Idle peers send updates each 4.8 s there, at the same moments, and three missed updates were 0.7 s: every zone counted as partitioned again and again, each of its 27 engines was marked unreachable at 195 nodes and probed every 0.3 s. Two ended upstreams of a zone had the same effect for as long as they were unreachable. The probes also hold slots of the engines. Change: the silence of peers is counted in their interval; upstreams count as evidence only since one of the zone was reached; a partitioned zone is avoided as a whole and probed at two upstreams; the nodes of a cell share the probes of other upstreams, and tell each other which ones are back.

--- a/features/forwarding_decisions.feature
+++ b/features/forwarding_decisions.feature
@@ -100,20 +100,47 @@
     Then 2 complete events are returned and the rest is buffered
 
   Scenario Outline: Whether a zone is likely partitioned
-    Given <upstreams> upstreams of a zone, <unreachable> unreachable
-    When the last messages of its peers are <ages> s old
+    Given <upstreams> upstreams of a zone, <unreachable> unreachable since one was reached
+    When its peers send updates each <interval> s, the last ones <ages> s ago
     Then the zone is likely <state>
 
     Examples:
-      | upstreams | unreachable | ages    | state       |
-      | 5         | 0           | 0.1 0.2 | connected   |
-      | 5         | 1           | 0.1 0.2 | connected   |
-      | 5         | 2           | 0.1 0.2 | partitioned |
-      | 1         | 1           | 0.1     | partitioned |
-      | 5         | 0           | 0.8 0.9 | partitioned |
-      | 5         | 0           | 0.8 0.1 | connected   |
-      | 5         | 0           | 0.9     | connected   |
-      | 5         | 0           | 60 70   | connected   |
+      | upstreams | unreachable | interval | ages    | state       |
+      | 5         | 0           | 0.2      | 0.1 0.2 | connected   |
+      | 5         | 1           | 0.2      | 0.1 0.2 | connected   |
+      | 5         | 2           | 0.2      | 0.1 0.2 | partitioned |
+      | 1         | 1           | 0.2      | 0.1     | partitioned |
+      | 5         | 0           | 0.2      | 0.8 0.9 | partitioned |
+      | 5         | 0           | 0.2      | 0.8 0.1 | connected   |
+      | 5         | 0           | 0.2      | 0.9     | connected   |
+      | 5         | 0           | 0.2      | 60 70   | connected   |
+      | 5         | 0           | 4.8      | 4.5 4.6 | connected   |
+      | 5         | 0           | 4.8      | 18 19   | partitioned |
+
+  Scenario Outline: A zone of which some upstreams ended is not taken for partitioned
+    Given a node of zone north, and 27 upstreams in zone east
+    When that node <events>
+    Then <count> upstreams of zone east are avoided, and at most <probes> probed at a time
+
+    Examples:
+      | events                                                       | count | probes |
+      | reaches u1                                                   | 0     | 0      |
+      | fails to reach u1                                            | 1     | 1      |
+      | fails to reach u1, reaches u3, fails to reach u2             | 2     | 2      |
+      | fails to reach u1, fails to reach u2                         | 27    | 2      |
+      | fails to reach u1, fails to reach u2, reaches u3             | 2     | 2      |
+      | fails to reach u1, fails to reach u2, reaches u1, reaches u2 | 2     | 0      |
+
+  Scenario Outline: The probes of an upstream do not grow with the nodes of a cell
+    Given a cell of <nodes> nodes that can't reach an upstream
+    Then all of them together probe it at most <most> times in 100 intervals
+
+    Examples:
+      | nodes | most |
+      | 1     | 100  |
+      | 9     | 900  |
+      | 39    | 1100 |
+      | 195   | 1100 |
 
   Scenario Outline: Upstreams are ejected by the results of attempts
     Given a service with <count> upstreams
--- a/features/steps/forwarding_decisions_steps.py
+++ b/features/steps/forwarding_decisions_steps.py
@@ -1,7 +1,10 @@
 """Steps about retries, staleness, event splitting, partitions and health."""
 
+from random import Random
+
 from behave import given, then, when
 
+from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.forwarding.attempts import (
     Declined,
     Failed,
@@ -21,10 +24,13 @@
     Route,
     WeightedService,
 )
+from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_core.forwarding.zone_partitions import (
     ZoneObservation,
     is_likely_partitioned,
 )
+from lagoonhinge_node.forwarding.reachability import ReachabilityController
+from lagoonhinge_node.forwarding.serving_state import ServingState
 
 NOW_S = 100.0
 KINDS = {
@@ -168,15 +174,18 @@
     assert len(context.events) == count and context.rest.startswith(b"id: 3")
 
 
-@given("{upstreams:d} upstreams of a zone, {unreachable:d} unreachable")
+@given(
+    "{upstreams:d} upstreams of a zone, {unreachable:d} unreachable since one was "
+    "reached"
+)
 def step_zone(context, upstreams, unreachable):
     context.zone = (upstreams, unreachable)
 
 
-@when("the last messages of its peers are {ages} s old")
-def step_peers(context, ages):
+@when("its peers send updates each {interval:g} s, the last ones {ages} s ago")
+def step_peers(context, interval, ages):
     ages_s = tuple(float(age) for age in ages.split())
-    context.observation = ZoneObservation(*context.zone, ages_s)
+    context.observation = ZoneObservation(*context.zone, interval, ages_s)
 
 
 @then("the zone is likely {state}")
@@ -184,6 +193,75 @@
     assert is_likely_partitioned(context.observation) == (state == "partitioned")
 
 
+def _serving_state(node: str, zone: str) -> ServingState:
+    return ServingState(
+        Blackboard(),
+        Freshness(FreshnessLimits(2.6, 4.5)),
+        RetryBound(10.0, 0.2, 100.0),
+        Random(1),
+        lambda: NOW_S,
+        node,
+        zone,
+    )
+
+
+def _upstream(name: str, zone: str) -> Upstream:
+    return Upstream(name, "models", "h", 1, zone, 8)
+
+
+@given("a node of zone north, and {count:d} upstreams in zone east")
+def step_node_and_upstreams(context, count):
+    context.serving = _serving_state("n1", "north")
+    context.upstreams = {
+        f"u{n}": _upstream(f"u{n}", "east") for n in range(1, count + 1)
+    }
+    context.serving.directory.update(context.upstreams.values(), ())
+
+
+@when("that node {events}")
+def step_contacts(context, events):
+    serving = context.serving
+    for event in events.split(", "):
+        upstream = context.upstreams[event.split()[-1]]
+        if event.startswith("reaches"):
+            serving.health.record_connect(upstream.instance)
+            serving.record_contact(upstream)
+        else:
+            serving.record_connect_failure(upstream)
+
+
+@then(
+    "{count:d} upstreams of zone east are avoided, and at most {most:d} probed at a "
+    "time"
+)
+def step_avoided(context, count, most):
+    serving = context.serving
+    assert len(serving.ejected(context.upstreams.values())) == count
+    due = ReachabilityController(serving).due_instances()
+    assert len(due) <= most, due
+
+
+@given("a cell of {nodes:d} nodes that can't reach an upstream")
+def step_cell_nodes(context, nodes):
+    context.controllers = []
+    upstream = _upstream("u1", "north")
+    for number in range(nodes):
+        serving = _serving_state(f"n{number}", "north")
+        serving.random = Random(number)
+        serving.directory.update((upstream,), ())
+        serving.zone_of_node = {f"n{n}": "north" for n in range(nodes)}
+        serving.record_connect_failure(upstream)
+        context.controllers.append(ReachabilityController(serving))
+
+
+@then("all of them together probe it at most {most:d} times in 100 intervals")
+def step_probe_count(context, most):
+    probes = sum(
+        len(c.due_instances()) for c in context.controllers for _ in range(100)
+    )
+    assert 0 < probes <= most, probes
+
+
 @given("a service with {count:d} upstreams")
 def step_service(context, count):
     context.names = [f"u{number}" for number in range(1, count + 1)]
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -10,6 +10,7 @@
 
 from lagoonhinge_core.forwarding.crashes import Crash
 
+IDLE_INTERVAL_S = 0.2  # between updates of a node whose load does not change
 SUMMARY_TIMEOUT_S = 2.0  # several summaries in a row were lost
 PEER_TIMEOUT_S = 3.0  # the load of a peer that is silent for longer is ignored
 # Least remaining share of the predicted work of an engine that is overdue.
@@ -72,6 +73,7 @@
         read: Numbers of the prompts whose prefill finished or was cancelled since.
         open_work: Its open requests by upstream.
         crashes: Crashes of upstreams that it detected recently.
+        reachable: Upstreams that its probes reached again.
     """
 
     node: str
@@ -79,6 +81,7 @@
     read: tuple[int, ...]
     open_work: dict[str, OpenWork]
     crashes: tuple[Crash, ...] = ()
+    reachable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -221,6 +221,7 @@
                         return Failure(failure)
                     case Success(received):
                         answer = received
+                        self.serving.record_contact(choice.upstream)
                 assert answer is not None
                 is_success = answer.head.status < MIN_REDIRECT_STATUS
                 if isinstance(context.route.kind, EventStream) and is_success:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -5,7 +5,10 @@
 
 from mode import Service
 
-from lagoonhinge_core.forwarding.load_tracker import update_interval_factor
+from lagoonhinge_core.forwarding.load_tracker import (
+    IDLE_INTERVAL_S,
+    update_interval_factor,
+)
 from lagoonhinge_core.forwarding.site_store import NodeEntry
 from lagoonhinge_node.forwarding.peer_messages import (
     PeerMessage,
@@ -15,7 +18,6 @@
 from lagoonhinge_node.forwarding.serving_state import ServingState
 
 SEND_INTERVAL_S = 0.05  # about the duration of one engine pass
-IDLE_INTERVAL_S = 0.2  # a third of the silence that indicates a partition
 # Share of an interval after which an update is due, since timers fire slightly early
 # or late.
 TIMER_TOLERANCE = 0.9
@@ -71,6 +73,7 @@
             load.unsent_prefills
             or load.unsent_finished
             or self.serving.crashes.gossiped
+            or self.serving.unsent_reachable
         )
         is_unchanged = not has_changes and load.own_work == self.last_sent_work
         interval_s = IDLE_INTERVAL_S if is_unchanged else SEND_INTERVAL_S
@@ -80,11 +83,13 @@
         receivers = self._receivers()
         update = load.take_update()
         self.last_sent_s, self.last_sent_work = now_s, dict(load.own_work)
+        reachable, self.serving.unsent_reachable = self.serving.unsent_reachable, []
         update = replace(
             update,
             readings=update.readings[-MAX_PREFILLS:],
             read=update.read[-MAX_PREFILLS:],
             crashes=self.serving.crashes.crashes_to_gossip(now_s),
+            reachable=tuple(reachable),
         )
         self.socket.send(encode_message(PeerMessage(load=update)), receivers)
 
@@ -95,3 +100,5 @@
         now_s = self.serving.clock()
         self.serving.load.merge(message.load, now_s)
         self.serving.crashes.merge(message.load.crashes, now_s)
+        for instance in message.load.reachable:
+            self.serving.health.record_connect(instance)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
@@ -8,16 +8,23 @@
 
 from mode import Service
 
+from lagoonhinge_core.forwarding.load_tracker import update_interval_factor
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.logs import PartLogger
 
 PROBE_INTERVAL_S = 0.3  # partitions and restarts last for seconds
 PROBE_TIMEOUT_S = 0.3  # 100 round trips between availability zones
+# Upstreams of a partitioned zone that are probed; one of them may have ended.
+PROBES_PER_ZONE = 2
 
 
 class ReachabilityController(Service):
-    """Opens a connection periodically to each unreachable upstream."""
+    """Opens connections to unreachable upstreams, to learn when they are back.
+
+    The nodes of a cell share these probes: the more nodes, the more rarely each of
+    them probes an upstream, and it tells the others which ones it reached.
+    """
 
     def __init__(self, serving: ServingState):
         super().__init__()
@@ -26,26 +33,48 @@
 
     @Service.timer(PROBE_INTERVAL_S)
     async def probe(self) -> None:
-        """Probe all unreachable and suspected upstreams."""
+        """Probe upstreams that are unreachable, suspected or in partitioned zones."""
         listed = self.serving.directory.by_instance
-        # Upstreams of a partitioned zone become unreachable, so they are probed below
-        # and avoided until a probe succeeds.
         for zone in {upstream.zone for upstream in listed.values()}:
-            if self.serving.eject_partitioned_zone(zone):
-                self.log_part.warning(
-                    "A zone is likely partitioned; avoiding its upstreams.", zone=zone
-                )
-        instances = {
-            *self.serving.health.unreachable(),
-            *self.serving.crashes.suspected_instances(self.serving.clock()),
+            self.serving.eject_partitioned_zone(zone)
+        instances = self.due_instances()
+        await gather(*(self._probe(listed[instance]) for instance in instances))
+
+    def due_instances(self) -> set[str]:
+        """Return the upstreams to probe now."""
+        listed = self.serving.directory.by_instance
+        suspected = self.serving.crashes.suspected_instances(self.serving.clock())
+        return {
+            *self._unreachable_in_turn(),
+            *(instance for instance in suspected if instance in listed),
+            *self._in_partitioned_zones(),
         }
-        await gather(
-            *(
-                self._probe(listed[instance])
-                for instance in instances
-                if instance in listed
-            )
-        )
+
+    def _unreachable_in_turn(self) -> list[str]:
+        """Return the unreachable upstreams that are this node's turn to probe."""
+        random = self.serving.random
+        turn_share = 1 / update_interval_factor(self.serving.cell_peers())
+        listed = self.serving.directory.by_instance
+        zones = self.serving.partitions.partitioned
+        return [
+            instance
+            for instance in self.serving.health.unreachable()
+            if instance in listed
+            and listed[instance].zone not in zones
+            and random.random() < turn_share
+        ]
+
+    def _in_partitioned_zones(self) -> list[str]:
+        instances: list[str] = []
+        for zone in self.serving.partitions.partitioned:
+            listed = [
+                upstream.instance
+                for upstream in self.serving.directory.by_instance.values()
+                if upstream.zone == zone
+            ]
+            count = min(PROBES_PER_ZONE, len(listed))
+            instances += self.serving.random.sample(listed, count)
+        return instances
 
     async def _probe(self, upstream: Upstream) -> None:
         try:
@@ -56,7 +85,9 @@
             return
         writer.close()
         self.serving.crashes.clear_instance(upstream.instance)
+        self.serving.record_contact(upstream)
         if self.serving.health.record_connect(upstream.instance):
+            self.serving.unsent_reachable.append(upstream.instance)
             self.log_part.info(
                 "An upstream is reachable again.", upstream=upstream.instance
             )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -1,7 +1,7 @@
 """State shared by all requests of a node: upstreams, retry budgets, clock."""
 
 from asyncio import Task, create_task
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Collection, Coroutine, Iterable
 from random import Random
 from typing import Any
 
@@ -10,11 +10,16 @@
 from lagoonhinge_core.forwarding.crashes import CrashTracker
 from lagoonhinge_core.forwarding.freshness import Freshness
 from lagoonhinge_core.forwarding.health import HealthTracker
-from lagoonhinge_core.forwarding.load_tracker import LoadTracker
+from lagoonhinge_core.forwarding.load_tracker import (
+    IDLE_INTERVAL_S,
+    LoadTracker,
+    update_interval_factor,
+)
 from lagoonhinge_core.forwarding.retry_window import RetryBound, RetryWindow
 from lagoonhinge_core.forwarding.store_contact import StoreContact
 from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamDirectory
 from lagoonhinge_core.forwarding.zone_partitions import (
+    PartitionTracker,
     ZoneObservation,
     is_likely_partitioned,
 )
@@ -53,6 +58,9 @@
         self.load = LoadTracker(node)
         self.background_tasks: set[Task[None]] = set()
         self.health = HealthTracker()
+        self.partitions = PartitionTracker()
+        # Upstreams that a probe reached again, to be told to the cell.
+        self.unsent_reachable: list[str] = []
         self.crashes = CrashTracker()
         self.retry_windows: dict[str, RetryWindow] = {}
         self.node_count = 1
@@ -112,6 +120,7 @@
         """Record a failed connection, which a crash or a partition may have caused."""
         self.record_exit(upstream.instance)
         self.health.record_connect_failure(upstream.instance, self.clock())
+        self.partitions.record_failure(upstream.zone, upstream.instance)
         self.eject_partitioned_zone(upstream.zone)
 
     def record_exit(self, instance: str) -> None:
@@ -124,28 +133,49 @@
             )
 
     def eject_partitioned_zone(self, zone: str) -> bool:
-        """Eject all upstreams of a zone that is likely partitioned from this one.
+        """Avoid a zone that is likely partitioned from this node's.
 
         Returns:
-            Whether any upstream was newly ejected.
+            Whether the zone was not avoided before.
         """
-        if zone == self.zone:
+        if zone == self.zone or zone in self.partitions.partitioned:
             return False
-        listed = [u for u in self.directory.by_instance.values() if u.zone == zone]
-        unreachable = frozenset(self.health.unreachable())
         now_s = self.clock()
         observation = ZoneObservation(
-            len(listed),
-            sum(entry.instance in unreachable for entry in listed),
+            sum(u.zone == zone for u in self.directory.by_instance.values()),
+            self.partitions.count_failures(zone),
+            IDLE_INTERVAL_S * update_interval_factor(self.cell_peers()),
             tuple(
                 now_s - peer.received_s
                 for name, peer in self.load.peers.items()
                 if zone in self.cell and self.zone_of_node.get(name) == zone
             ),
+            now_s - self.partitions.contacts_s.get(zone, float("-inf")),
         )
         if not is_likely_partitioned(observation):
             return False
-        newly_ejected = [entry for entry in listed if entry.instance not in unreachable]
-        for entry in newly_ejected:
-            self.health.record_connect_failure(entry.instance, now_s)
-        return bool(newly_ejected)
+        self.partitions.partitioned.add(zone)
+        self.log_part.warning(
+            "A zone is likely partitioned; avoiding its upstreams.",
+            zone=zone,
+            unreachable=observation.unreachable,
+        )
+        return True
+
+    def record_contact(self, upstream: Upstream) -> None:
+        """Record that an upstream was reached."""
+        if self.partitions.record_contact(upstream.zone, self.clock()):
+            self.log_part.info(
+                "A zone is reachable again.",
+                zone=upstream.zone,
+                upstream=upstream.instance,
+            )
+
+    def ejected(self, upstreams: Collection[Upstream]) -> frozenset[str]:
+        """Return which of a service's upstreams to avoid."""
+        names = [upstream.instance for upstream in upstreams]
+        ejected = self.health.ejected(names, self.clock())
+        zones = self.partitions.partitioned
+        if not zones:
+            return ejected
+        return ejected.union(u.instance for u in upstreams if u.zone in zones)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
@@ -94,9 +94,7 @@
             remaining_s: Time until its deadline, in seconds.
         """
         usable = self.serving.directory.usable(service)
-        ejected = self.serving.health.ejected(
-            (entry.instance for entry in usable), self.serving.clock()
-        )
+        ejected = self.serving.ejected(usable)
         untried = tuple(entry for entry in usable if entry.instance not in tried)
         profile = self._engine_profile(service)
         if profile is None or request.size is None:
