--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -96,6 +96,11 @@
     And a worker of the desk is removed
     Then within two seconds only the other worker gets requests
 
+  Scenario: A worker that is removed soon after a late start of the store gets no more requests
+    Given a node on the platform that started before the store answered
+    When a worker of the desk is removed
+    Then within two seconds only the other worker gets requests
+
   Scenario: A worker whose entry expired during a store outage stays listed for a while
     Given a node on the platform with two workers for each service
     When the store is silent for 4 seconds, and a worker's entry expires
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -1,6 +1,6 @@
 """Steps for the node on the platform, run as real processes."""
 
-from signal import SIGHUP
+from signal import SIGCONT, SIGHUP, SIGSTOP
 from threading import Thread
 from time import monotonic, sleep
 
@@ -27,6 +27,7 @@
 
 BODY = b'{"fixture": "T8"}'
 IN_FORCE_S = 2.0
+STORE_PAUSE_S = 3.0  # the node's first calls time out meanwhile
 REACTION_LIMIT_S = 0.5
 MAX_TRIES = 10
 MARGIN_S = 0.3  # for the test's own calls
@@ -51,12 +52,18 @@
     workers: dict[str, str],
     with_config: bool = True,
     unread_log: bool = False,
+    store_pause_s: float = 0.0,
 ) -> None:
     context.fleet = fleet = PlatformFleet()
     fleet.start_store()
     for instance in workers:
         fleet.start_worker(instance)
+    if store_pause_s:
+        fleet.store.popen.send_signal(SIGSTOP)
     context.node = fleet.start_platform_node(unread_log)
+    if store_pause_s:
+        sleep(store_pause_s)
+        fleet.store.popen.send_signal(SIGCONT)
     fleet.wait_started()
     if with_config:
         fleet.put_config()
@@ -71,6 +78,13 @@
     context.fleet.wait_ready(context.node)
 
 
+@given("a node on the platform that started before the store answered")
+def step_late_store(context):
+    workers = {"d1": "desk", "d2": "desk", "m1": "models", "m2": "models"}
+    _start(context, workers, store_pause_s=STORE_PAUSE_S)
+    context.fleet.wait_ready(context.node)
+
+
 @given("a node on the platform with four workers for models")
 def step_four_workers(context):
     _start(context, {f"m{number}": "models" for number in range(4)})
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -121,13 +121,19 @@
             while not await self._read(table, 0.0):
                 await sleep(START_RETRY_S * self.serving.random.random())
         while not self.should_stop:
-            if self.serving.clock() < self.role.due_s:
+            if self._may_wait():
                 await sleep(IDLE_CHECK_S)
             elif await self._read(StoreTable.CONFIG, 0.0):
                 await self._watch()
             else:
                 self._record_failure()
 
+    def _may_wait(self) -> bool:
+        """Return whether another node may still read the store for this one."""
+        if self.serving.clock() >= self.role.due_s:
+            return False
+        return bool(self.role.failures or self._zone_peers())
+
     @Service.task
     async def announce(self) -> None:
         """Write this node's entry unless the store has it."""
