--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -530,6 +530,7 @@
         "m1",
         "m2",
     }, dump
+    assert dump["store"]["watching"] and dump["cell"] == ["north"], dump
     assert KEY not in state.body.decode() and KEY not in metrics
 
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/cell_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/cell_exchange.py
@@ -65,4 +65,5 @@
         self.serving.load.merge_summary(summary, self.serving.clock())
         watcher = self.watch.watcher
         if not self.watch.role.is_watching and watcher is not None:
-            self.socket.send(encode_message(message), [watcher])
+            address = (watcher.host, watcher.port)
+            self.socket.send(encode_message(message), [address])
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -12,6 +12,7 @@
 from lagoonhinge_core.length_class import length_class
 from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
 from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.store_watch import StoreWatch
 from lagoonhinge_node.registry_metrics import FIRST_TOKEN_BUCKETS_S, RegistryMetrics
 
 GAP_BUCKETS_S = (0.05, 0.1, 0.15, 0.2, 0.25, 0.4, 0.6, 1.0, 2.0, 5.0)
@@ -101,6 +102,21 @@
         for name, (help_text, read) in gauges.items():
             Gauge(name, help_text, registry=self.registry).set_function(read)
 
+    def add_store_gauges(self, watch: StoreWatch) -> None:
+        """Add gauges of the watch of the store."""
+        gauges = {
+            "lagoonhinge_store_calls": (
+                "Calls to the store since the start.",
+                lambda: watch.calls,
+            ),
+            "lagoonhinge_watches_store": (
+                "Whether this node watches the store for its zone.",
+                lambda: int(watch.role.is_watching),
+            ),
+        }
+        for name, (help_text, read) in gauges.items():
+            Gauge(name, help_text, registry=self.registry).set_function(read)
+
 
 def _config_version(serving: ServingState) -> int:
     config = serving.board.read(SiteConfigSection).config
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
@@ -137,7 +137,7 @@
         exchange = LoadExchange(self.serving, socket)
         decoder = self.adapters.decoder
         upstreams = UpstreamController(self.serving, decoder)
-        watch = StoreWatch(
+        self.watch = watch = StoreWatch(
             self.serving,
             store,
             settings.entry,
@@ -166,6 +166,7 @@
         """Open the listeners."""
         session = self._register_session(open_upstream_session())
         self.metrics.add_gauges(self.serving)
+        self.metrics.add_store_gauges(self.watch)
         client = UpstreamClient(session, self.adapters.codec)
         engine_memory = self.adapters.open_memory(session)
         request_log = RequestLog(self.serving)
@@ -188,7 +189,7 @@
             readiness_server, self.settings.readiness
         )
         await self.readiness_listener.start()
-        operators = OperatorInterface(self.serving, self.metrics)
+        operators = OperatorInterface(self.serving, self.metrics, self.watch)
         self.operator_listener = ServerListener(
             operators.server(), self.settings.metrics
         )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
@@ -12,6 +12,7 @@
 )
 from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.store_watch import StoreWatch
 
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
@@ -23,11 +24,15 @@
     Args:
         serving: State shared by all requests.
         metrics: Metrics of the forwarding path.
+        watch: Reads the store.
     """
 
-    def __init__(self, serving: ServingState, metrics: ForwardingMetrics):
+    def __init__(
+        self, serving: ServingState, metrics: ForwardingMetrics, watch: StoreWatch
+    ):
         self.serving = serving
         self.metrics = metrics
+        self.watch = watch
 
     def server(self) -> web.Server:
         """Return the server for the operators' listener."""
@@ -68,6 +73,12 @@
                     for host, routes in config.routes.by_host.items()
                 },
             },
+            "store": self.watch.dump(),
+            "cell": sorted(serving.cell),
+            "other_cells_s": {
+                zone: round(now_s - taken_s, 3)
+                for zone, (_, taken_s) in serving.load.summaries.items()
+            },
             "upstreams": to_builtins(listed),
             "load": {
                 name: {
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -6,6 +6,7 @@
 
 from asyncio import FIRST_COMPLETED, Event, create_task, sleep, wait
 from dataclasses import replace
+from typing import Any
 
 from mode import Service
 from returns.result import Failure, Success
@@ -111,8 +112,8 @@
         self.last_news_s = float("-inf")
         self.stopped_watching = Event()
         self.incomplete: set[StoreTable] = set()
-        # Address of the node that watches the store for the zone, if it is another one.
-        self.watcher: tuple[str, int] | None = None
+        # The node that watches the store for the zone, if it is another one.
+        self.watcher: NodeEntry | None = None
 
     @Service.task
     async def run(self) -> None:
@@ -276,6 +277,19 @@
         news = StoreNews(self.own_entry.name, tables, self._cell_summaries())
         return encode_message(PeerMessage(news=news))
 
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the watch for the state dump."""
+        now_s, role = self.serving.clock(), self.role
+        watcher = self.own_entry if role.is_watching else self.watcher
+        return {
+            "watching": role.is_watching,
+            "watcher": None if watcher is None else watcher.name,
+            "age_s": str(round(now_s - role.known_s, 3)),
+            "failures": self.failures,
+            "calls": self.calls,
+            "versions": {t.value: r.version for t, r in self.replicas.items()},
+        }
+
     def _cell_summaries(self) -> tuple[CellSummary, ...]:
         now_s, load = self.serving.clock(), self.serving.load
         summaries = (load.current_summary(zone, now_s) for zone in load.summaries)
@@ -295,8 +309,8 @@
         for summary in news.cells:
             if summary.zone not in self.serving.cell:
                 load.merge_summary(summary, now_s)
-        node = self.serving.board.read(NodeListSection).nodes.get(news.node)
-        self.watcher = None if node is None else (node.host, node.port)
+        nodes = self.serving.board.read(NodeListSection).nodes
+        self.watcher = nodes.get(news.node)
         names = {table.value: table for table in StoreTable}
         for table_news in news.tables:
             table = names.get(table_news.table)
