Fewer wake-ups of idle nodes: the store's watch sleeps until it is due

Before, two tasks of each node woke up 20 times a second, and idle nodes of a cell of one zone sent twice as many updates as the timeout of peers needs.

--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -18,6 +18,8 @@
 from lagoonhinge_node.forwarding.serving_state import ServingState
 
 SEND_INTERVAL_S = 0.05  # about the duration of one engine pass
+# Factor of the idle interval in a cell of one zone; half of `PEER_TIMEOUT_UPDATES`.
+IDLE_ZONE_FACTOR = 2
 # Share of an interval after which an update is due, since timers fire slightly early
 # or late.
 TIMER_TOLERANCE = 0.9
@@ -44,6 +46,14 @@
         """Replace the list of other nodes."""
         self.nodes = nodes
 
+    def _idle_interval_s(self) -> float:
+        """Return the interval between updates without changes, for few peers.
+
+        In a cell of several zones, missed updates show that one is partitioned. In
+        other cells, updates need only be more frequent than the timeout of peers.
+        """
+        return IDLE_INTERVAL_S * (1 if len(self.serving.cell) > 1 else IDLE_ZONE_FACTOR)
+
     def _receivers(self) -> list[tuple[str, int]]:
         """Return the addresses of the nodes that need this node's updates.
 
@@ -76,7 +86,7 @@
             or self.serving.unsent_reachable
         )
         is_unchanged = not has_changes and load.own_work == self.last_sent_work
-        interval_s = IDLE_INTERVAL_S if is_unchanged else SEND_INTERVAL_S
+        interval_s = self._idle_interval_s() if is_unchanged else SEND_INTERVAL_S
         interval_s *= update_interval_factor(self.serving.cell_peers())
         if not is_urgent and now_s - self.last_sent_s < interval_s * TIMER_TOLERANCE:
             return
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -56,7 +56,8 @@
 # all nodes read at once.
 MISSING_ROWS_SPREAD_S = 0.2  # a tenth of the time within which a change is in force
 START_RETRY_S = 0.5  # longest pause between failed calls before the first answer
-IDLE_CHECK_S = 0.05  # between checks whether this node has to read the store
+START_CHECK_S = 0.05  # between checks whether the nodes' table has been read
+DUE_CHECKS = 5.0  # checks within the least patience whether the store has to be read
 
 
 class StoreWatch(Service):
@@ -112,6 +113,7 @@
         self.last_news_s = float("-inf")
         self.stopped_watching = Event()
         self.incomplete: set[StoreTable] = set()
+        self.found_incomplete = Event()
         # The node that watches the store for the zone, if it is another one.
         self.watcher: NodeEntry | None = None
 
@@ -122,24 +124,27 @@
             while not await self._read(table, 0.0):
                 await sleep(START_RETRY_S * self.serving.random.random())
         while not self.should_stop:
-            if self._may_wait():
-                await sleep(IDLE_CHECK_S)
+            wait_s = self._wait_s()
+            if wait_s > 0:
+                await sleep(wait_s)
             elif await self._read(StoreTable.CONFIG, 0.0):
                 await self._watch()
             else:
                 self._record_failure()
 
-    def _may_wait(self) -> bool:
-        """Return whether another node may still read the store for this one."""
-        if self.serving.clock() >= self.role.due_s:
-            return False
-        return bool(self.role.failures or self._zone_peers())
+    def _wait_s(self) -> float:
+        """Return how long another node may still read the store for this one."""
+        if not self.role.failures and not self._zone_peers():
+            return 0.0
+        # The time is checked in between, as it may come to be earlier.
+        wait_s = self.role.due_s - self.serving.clock()
+        return min(wait_s, self.times.least_patience_s / DUE_CHECKS)
 
     @Service.task
     async def announce(self) -> None:
         """Write this node's entry unless the store has it."""
         while self.replicas[StoreTable.NODES].version is None:
-            await sleep(IDLE_CHECK_S)
+            await sleep(START_CHECK_S)
         while not self.nodes.is_announced() and not self.should_stop:
             self.calls += 1
             match await self.store.announce(self.own_entry):
@@ -153,9 +158,8 @@
     async def read_missing_rows(self) -> None:
         """Read tables of which the news was incomplete."""
         while not self.should_stop:
-            await sleep(IDLE_CHECK_S)
-            if not self.incomplete:
-                continue
+            await self.found_incomplete.wait()
+            self.found_incomplete.clear()
             await sleep(self.serving.random.uniform(0.0, MISSING_ROWS_SPREAD_S))
             for table in tuple(self.incomplete):
                 self.incomplete.discard(table)
@@ -325,6 +329,7 @@
             case MissingRows():
                 if self.replicas[table].version is not None:
                     self.incomplete.add(table)
+                    self.found_incomplete.set()
                 return
             case NewRows(rows):
                 self._apply(table, rows, False)
