A node that reads all rows again keeps watching the store

Cause, found by reading: when the store had lost its history the replica's version was reset before the rows were read; news sent meanwhile failed an assertion, which ended the watch (the next node took over after a second or two). The replica now stays until the rows are there.

--- a/features/steps/store_watch_steps.py
+++ b/features/steps/store_watch_steps.py
@@ -126,6 +126,34 @@
         context.loop.run_until_complete(run())
 
 
+@when(
+    "the store loses its history, and {seconds:d} seconds pass with a change each "
+    "second"
+)
+def step_history(context, seconds):
+    fleet = context.zone
+    context.watchers_seen = []
+
+    async def run() -> None:
+        await _pass_time(fleet, 2.0)
+        fleet.store.forgets = True
+        for number in range(seconds):
+            fleet.put_config(number + 2)
+            for _ in range(100):
+                await sleep(0.01)
+                context.watchers_seen.append(tuple(fleet.watchers()))
+
+    context.loop.run_until_complete(run())
+
+
+@then("the same node watches the store as before, and stopped at no time")
+def step_same_watcher(context):
+    assert len(set(context.watchers_seen)) == 1, set(context.watchers_seen)
+    assert len(context.watchers_seen[0]) == 1, context.watchers_seen[0]
+    stopped = [w for w in context.zone.watches.values() if w.stops]
+    assert not stopped, stopped
+
+
 @then("it is in force within two seconds at every node that reaches the store")
 def step_in_force(context):
     assert not context.late, context.late
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -110,7 +110,7 @@
         self.log_part = PartLogger("store")
         self.failures = 0
         self.calls = 0
-        self.last_news_s = float("-inf")
+        self.stops = 0  # how often this node stopped watching
         self.stopped_watching = Event()
         self.incomplete: set[StoreTable] = set()
         self.found_incomplete = Event()
@@ -181,6 +181,7 @@
                 task.cancel()
         if any(task.done() and not task.cancelled() for task in polls):
             self._record_failure()
+        self.stops += 1
         self.log_part.info("Stopped watching the store.", failures=self.failures)
 
     async def _poll(self, table: StoreTable) -> None:
@@ -202,8 +203,9 @@
     async def _read(self, table: StoreTable, wait_s: float) -> bool:
         """Read a table or its changes and apply them; return whether that worked."""
         replica = self.replicas[table]
+        after = replica.version
         while True:
-            after, requested_s = replica.version, self.serving.clock()
+            requested_s = self.serving.clock()
             self.calls += 1
             result = await self.store.read_table(table, after, wait_s)
             match result:
@@ -220,7 +222,8 @@
                         "The store no longer has the history; reading all rows.",
                         table=table.value,
                     )
-                    replica.version = None
+                    # The replica stays as it is, for news, until all rows are read.
+                    after = None
                 case Failure(fault):
                     self._log_fault(fault)
                     return False
@@ -291,6 +294,7 @@
             "age_s": str(round(now_s - role.known_s, 3)),
             "failures": self.failures,
             "calls": self.calls,
+            "stops": self.stops,
             "versions": {t.value: r.version for t, r in self.replicas.items()},
         }
 
