One piece of code for ranks, quarantine, gauges and addresses of nodes

Read again after the change; behaviour is the same. - The order of nodes and of upstreams used two equal functions: stable_rank. - Quarantine was looked up in two places, each avoiding the digest without crashes: RequestContext.quarantine_s. - Counting by zone is collections.Counter; ConfigUpdate repeated what Result says. - The number of nodes in the cell was summed up for each prompt and every 50 ms; it is kept when the lists change. - eject_partitioned_zone returned what no caller read; two loops added gauges; host and port of a node were put together in four places. The step that sets the zones of a cell by hand now updates the cell; its assertions are as before.

--- a/bench/emulator/fleet.py
+++ b/bench/emulator/fleet.py
@@ -1,5 +1,6 @@
 """Nodes that place prompts on emulated engines and exchange delayed load updates."""
 
+from collections import Counter
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -7,7 +8,7 @@
 from bench.emulator.engine import EmulatedEngine, EngineRequest
 from bench.emulator.policies import Policy, PredictedCost, place_with_policy
 from bench.emulator.traffic import Arrival
-from lagoonhinge_core.forwarding.cells import cell_zones, count_by_zone
+from lagoonhinge_core.forwarding.cells import cell_zones
 from lagoonhinge_core.forwarding.engine_sampling import (
     sample_engines,
     sample_remote_engines,
@@ -123,7 +124,7 @@
 
     def cell(self, zone: str) -> frozenset[str]:
         """Return the zones that form one cell with a zone."""
-        return cell_zones(zone, count_by_zone(self.engine_zones.values()))
+        return cell_zones(zone, Counter(self.engine_zones.values()))
 
     def _peers(self, number: int) -> list[int]:
         """Return the nodes that get a node's updates."""
--- a/features/steps/forwarding_decisions_steps.py
+++ b/features/steps/forwarding_decisions_steps.py
@@ -250,6 +250,7 @@
         serving.random = Random(number)
         serving.directory.update((upstream,), ())
         serving.zone_of_node = {f"n{n}": "north" for n in range(nodes)}
+        serving.update_cell(())
         serving.record_connect_failure(upstream)
         context.controllers.append(ReachabilityController(serving))
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/cells.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/cells.py
@@ -10,7 +10,7 @@
 bursts are spread better over more of them.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from lagoonhinge_core.forwarding.engine_time import MAX_HELPERS
 
@@ -29,11 +29,3 @@
     if sum(engines_by_zone.values()) < MIN_CELL_ENGINES * len(zones):
         return zones
     return frozenset((own_zone,))
-
-
-def count_by_zone(zones: Iterable[str]) -> dict[str, int]:
-    """Return how often each zone occurs."""
-    counts: dict[str, int] = {}
-    for zone in zones:
-        counts[zone] = counts.get(zone, 0) + 1
-    return counts
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_store.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_store.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import Generic, Protocol, TypeVar
 
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from lagoonhinge_core.forwarding.site_config import SiteConfig
 from lagoonhinge_core.forwarding.upstreams import Upstream
@@ -29,6 +29,10 @@
     port: int
     zone: str
 
+    def peer_address(self) -> tuple[str, int]:
+        """Return host and port for messages between nodes."""
+        return self.host, self.port
+
 
 class StoreTable(Enum):
     """Tables of the store that every node follows."""
@@ -80,19 +84,6 @@
     store_time_s: float
 
 
-@dataclass(frozen=True)
-class ConfigUpdate:
-    """The configuration, if it changed.
-
-    Attributes:
-        config: The newest configuration; `None` if there is no change or none exists.
-        fault: Why the newest configuration is unusable; empty if it is usable.
-    """
-
-    config: SiteConfig | None
-    fault: str = ""
-
-
 @dataclass(frozen=True)
 class ListUpdate(Generic[EntryT]):
     """Changes to the listed upstreams or nodes.
@@ -106,22 +97,6 @@
     removed: tuple[str, ...]
 
 
-def config_update(
-    rows: tuple[TableRow, ...],
-    decode_config: Callable[[TableRow], Result[SiteConfig, str]],
-) -> ConfigUpdate:
-    """Return the newest configuration in the rows of its table."""
-    present = [row for row in rows if row.value is not None]
-    if not present:
-        return ConfigUpdate(None)
-    match decode_config(max(present, key=lambda row: row.version)):
-        case Success(config):
-            return ConfigUpdate(config)
-        case Failure(reason):
-            return ConfigUpdate(None, reason)
-    raise AssertionError("not a result")
-
-
 def list_update(
     rows: tuple[TableRow, ...], decode_entry: Callable[[TableRow], EntryT | None]
 ) -> ListUpdate[EntryT]:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/upstreams.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/upstreams.py
@@ -35,9 +35,9 @@
         return f"{self.host}:{self.port}"
 
 
-def stable_sort_key(upstream: Upstream) -> bytes:
-    """Return a sort key that is spread evenly and the same on all nodes."""
-    return blake2b(upstream.instance.encode(), digest_size=8).digest()
+def stable_rank(name: str) -> bytes:
+    """Return a sort key for a name, spread evenly and the same on all nodes."""
+    return blake2b(name.encode(), digest_size=8).digest()
 
 
 class UpstreamDirectory:
@@ -66,7 +66,9 @@
 
     def _regroup(self) -> None:
         groups: dict[str, list[Upstream]] = {}
-        for entry in sorted(self.by_instance.values(), key=stable_sort_key):
+        for entry in sorted(
+            self.by_instance.values(), key=lambda u: stable_rank(u.instance)
+        ):
             if not entry.leaving:
                 groups.setdefault(entry.service, []).append(entry)
         self.by_service = {name: tuple(group) for name, group in groups.items()}
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/watch_role.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/watch_role.py
@@ -11,9 +11,10 @@
 """
 
 from dataclasses import dataclass
-from hashlib import blake2b
 from random import Random
 
+from lagoonhinge_core.forwarding.upstreams import stable_rank
+
 # Shares of the time within which a change must be in force everywhere.
 POLL_SHARE = 0.3
 LEAST_PATIENCE_SHARE = 0.5  # three pieces of news may be lost or late
@@ -58,11 +59,6 @@
     )
 
 
-def watch_rank(node: str) -> bytes:
-    """Return the position of a node in the order that all nodes share."""
-    return blake2b(node.encode(), digest_size=8).digest()
-
-
 def retry_spread_s(zone_nodes: int, failures: int) -> float:
     """Return the time over which the nodes of a zone spread calls to a failed store.
 
@@ -87,7 +83,7 @@
     """
 
     def __init__(self, node: str, times: WatchTimes, random: Random):
-        self.rank = watch_rank(node)
+        self.rank = stable_rank(node)
         self.times = times
         self.random = random
         self.is_watching = False
@@ -117,7 +113,7 @@
         """
         lead_s = known_s - self.known_s
         self.record_state(known_s)
-        is_earlier = watch_rank(sender) < self.rank
+        is_earlier = stable_rank(sender) < self.rank
         # A watcher that is cut off from the store stops for any other one.
         margin_s = self.times.least_patience_s
         if lead_s > margin_s or (is_earlier and lead_s > -margin_s):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
@@ -276,12 +276,7 @@
     def _refuse_if_quarantined(
         self, context: RequestContext
     ) -> Result[RequestContext, Refusal]:
-        crashes = self.serving.crashes
-        if crashes.is_empty():
-            return Success(context)
-        quarantine_s = crashes.remaining_quarantine_s(
-            context.digest, self.serving.clock()
-        )
+        quarantine_s = context.quarantine_s(self.serving.crashes, self.serving.clock())
         if not quarantine_s:
             return Success(context)
         reason = "requests like it crash upstreams"
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/cell_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/cell_exchange.py
@@ -55,7 +55,7 @@
         for nodes in zones.values():
             count = min(RECEIVERS_PER_ZONE, len(nodes))
             receivers = serving.random.sample(nodes, count)
-            self.socket.send(data, [(node.host, node.port) for node in receivers])
+            self.socket.send(data, [node.peer_address() for node in receivers])
 
     def receive(self, message: PeerMessage) -> None:
         """Record a summary, and pass it on to the node that adds it to its news."""
@@ -65,5 +65,4 @@
         self.serving.load.merge_summary(summary, self.serving.clock())
         watcher = self.watch.watcher
         if not self.watch.role.is_watching and watcher is not None:
-            address = (watcher.host, watcher.port)
-            self.socket.send(encode_message(message), [address])
+            self.socket.send(encode_message(message), [watcher.peer_address()])
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -1,5 +1,7 @@
 """Metrics of the forwarding path; labels never name accounts, upstreams or requests."""
 
+from collections.abc import Callable
+
 from prometheus_client import Gauge, Histogram
 
 from lagoonhinge_core.forwarding.messages import CallerRequest
@@ -73,7 +75,7 @@
     def add_gauges(self, serving: ServingState) -> None:
         """Add gauges that read the current state of the node."""
         now_s = serving.clock
-        gauges = {
+        gauges: dict[str, tuple[str, Callable[[], float]]] = {
             "lagoonhinge_open_requests": (
                 "Requests being served.",
                 lambda: serving.open_requests,
@@ -99,12 +101,11 @@
                 lambda: _config_version(serving),
             ),
         }
-        for name, (help_text, read) in gauges.items():
-            Gauge(name, help_text, registry=self.registry).set_function(read)
+        self._add_gauges(gauges)
 
     def add_store_gauges(self, watch: StoreWatch) -> None:
         """Add gauges of the watch of the store."""
-        gauges = {
+        gauges: dict[str, tuple[str, Callable[[], float]]] = {
             "lagoonhinge_store_calls": (
                 "Calls to the store since the start.",
                 lambda: watch.calls,
@@ -114,6 +115,9 @@
                 lambda: int(watch.role.is_watching),
             ),
         }
+        self._add_gauges(gauges)
+
+    def _add_gauges(self, gauges: dict[str, tuple[str, Callable[[], float]]]) -> None:
         for name, (help_text, read) in gauges.items():
             Gauge(name, help_text, registry=self.registry).set_function(read)
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -69,7 +69,7 @@
         zones = self.serving.cell | used
         is_for_all = bool(self.serving.crashes.gossiped)
         return [
-            (node.host, node.port)
+            node.peer_address()
             for node in self.nodes
             if is_for_all or node.zone in zones
         ]
@@ -87,7 +87,7 @@
         )
         is_unchanged = not has_changes and load.own_work == self.last_sent_work
         interval_s = self._idle_interval_s() if is_unchanged else SEND_INTERVAL_S
-        interval_s *= update_interval_factor(self.serving.cell_peers())
+        interval_s *= update_interval_factor(self.serving.cell_peers)
         if not is_urgent and now_s - self.last_sent_s < interval_s * TIMER_TOLERANCE:
             return
         receivers = self._receivers()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
@@ -53,7 +53,7 @@
     def _unreachable_in_turn(self) -> list[str]:
         """Return the unreachable upstreams that are this node's turn to probe."""
         random = self.serving.random
-        turn_share = 1 / update_interval_factor(self.serving.cell_peers())
+        turn_share = 1 / update_interval_factor(self.serving.cell_peers)
         listed = self.serving.directory.by_instance
         zones = self.serving.partitions.partitioned
         return [
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_context.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_context.py
@@ -4,7 +4,7 @@
 from functools import cached_property
 from typing import Protocol
 
-from lagoonhinge_core.forwarding.crashes import digest_request
+from lagoonhinge_core.forwarding.crashes import CrashTracker, digest_request
 from lagoonhinge_core.forwarding.messages import AnswerHead, CallerRequest
 from lagoonhinge_core.forwarding.routes import Route
 from lagoonhinge_node.forwarding.serving_state import ServingState
@@ -85,6 +85,13 @@
         """Return the digest of the request's content and client account."""
         return digest_request(self.request, self.account)
 
+    def quarantine_s(self, crashes: CrashTracker, now_s: float) -> float:
+        """Return the rest of the request's quarantine, in seconds; 0 if none."""
+        # Without crashes, as usual, no digest is computed.
+        if crashes.is_empty():
+            return 0.0
+        return crashes.remaining_quarantine_s(self.digest, now_s)
+
 
 @dataclass(frozen=True)
 class DeferredLine:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -114,7 +114,10 @@
                     action = self._handle_failure(context, choice, failure)
             if action is not FailureAction.RETRY:
                 return await self._end_failed(context, writer, action)
-            quarantine_s = self._quarantine_s(context)
+            # The failed attempt itself may have confirmed the crash that starts it.
+            quarantine_s = context.quarantine_s(
+                self.serving.crashes, self.serving.clock()
+            )
             if quarantine_s:
                 return await self._end_failed(
                     context, writer, FailureAction.REFUSE, quarantine_s
@@ -224,16 +227,6 @@
             return False
         return not crashes.may_retry(context.digest, self.serving.clock())
 
-    def _quarantine_s(self, context: RequestContext) -> float:
-        """Return the rest of the request's quarantine, in seconds; 0 if none.
-
-        The failed attempt itself may have confirmed the crash that started it.
-        """
-        crashes = self.serving.crashes
-        if crashes.is_empty():
-            return 0.0
-        return crashes.remaining_quarantine_s(context.digest, self.serving.clock())
-
     def _count_attempt(self, choice: UpstreamChoice, result: str) -> None:
         is_same_zone = "yes" if choice.upstream.zone == self.serving.zone else "no"
         self.metrics.attempts.labels(result, is_same_zone).inc()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -1,12 +1,13 @@
 """State shared by all requests of a node: upstreams, retry budgets, clock."""
 
 from asyncio import Task, create_task
+from collections import Counter
 from collections.abc import Callable, Collection, Coroutine, Iterable
 from random import Random
 from typing import Any
 
 from lagoonhinge_core.blackboard import Blackboard
-from lagoonhinge_core.forwarding.cells import cell_zones, count_by_zone
+from lagoonhinge_core.forwarding.cells import cell_zones
 from lagoonhinge_core.forwarding.crashes import CrashTracker
 from lagoonhinge_core.forwarding.freshness import Freshness
 from lagoonhinge_core.forwarding.health import HealthTracker
@@ -70,6 +71,7 @@
         self.zone_of_node: dict[str, str] = {}
         # Zones whose nodes and engines form one cell with this node.
         self.cell: frozenset[str] = frozenset((zone,))
+        self.cell_peers = 0  # other nodes of the cell
         self.rotation_index = 0
         self.open_requests = 0
         self.is_stopping = False
@@ -108,15 +110,12 @@
             engine_services: Services whose upstreams are model engines.
         """
         engines = [u for name in engine_services for u in self.directory.usable(name)]
-        zones = count_by_zone(engine.zone for engine in engines)
+        zones = Counter(engine.zone for engine in engines)
         zones_without_engines = dict.fromkeys(self.zone_of_node.values(), 0)
         self.cell = cell_zones(self.zone, {**zones_without_engines, **zones})
-        self.load.peer_timeout_s = peer_timeout_s(self.cell_peers())
-
-    def cell_peers(self) -> int:
-        """Return the number of other nodes in this node's cell."""
         nodes = sum(zone in self.cell for zone in self.zone_of_node.values())
-        return max(0, nodes - 1)
+        self.cell_peers = max(0, nodes - 1)
+        self.load.peer_timeout_s = peer_timeout_s(self.cell_peers)
 
     def record_connect_failure(self, upstream: Upstream) -> None:
         """Record a failed connection, which a crash or a partition may have caused."""
@@ -134,19 +133,15 @@
                 digest=crash.request,
             )
 
-    def eject_partitioned_zone(self, zone: str) -> bool:
-        """Avoid a zone that is likely partitioned from this node's.
-
-        Returns:
-            Whether the zone was not avoided before.
-        """
+    def eject_partitioned_zone(self, zone: str) -> None:
+        """Avoid a zone that is likely partitioned from this node's."""
         if zone == self.zone or zone in self.partitions.partitioned:
-            return False
+            return
         now_s = self.clock()
         observation = ZoneObservation(
             sum(u.zone == zone for u in self.directory.by_instance.values()),
             self.partitions.count_failures(zone),
-            IDLE_INTERVAL_S * update_interval_factor(self.cell_peers()),
+            IDLE_INTERVAL_S * update_interval_factor(self.cell_peers),
             tuple(
                 now_s - peer.received_s
                 for name, peer in self.load.peers.items()
@@ -155,14 +150,13 @@
             now_s - self.partitions.contacts_s.get(zone, float("-inf")),
         )
         if not is_likely_partitioned(observation):
-            return False
+            return
         self.partitions.partitioned.add(zone)
         self.log_part.warning(
             "A zone is likely partitioned; avoiding its upstreams.",
             zone=zone,
             unreachable=observation.unreachable,
         )
-        return True
 
     def record_contact(self, upstream: Upstream) -> None:
         """Record that an upstream was reached."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -3,14 +3,14 @@
 from collections.abc import Callable
 
 from mode import Service
+from returns.result import Failure, Success
 
+from lagoonhinge_core.forwarding.site_config import SiteConfig
 from lagoonhinge_core.forwarding.site_store import (
-    ConfigUpdate,
     ListUpdate,
     NodeEntry,
     RowDecoder,
     TableRow,
-    config_update,
     list_update,
 )
 from lagoonhinge_core.forwarding.upstreams import Upstream
@@ -46,22 +46,21 @@
 
     def apply(self, rows: tuple[TableRow, ...]) -> None:
         """Apply rows of the configuration's table."""
-        update = config_update(rows, self.decoder.config)
-        section = self.serving.board.read(SiteConfigSection)
-        if update.fault:
-            self.log_part.error(
-                "Ignored an unusable configuration.",
-                reason=update.fault,
-            )
-            self.writer.post(
-                SiteConfigSection(section.config, update.fault, section.adopted_s)
-            )
+        present = [row for row in rows if row.value is not None]
+        if not present:
             return
-        self._put_into_force(update, section)
-
-    def _put_into_force(self, update: ConfigUpdate, section: SiteConfigSection) -> None:
-        config, current = update.config, section.config
-        if config is None or (current and config.version <= current.version):
+        section = self.serving.board.read(SiteConfigSection)
+        match self.decoder.config(max(present, key=lambda row: row.version)):
+            case Success(config):
+                self._put_into_force(config, section.config)
+            case Failure(reason):
+                self.log_part.error("Ignored an unusable configuration.", reason=reason)
+                self.writer.post(
+                    SiteConfigSection(section.config, reason, section.adopted_s)
+                )
+
+    def _put_into_force(self, config: SiteConfig, current: SiteConfig | None) -> None:
+        if current is not None and config.version <= current.version:
             return
         self.writer.post(SiteConfigSection(config, "", self.serving.clock()))
         update_cell(self.serving)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -262,7 +262,7 @@
     def _zone_peers(self) -> list[tuple[str, int]]:
         nodes = self.serving.board.read(NodeListSection).nodes.values()
         return [
-            (node.host, node.port)
+            node.peer_address()
             for node in nodes
             if node.zone == self.own_entry.zone and node.name != self.own_entry.name
         ]
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
@@ -124,7 +124,7 @@
     ) -> UpstreamChoice | DeadlineUnreachable | None:
         cell = self.serving.cell
         own = tuple(entry for entry in untried if entry.zone in cell) or untried
-        random, peers = self.serving.random, self.serving.cell_peers()
+        random, peers = self.serving.random, self.serving.cell_peers
         if is_short(profile, prompt):
             sampled = sample_engines(own, True, peers, random)
             remote = [
