Placement among cells stands once, for the node and the emulator

The summary of a cell is looked up once and not for each of its engines, and the emulator determines the cells once and not for each request.

--- a/bench/emulator/fleet.py
+++ b/bench/emulator/fleet.py
@@ -6,13 +6,10 @@
 
 from bench.emulator.clock import TimedCallback, VirtualClock
 from bench.emulator.engine import EmulatedEngine, EngineRequest
-from bench.emulator.policies import Policy, PredictedCost, place_with_policy
+from bench.emulator.policies import Policy, PredictedCost, place_by_baseline
 from bench.emulator.traffic import Arrival
+from lagoonhinge_core.forwarding.cell_placement import EnginePool, place_in_cells
 from lagoonhinge_core.forwarding.cells import cell_zones
-from lagoonhinge_core.forwarding.engine_sampling import (
-    sample_engines,
-    sample_remote_engines,
-)
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
 from lagoonhinge_core.forwarding.load_tracker import (
     LoadTracker,
@@ -24,7 +21,6 @@
     Placement,
     Prompt,
     is_short,
-    place_long_prompt,
 )
 
 UPDATE_INTERVAL_S = 0.05  # between load updates, as of the nodes
@@ -88,6 +84,7 @@
         zones: Availability zones.
         zone_shares: Share of the requests that arrive in each zone; even if empty.
         engine_zones: Zone of each engine.
+        cells: Zones that form one cell with each zone.
         clock: Clock of all engines and nodes.
     """
 
@@ -100,6 +97,7 @@
     zones: tuple[str, ...] = ("z0",)
     zone_shares: tuple[float, ...] = ()
     engine_zones: dict[str, str] = field(default_factory=dict)
+    cells: dict[str, frozenset[str]] = field(default_factory=dict)
     clock: VirtualClock = field(default_factory=VirtualClock)
 
     def build(self, engines: int, nodes: int, zones: int = 1) -> None:
@@ -114,7 +112,9 @@
             self.clock.schedule(
                 self.random.uniform(0.0, UPDATE_INTERVAL_S), self._update_sender(number)
             )
-        if self.cell(self.zones[0]) != frozenset(self.zones):
+        engines_by_zone = Counter(self.engine_zones.values())
+        self.cells = {zone: cell_zones(zone, engines_by_zone) for zone in self.zones}
+        if self.cells[self.zones[0]] != frozenset(self.zones):
             for zone in self.zones:
                 self.clock.schedule(0.0, self._summary_sender(zone))
 
@@ -122,13 +122,9 @@
         """Return the zone of a node."""
         return self.zones[number % len(self.zones)]
 
-    def cell(self, zone: str) -> frozenset[str]:
-        """Return the zones that form one cell with a zone."""
-        return cell_zones(zone, Counter(self.engine_zones.values()))
-
     def _peers(self, number: int) -> list[int]:
         """Return the nodes that get a node's updates."""
-        tracker, zones = self.trackers[number], self.cell(self.node_zone(number))
+        tracker, zones = self.trackers[number], self.cells[self.node_zone(number)]
         used = {self.engine_zones[name] for name in tracker.own_work}
         return [
             peer
@@ -137,7 +133,7 @@
         ]
 
     def _cell_size(self, number: int) -> int:
-        zones = self.cell(self.node_zone(number))
+        zones = self.cells[self.node_zone(number)]
         return sum(self.node_zone(n) in zones for n in range(len(self.trackers)))
 
     def _summary_sender(self, zone: str) -> TimedCallback:
@@ -186,61 +182,60 @@
 
     def _place(self, outcome: Outcome, now_s: float) -> None:
         arrival = outcome.arrival
-        number = self.random.choice(self._nodes_for(arrival, now_s))
-        tracker = self.trackers[number]
+        number = self.random.choice(self._arrival_nodes())
         kind = arrival.kind
         answer_tokens = arrival.answer_events * self.profile.steps_per_pass
         prompt = Prompt(
             arrival.prompt_tokens, answer_tokens, kind.target_s, kind.time_limit_s
         )
-        short, peers = is_short(self.profile, prompt), self._cell_size(number) - 1
-        zones = self.cell(self.node_zone(number))
-        own = [name for name, zone in self.engine_zones.items() if zone in zones]
-        candidates = tuple(
-            EngineCandidate(name, tracker.load(name, now_s), position=position)
-            for position, name in sample_engines(own, short, peers, self.random)
-        )
-        others = self._remote_candidates(tracker, zones, now_s)
-        if short:
-            remote = [engine for cell in others for engine in cell]
-            candidates += tuple(sample_remote_engines(remote, self.random))
-            placement = place_with_policy(self.policy, self.profile, candidates, prompt)
-        elif isinstance(self.policy, PredictedCost):
-            placement = place_long_prompt(
-                self.profile, (candidates, *others), prompt, self.policy.weights
-            )
-        else:
-            placement = place_with_policy(self.policy, self.profile, candidates, prompt)
+        pool = self._engine_pool(number, now_s)
+        match self.policy:
+            case PredictedCost(weights):
+                placement = place_in_cells(
+                    self.profile, pool, prompt, self.random, weights
+                )
+            case policy:
+                candidates = (
+                    pool.short_candidates(self.random)
+                    if is_short(self.profile, prompt)
+                    else pool.own_candidates(False, self.random)
+                )
+                placement = place_by_baseline(policy, self.profile, candidates, prompt)
         if isinstance(placement, Placement):
-            _Attempt(self, tracker, outcome, prompt, placement).start(now_s)
+            _Attempt(self, self.trackers[number], outcome, prompt, placement).start(
+                now_s
+            )
 
-    def _nodes_for(self, arrival: Arrival, now_s: float) -> list[int]:
-        """Return the nodes of the zone that a request arrives in."""
-        if len(self.zones) == 1 or not self.zone_shares:
+    def _arrival_nodes(self) -> list[int]:
+        """Return the nodes of the zone that the next request arrives in."""
+        if not self.zone_shares:
             return list(range(len(self.trackers)))
         (zone,) = self.random.choices(self.zones, self.zone_shares)
         return [n for n in range(len(self.trackers)) if self.node_zone(n) == zone]
 
-    def _remote_candidates(
-        self, tracker: LoadTracker, zones: frozenset[str], now_s: float
-    ) -> list[tuple[EngineCandidate, ...]]:
-        cells: list[tuple[EngineCandidate, ...]] = []
-        for zone in self.zones:
-            summary = tracker.current_summary(zone, now_s)
-            if zone not in zones and summary is not None:
-                cells.append(
-                    tuple(
-                        EngineCandidate(
-                            name,
-                            tracker.remote_load(name, summary, now_s),
-                            is_remote=True,
-                        )
-                        for name, engine_zone in self.engine_zones.items()
-                        if engine_zone == zone
-                    )
-                )
-        self.random.shuffle(cells)
-        return cells
+    def _engine_pool(self, number: int, now_s: float) -> EnginePool[str]:
+        """Return the engines as a node knows them."""
+        tracker, cell = self.trackers[number], self.cells[self.node_zone(number)]
+        names = {
+            zone: [name for name, z in self.engine_zones.items() if z == zone]
+            for zone in self.zones
+        }
+        known = (
+            (tracker.current_summary(zone, now_s), names[zone])
+            for zone in self.zones
+            if zone not in cell
+        )
+        return EnginePool(
+            [name for name, zone in self.engine_zones.items() if zone in cell],
+            [(summary, engines) for summary, engines in known if summary is not None],
+            self._cell_size(number) - 1,
+            lambda name, position: EngineCandidate(
+                name, tracker.load(name, now_s), position=position
+            ),
+            lambda name, summary: EngineCandidate(
+                name, tracker.remote_load(name, summary, now_s), is_remote=True
+            ),
+        )
 
 
 class _Attempt:
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -7,12 +7,10 @@
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
 from lagoonhinge_core.forwarding.prompt_placement import (
     DEFAULT_WEIGHTS,
-    DeadlineUnreachable,
     EngineCandidate,
     Placement,
     PlacementWeights,
     Prompt,
-    place_prompt,
 )
 
 
@@ -51,16 +49,14 @@
 }
 
 
-def place_with_policy(
-    policy: Policy,
+def place_by_baseline(
+    policy: RoundRobin | LeastInFlight,
     profile: EngineProfile,
     candidates: tuple[EngineCandidate, ...],
     prompt: Prompt,
-) -> Placement | DeadlineUnreachable | None:
-    """Return where a prompt goes by a policy."""
+) -> Placement:
+    """Return where a prompt goes by a baseline."""
     match policy:
-        case PredictedCost(weights):
-            return place_prompt(profile, candidates, prompt, weights)
         case RoundRobin(turns):
             engine = candidates[next(turns) % len(candidates)]
         case LeastInFlight():
--- a/features/steps/forwarding_placement_steps.py
+++ b/features/steps/forwarding_placement_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from bench.emulator.traffic import PROFILE
+from lagoonhinge_core.forwarding.cell_placement import place_long_prompt
 from lagoonhinge_core.forwarding.cells import cell_zones
 from lagoonhinge_core.forwarding.engine_sampling import sample_engines, sample_size
 from lagoonhinge_core.forwarding.load_tracker import (
@@ -23,7 +24,6 @@
     Placement,
     Prompt,
     is_short,
-    place_long_prompt,
     place_prompt,
 )
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/prompt_placement.py
@@ -19,7 +19,6 @@
   reserve memory for what the answering engine can't hold.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from lagoonhinge_core.forwarding.engine_time import MAX_HELPERS, EngineProfile
@@ -207,51 +206,6 @@
     return _Placer(profile, weights, usable, prompt).place()
 
 
-def place_long_prompt(
-    profile: EngineProfile,
-    cells: Iterable[tuple[EngineCandidate, ...]],
-    prompt: Prompt,
-    weights: PlacementWeights = DEFAULT_WEIGHTS,
-) -> Placement | DeadlineUnreachable | None:
-    """Return where a prompt goes that one engine can't prefill in a short time.
-
-    Another cell takes it only if the own one can't prefill it within its target.
-
-    Args:
-        profile: Speed and memory of the engines.
-        cells: Engines of each cell, the own cell first; the others are drawn only if
-            they are needed.
-        prompt: The prompt.
-        weights: Limits and costs.
-    """
-    best: Placement | DeadlineUnreachable | None = None
-    best_s = float("inf")
-    limit_s = weights.safe_target_share * prompt.target_s
-    for engines in cells:
-        result = place_prompt(profile, engines, prompt, weights)
-        ready_s = float("inf")
-        if isinstance(result, Placement):
-            ready_s = _ready_s(profile, engines, result, weights)
-        if best is None or ready_s < best_s - weights.remote_cost_s:
-            best, best_s = result, ready_s
-        if best_s <= limit_s:
-            break
-    return best
-
-
-def _ready_s(
-    profile: EngineProfile,
-    engines: tuple[EngineCandidate, ...],
-    placement: Placement,
-    weights: PlacementWeights,
-) -> float:
-    """Return when a prompt is prefilled, with the cost of missing slots, in seconds."""
-    answering = next(e for e in engines if e.instance == placement.instance)
-    missing_slots = max(0, answering.load.requests + 1 - profile.slots)
-    queued_s = weights.queued_cost_s * missing_slots
-    return placement.waiting_s + placement.prefill_s + queued_s
-
-
 @dataclass(frozen=True)
 class _Placer:
     """Calculation of the placement of one prompt.
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
@@ -1,15 +1,10 @@
 """Choice of the upstream and its helpers for an attempt."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
-from itertools import chain
 
-from lagoonhinge_core.forwarding.engine_sampling import (
-    sample_engines,
-    sample_remote_engines,
-)
+from lagoonhinge_core.forwarding.cell_placement import EnginePool, place_in_cells
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
-from lagoonhinge_core.forwarding.load_tracker import Prefill
+from lagoonhinge_core.forwarding.load_tracker import CellSummary, Prefill
 from lagoonhinge_core.forwarding.messages import CallerRequest
 from lagoonhinge_core.forwarding.plain_placement import UpstreamCandidate, place_request
 from lagoonhinge_core.forwarding.prompt_placement import (
@@ -18,9 +13,6 @@
     MemoryReservation,
     Placement,
     Prompt,
-    is_short,
-    place_long_prompt,
-    place_prompt,
 )
 from lagoonhinge_core.forwarding.routes import Route
 from lagoonhinge_core.forwarding.upstreams import Upstream
@@ -122,85 +114,40 @@
         untried: tuple[Upstream, ...],
         ejected: frozenset[str],
     ) -> UpstreamChoice | DeadlineUnreachable | None:
-        cell = self.serving.cell
+        serving, cell = self.serving, self.serving.cell
+        now_s, load = serving.clock(), serving.load
         own = tuple(entry for entry in untried if entry.zone in cell) or untried
-        random, peers = self.serving.random, self.serving.cell_peers
-        if is_short(profile, prompt):
-            sampled = sample_engines(own, True, peers, random)
-            remote = [
-                entry for group in self._other_cells(own, untried) for entry in group
-            ]
-            engines = self._own_candidates(sampled, ejected)
-            engines += self._remote_candidates(
-                sample_remote_engines(remote, random), ejected
-            )
-            placement = place_prompt(profile, engines, prompt)
-        else:
-            positioned = sample_engines(own, False, peers, random)
-            own_cell = self._own_candidates(positioned, ejected)
-            others = (
-                self._remote_candidates(group, ejected)
-                for group in self._other_cells(own, untried)
-            )
-            placement = place_long_prompt(profile, chain((own_cell,), others), prompt)
+
+        def describe_own(entry: Upstream, position: float) -> EngineCandidate:
+            known = load.load(entry.instance, now_s)
+            is_ejected = entry.instance in ejected
+            return EngineCandidate(entry.instance, known, is_ejected, position)
+
+        def describe_remote(entry: Upstream, summary: CellSummary) -> EngineCandidate:
+            known = load.remote_load(entry.instance, summary, now_s)
+            is_ejected = entry.instance in ejected
+            return EngineCandidate(entry.instance, known, is_ejected, is_remote=True)
+
+        others = self._other_cells(untried) if len(own) < len(untried) else []
+        pool = EnginePool(
+            own, others, serving.cell_peers, describe_own, describe_remote
+        )
+        placement = place_in_cells(profile, pool, prompt, serving.random)
         if isinstance(placement, Placement):
             return self._build_choice(placement, prompt)
         return placement
 
     def _other_cells(
-        self, own: tuple[Upstream, ...], untried: tuple[Upstream, ...]
-    ) -> list[list[Upstream]]:
-        """Return the engines of each other zone whose load is known.
-
-        The order is random, so that nodes do not all turn to the same zone.
-        """
+        self, untried: tuple[Upstream, ...]
+    ) -> list[tuple[CellSummary, list[Upstream]]]:
+        """Return the engines of each other zone whose load is known."""
         now_s, load = self.serving.clock(), self.serving.load
         cells: dict[str, list[Upstream]] = {}
-        if len(own) < len(untried):
-            for entry in untried:
-                if entry.zone not in self.serving.cell:
-                    cells.setdefault(entry.zone, []).append(entry)
-        known = [
-            group
-            for zone, group in cells.items()
-            if load.current_summary(zone, now_s) is not None
-        ]
-        self.serving.random.shuffle(known)
-        return known
-
-    def _own_candidates(
-        self,
-        positioned: Iterable[tuple[float, Upstream]],
-        ejected: frozenset[str],
-    ) -> tuple[EngineCandidate, ...]:
-        now_s, load = self.serving.clock(), self.serving.load
-        return tuple(
-            EngineCandidate(
-                entry.instance,
-                load.load(entry.instance, now_s),
-                entry.instance in ejected,
-                position,
-            )
-            for position, entry in positioned
-        )
-
-    def _remote_candidates(
-        self, engines: Iterable[Upstream], ejected: frozenset[str]
-    ) -> tuple[EngineCandidate, ...]:
-        now_s, load = self.serving.clock(), self.serving.load
-        candidates = []
-        for entry in engines:
-            summary = load.current_summary(entry.zone, now_s)
-            if summary is not None:
-                candidates.append(
-                    EngineCandidate(
-                        entry.instance,
-                        load.remote_load(entry.instance, summary, now_s),
-                        entry.instance in ejected,
-                        is_remote=True,
-                    )
-                )
-        return tuple(candidates)
+        for entry in untried:
+            if entry.zone not in self.serving.cell:
+                cells.setdefault(entry.zone, []).append(entry)
+        known = ((load.current_summary(zone, now_s), cells[zone]) for zone in cells)
+        return [(summary, engines) for summary, engines in known if summary is not None]
 
     def _build_choice(self, placement: Placement, prompt: Prompt) -> UpstreamChoice:
         upstreams = self.serving.directory.by_instance
