The usual terms for what the watch sends, and one lookup of its time

News is an update (TableUpdate, StoreUpdate), patience the takeover age. An update names its table by the enum and not by text that was mapped back; the time of the store was translated twice for each update of the configuration. Behaviour and bytes on the wire are the same but for the field's name, store.

--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -119,7 +119,7 @@
                 label = f"{name} prompt, {engines} engines, {peers} peers"
                 self._measure(label, lambda n=node, p=prompt: n.place(p))
             message = encode(build_update("node", node.engine_names, node.random))
-            print(f"news to one peer: {len(message)} bytes")
+            print(f"update to one peer: {len(message)} bytes")
         print(f"log line, with its writing: mean {log_line_us(LOG_LINES):.0f} us")
 
     def _measure(self, label: str, step: Callable[[], None]) -> None:
--- a/features/steps/store_watch_steps.py
+++ b/features/steps/store_watch_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the news of the store within a zone."""
+"""Steps about the watch of the store within a zone."""
 
 from asyncio import sleep
 from random import Random
@@ -21,7 +21,7 @@
 START_S = 3.5
 CHECK_INTERVAL_S = 0.1
 OUTAGE_S = 8.0
-SLOW_CALL_S = 0.3  # as long as the interval of news, and within the patience
+SLOW_CALL_S = 0.3  # as long as the interval of updates, and below the takeover age
 
 
 def _new_fleet(context, seed: int) -> WatchFleet:
@@ -139,7 +139,7 @@
 )
 def step_history(context, seconds):
     fleet = context.zone
-    context.news_count = 0
+    context.update_count = 0
 
     async def run() -> None:
         fleet.store.forgets = True
@@ -149,16 +149,16 @@
             for _ in range(100):
                 await sleep(0.01)
                 for name in fleet.watchers():
-                    fleet.watches[name].send_news()
-                    context.news_count += 1
+                    fleet.watches[name].send_update()
+                    context.update_count += 1
 
     context.loop.run_until_complete(run())
 
 
-@then("every node that watched the store could send news at any time")
+@then("every node that watched the store could send updates at any time")
 def step_could_send(context):
     # A node that can't raises an error in the step before.
-    assert context.news_count > 100, context.news_count
+    assert context.update_count > 100, context.update_count
 
 
 @then("it is in force within two seconds at every node that reaches the store")
--- a/features/store_watch.feature
+++ b/features/store_watch.feature
@@ -39,10 +39,10 @@
       | 39    | 0    | 0        | the store refuses all nodes but one            |
       | 13    | 0    | 0        | the store loses its history                    |
 
-  Scenario: A node that reads all rows again still has news for the others
+  Scenario: A node that reads all rows again can still send updates
     Given a zone of 5 nodes that have started
     When the store loses its history, and 3 seconds pass with a change each second
-    Then every node that watched the store could send news at any time
+    Then every node that watched the store could send updates at any time
 
   Scenario Outline: While the store fails, the calls of a zone are limited
     Given a zone of <nodes> nodes that have started
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -1,4 +1,4 @@
-"""Nodes of one zone that share the news of a store, in virtual time."""
+"""Nodes of one zone that share one watch of a store, in virtual time."""
 
 from asyncio import Event, sleep, wait_for
 from collections.abc import Iterable
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/table_replica.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/table_replica.py
@@ -1,22 +1,26 @@
-"""A node's copy of one table of the store, and the news of it for other nodes."""
+"""A node's replica of one table of the store, and its updates for other nodes."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from lagoonhinge_core.forwarding.site_store import TableChanges, TableRow
+from lagoonhinge_core.forwarding.site_store import (
+    StoreTable,
+    TableChanges,
+    TableRow,
+)
 
-# Rows are repeated in the news for this time, since datagrams may be lost.
+# Rows are repeated in the updates for this time, since datagrams may be lost.
 REPEAT_S = 0.7
 DIGEST_BYTES = 8  # a wrong match of two tables is as rare as one in 2^64
 
 
 @dataclass(frozen=True)
-class TableNews:
-    """State of a table, as one node tells it to others.
+class TableUpdate:
+    """State of a table that one node sends to others.
 
     Attributes:
-        table: Name of the table.
+        table: The table.
         version: Version of the store up to which the state is known.
         digest: Digest of the versions of all rows.
         store_time_s: Time of the store's clock at which this was the newest state, in
@@ -24,7 +28,7 @@
         rows: Rows that changed recently.
     """
 
-    table: str
+    table: StoreTable
     version: int
     digest: int
     store_time_s: float
@@ -33,19 +37,19 @@
 
 @dataclass(frozen=True)
 class UpToDate:
-    """A replica holds everything in the news, or something newer."""
+    """A replica holds everything in the update, or something newer."""
 
 
 @dataclass(frozen=True)
 class NewRows:
-    """Rows of the news that a replica did not have."""
+    """Rows of an update that a replica did not have."""
 
     rows: tuple[TableRow, ...]
 
 
 @dataclass(frozen=True)
 class MissingRows:
-    """A replica lacks rows that are not in the news."""
+    """A replica lacks rows that are not in the update."""
 
 
 def _row_digest(key: str, version: int) -> int:
@@ -57,7 +61,7 @@
 class TableReplica:
     """Versions of one table's rows at a node, and its latest rows.
 
-    Versions never decrease, so late, repeated or replayed news can't bring back an
+    Versions never decrease, so late, repeated or replayed updates can't bring back an
     older row. Replicas are compared by the digest of their rows' versions, since the
     store's version also grows with changes of other tables.
 
@@ -89,8 +93,8 @@
             now_s: The time, in seconds.
 
         Returns:
-            The rows to apply: those that news has not overtaken during the call; `None`
-            if news has overtaken all of it.
+            The rows to apply: those that no update overtook during the call; `None` if
+            one overtook all of them.
         """
         known = self.version if self.version is not None else -1
         if changes.version < known:
@@ -107,27 +111,29 @@
         self.store_time_s = max(self.store_time_s, changes.store_time_s)
         return rows
 
-    def merge(self, news: TableNews, now_s: float) -> UpToDate | NewRows | MissingRows:
-        """Record the rows in the news of another node.
+    def merge(
+        self, update: TableUpdate, now_s: float
+    ) -> UpToDate | NewRows | MissingRows:
+        """Record the rows in an update of another node.
 
         Returns:
             The rows to apply, or why there are none.
         """
         if self.version is None:
             return MissingRows()
-        if news.version < self.version:
+        if update.version < self.version:
             return UpToDate()
-        rows = tuple(row for row in news.rows if row.version > self.version)
-        if self.digest ^ self._digest_change(rows) != news.digest:
+        rows = tuple(row for row in update.rows if row.version > self.version)
+        if self.digest ^ self._digest_change(rows) != update.digest:
             return MissingRows()
         self._record(rows)
         self._remember(rows, now_s)
-        self.version = news.version
-        self.store_time_s = max(self.store_time_s, news.store_time_s)
+        self.version = update.version
+        self.store_time_s = max(self.store_time_s, update.store_time_s)
         return NewRows(rows) if rows else UpToDate()
 
-    def news(self, table: str, now_s: float) -> TableNews:
-        """Return the news of the table for other nodes."""
+    def build_update(self, table: StoreTable, now_s: float) -> TableUpdate:
+        """Return an update for other nodes."""
         assert self.version is not None
         self.recent = {
             key: (row, received_s)
@@ -135,7 +141,7 @@
             if now_s - received_s <= REPEAT_S
         }
         rows = tuple(row for row, _ in self.recent.values())
-        return TableNews(table, self.version, self.digest, self.store_time_s, rows)
+        return TableUpdate(table, self.version, self.digest, self.store_time_s, rows)
 
     def _digest_change(self, rows: Iterable[TableRow]) -> int:
         change = 0
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/watch_role.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/watch_role.py
@@ -1,8 +1,8 @@
 """Which nodes of an availability zone read the platform's store.
 
 Calls to the store are limited and priced, so one node of each zone watches it and
-passes its news on to the others. Any node can take over: one that has not heard of a
-recent state of the store for a random time reads it itself, and its news keeps the
+sends updates to the others. Any node can take over: one that has not heard of a
+recent state of the store for a random time reads it itself, and its updates keep the
 others from doing the same. While the store fails, the nodes whose calls have failed
 take turns, so that the rate of calls does not grow with their number.
 
@@ -17,9 +17,9 @@
 
 # Shares of the time within which a change must be in force everywhere.
 POLL_SHARE = 0.3
-LEAST_PATIENCE_SHARE = 0.5  # three pieces of news may be lost or late
-MOST_PATIENCE_SHARE = 0.8  # leaves time to read the change and apply it
-NEWS_PER_POLL = 2
+MIN_TAKEOVER_AGE_SHARE = 0.5  # three updates may be lost or late
+MAX_TAKEOVER_AGE_SHARE = 0.8  # leaves time to read the change and apply it
+UPDATES_PER_POLL = 2
 FAILED_CALLS_PER_S = 4.0  # of all nodes of a zone together, while the store fails
 FAILURES_OF_OUTAGE = 8  # as many in a row are rarely faults of single nodes
 LEAST_RETRY_SPREAD_S = 0.5  # a quarter of the shortest time in force
@@ -33,16 +33,16 @@
 
     Attributes:
         poll_s: Wait of each call for a change of the configuration.
-        news_s: Interval between news for the other nodes.
-        least_patience_s: Least age of the last known state at which a node reads the
+        update_interval_s: Interval between updates for the other nodes.
+        min_takeover_age_s: Least age of the last known state at which a node reads the
             store itself.
-        most_patience_s: Greatest such age.
+        max_takeover_age_s: Greatest such age.
     """
 
     poll_s: float
-    news_s: float
-    least_patience_s: float
-    most_patience_s: float
+    update_interval_s: float
+    min_takeover_age_s: float
+    max_takeover_age_s: float
 
 
 def watch_times(in_force_s: float) -> WatchTimes:
@@ -53,9 +53,9 @@
     """
     return WatchTimes(
         POLL_SHARE * in_force_s,
-        POLL_SHARE * in_force_s / NEWS_PER_POLL,
-        LEAST_PATIENCE_SHARE * in_force_s,
-        MOST_PATIENCE_SHARE * in_force_s,
+        POLL_SHARE * in_force_s / UPDATES_PER_POLL,
+        MIN_TAKEOVER_AGE_SHARE * in_force_s,
+        MAX_TAKEOVER_AGE_SHARE * in_force_s,
     )
 
 
@@ -102,10 +102,10 @@
             self.failures = 0
             self.has_failed = False
             self.known_s = known_s
-            self.due_s = known_s + self._patience_s()
+            self.due_s = known_s + self._takeover_age_s()
 
-    def record_news(self, sender: str, known_s: float) -> None:
-        """Record news of a node that watches the store.
+    def record_update(self, sender: str, known_s: float) -> None:
+        """Record an update of a node that watches the store.
 
         Args:
             sender: Name of that node.
@@ -115,7 +115,7 @@
         self.record_state(known_s)
         is_earlier = stable_rank(sender) < self.rank
         # A watcher that is cut off from the store stops for any other one.
-        margin_s = self.times.least_patience_s
+        margin_s = self.times.min_takeover_age_s
         if lead_s > margin_s or (is_earlier and lead_s > -margin_s):
             self.is_watching = False
 
@@ -139,7 +139,7 @@
         spread_s = retry_spread_s(zone_nodes, FAILURES_OF_OUTAGE)
         self.due_s = now_s + self.random.uniform(LEAST_RETRY_S, spread_s)
 
-    def _patience_s(self) -> float:
+    def _takeover_age_s(self) -> float:
         return self.random.uniform(
-            self.times.least_patience_s, self.times.most_patience_s
+            self.times.min_takeover_age_s, self.times.max_takeover_age_s
         )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/cell_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/cell_exchange.py
@@ -2,7 +2,7 @@
 
 The node that watches the store for its zone also sends the zone's summary to some nodes
 of each other zone. A node that gets one passes it on to the node that watches the store
-for its own zone, which adds it to its news.
+for its own zone, which adds it to its updates.
 """
 
 from mode import Service
@@ -58,7 +58,7 @@
             self.socket.send(data, [node.peer_address() for node in receivers])
 
     def receive(self, message: PeerMessage) -> None:
-        """Record a summary, and pass it on to the node that adds it to its news."""
+        """Record a summary, and pass it on to the node that adds it to its updates."""
         summary = message.cell
         if summary is None or summary.zone in self.serving.cell:
             return
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/peer_messages.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/peer_messages.py
@@ -12,21 +12,21 @@
 
 from lagoonhinge_core.forwarding.load_tracker import CellSummary, LoadUpdate
 from lagoonhinge_core.forwarding.site_store import NodeEntry
-from lagoonhinge_core.forwarding.table_replica import TableNews
+from lagoonhinge_core.forwarding.table_replica import TableUpdate
 from lagoonhinge_node.logs import PartLogger
 
 COMPRESSED_FROM_BYTES = 1000  # smaller messages hardly shrink
 COMPRESSION_LEVEL = 1
 # First byte of compressed data; a message begins with a map, which differs.
 ZLIB_FIRST_BYTE = 0x78
-# Largest datagram; larger news names the version alone, and the store is read.
+# Largest datagram; a larger update has no rows, and its receivers read the store.
 MAX_DATAGRAM_BYTES = 16 << 10
 MAX_MESSAGE_BYTES = 4 << 20  # of decompressed data; a configuration has 0.3 MB
 
 
 @dataclass(frozen=True)
-class StoreNews:
-    """State of the store, as the node that watches it tells the others of its zone.
+class StoreUpdate:
+    """State of the store that the node that watches it sends to its zone.
 
     Attributes:
         node: Name of the node.
@@ -35,7 +35,7 @@
     """
 
     node: str
-    tables: tuple[TableNews, ...]
+    tables: tuple[TableUpdate, ...]
     cells: tuple[CellSummary, ...] = ()
 
 
@@ -55,7 +55,7 @@
     """One datagram; one of the parts is set."""
 
     load: LoadUpdate | None = None
-    news: StoreNews | None = None
+    store: StoreUpdate | None = None
     call_failed: StoreCallFailed | None = None
     cell: CellSummary | None = None
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -1,7 +1,7 @@
 """Keeps this node's copy of the store's tables up to date.
 
 One node of each availability zone watches the store with long polls and passes on what
-it reads; the others read the store only when that news stops (see `watch_role`).
+it reads; the others read the store only when its updates stop (see `watch_role`).
 """
 
 from asyncio import FIRST_COMPLETED, Event, create_task, sleep, wait
@@ -25,8 +25,8 @@
 from lagoonhinge_core.forwarding.table_replica import (
     MissingRows,
     NewRows,
-    TableNews,
     TableReplica,
+    TableUpdate,
 )
 from lagoonhinge_core.forwarding.watch_role import WatchRole, WatchTimes
 from lagoonhinge_node.forwarding.board_sections import NodeListSection
@@ -35,7 +35,7 @@
     PeerMessage,
     PeerSocket,
     StoreCallFailed,
-    StoreNews,
+    StoreUpdate,
     encode_message,
 )
 from lagoonhinge_node.forwarding.serving_state import ServingState
@@ -52,16 +52,18 @@
 CONFIG_PAUSE_S = 0.15  # under a tenth of the time within which a change is in force
 UPSTREAMS_PAUSE_S = 0.5  # a quarter of the time within which draining takes effect
 NODES_PAUSE_S = 3.0  # about the startup time of the whole system
-# Longest delay before a node reads rows that were too large for the news, so that not
+# Longest delay before a node reads rows that were too large for an update, so that not
 # all nodes read at once.
 MISSING_ROWS_SPREAD_S = 0.2  # a tenth of the time within which a change is in force
 START_RETRY_S = 0.5  # longest pause between failed calls before the first answer
 START_CHECK_S = 0.05  # between checks whether the nodes' table has been read
-DUE_CHECKS = 5.0  # checks within the least patience whether the store has to be read
+DUE_CHECKS = (
+    5.0  # checks within the least takeover age whether the store has to be read
+)
 
 
 class StoreWatch(Service):
-    """Reads the tables, applies them, and exchanges news with the zone's nodes.
+    """Reads the tables, applies them, and exchanges updates with the zone's nodes.
 
     Args:
         serving: State shared by all requests.
@@ -137,7 +139,7 @@
             return 0.0
         # The time is checked in between, as it may come to be earlier.
         wait_s = self.role.due_s - self.serving.clock()
-        return min(wait_s, self.times.least_patience_s / DUE_CHECKS)
+        return min(wait_s, self.times.min_takeover_age_s / DUE_CHECKS)
 
     @Service.task
     async def announce(self) -> None:
@@ -155,7 +157,7 @@
 
     @Service.task
     async def read_missing_rows(self) -> None:
-        """Read tables of which the news was incomplete."""
+        """Read tables of which an update was incomplete."""
         while not self.should_stop:
             await self.found_incomplete.wait()
             self.found_incomplete.clear()
@@ -170,9 +172,9 @@
         self.stopped_watching.clear()
         self.log_part.info("Watching the store for the zone.")
         polls = [create_task(self._poll(table)) for table in StoreTable]
-        news = create_task(self._send_news_regularly())
+        updates = create_task(self._send_updates())
         stopped = create_task(self.stopped_watching.wait())
-        tasks = {*polls, news, stopped}
+        tasks = {*polls, updates, stopped}
         try:
             await wait(tasks, return_when=FIRST_COMPLETED)
         finally:
@@ -189,14 +191,14 @@
             if not await self._read(table, self.waits_s[table]):
                 return
             if self.replicas[table].recent:
-                self.send_news()
+                self.send_update()
             if self.replicas[table].version != before:
                 await sleep(self.pauses_s[table])
 
-    async def _send_news_regularly(self) -> None:
+    async def _send_updates(self) -> None:
         while True:
-            self.send_news()
-            await sleep(self.times.news_s)
+            self.send_update()
+            await sleep(self.times.update_interval_s)
 
     async def _read(self, table: StoreTable, wait_s: float) -> bool:
         """Read a table or its changes and apply them; return whether that worked."""
@@ -220,7 +222,7 @@
                         "The store no longer has the history; reading all rows.",
                         table=table.value,
                     )
-                    # The replica stays as it is, for news, until all rows are read.
+                    # The replica stays as it is, for updates, until all rows are read.
                     after = None
                 case Failure(fault):
                     self._log_fault(fault)
@@ -267,20 +269,23 @@
             if node.zone == self.own_entry.zone and node.name != self.own_entry.name
         ]
 
-    def send_news(self) -> None:
+    def send_update(self) -> None:
         """Send the state of all tables to the other nodes of the zone."""
         now_s = self.serving.clock()
         tables = tuple(
-            replica.news(table.value, now_s) for table, replica in self.replicas.items()
+            replica.build_update(table, now_s)
+            for table, replica in self.replicas.items()
         )
-        data = self._encode_news(tables)
+        data = self._encode_update(tables)
         if len(data) > MAX_DATAGRAM_BYTES:
-            data = self._encode_news(tuple(replace(news, rows=()) for news in tables))
+            data = self._encode_update(
+                tuple(replace(update, rows=()) for update in tables)
+            )
         self.socket.send(data, self._zone_peers())
 
-    def _encode_news(self, tables: tuple[TableNews, ...]) -> bytes:
-        news = StoreNews(self.own_entry.name, tables, self._cell_summaries())
-        return encode_message(PeerMessage(news=news))
+    def _encode_update(self, tables: tuple[TableUpdate, ...]) -> bytes:
+        update = StoreUpdate(self.own_entry.name, tables, self._cell_summaries())
+        return encode_message(PeerMessage(store=update))
 
     def dump(self) -> dict[str, Any]:
         """Return the state of the watch for the state dump."""
@@ -302,31 +307,29 @@
 
     def receive(self, message: PeerMessage) -> None:
         """Apply a message of another node."""
-        if message.news is not None:
-            self._receive_news(message.news)
+        if message.store is not None:
+            self._receive_update(message.store)
         if message.call_failed is not None:
             zone_nodes = len(self._zone_peers()) + 1
             self.serving.store_contact.record_failure()
             self.role.record_peer_failure(self.serving.clock(), zone_nodes)
 
-    def _receive_news(self, news: StoreNews) -> None:
+    def _receive_update(self, update: StoreUpdate) -> None:
         now_s, load = self.serving.clock(), self.serving.load
-        for summary in news.cells:
+        for summary in update.cells:
             if summary.zone not in self.serving.cell:
                 load.merge_summary(summary, now_s)
         nodes = self.serving.board.read(NodeListSection).nodes
-        self.watcher = nodes.get(news.node)
-        names = {table.value: table for table in StoreTable}
-        for table_news in news.tables:
-            table = names.get(table_news.table)
-            if table is not None:
-                self._merge(news.node, table, table_news)
+        self.watcher = nodes.get(update.node)
+        for table_update in update.tables:
+            self._merge(update.node, table_update)
 
-    def _merge(self, sender: str, table: StoreTable, news: TableNews) -> None:
-        now_s = self.serving.clock()
-        if self.clock.local_s(news.store_time_s, now_s) is None:
+    def _merge(self, sender: str, update: TableUpdate) -> None:
+        now_s, table = self.serving.clock(), update.table
+        known_s = self.clock.local_s(update.store_time_s, now_s)
+        if known_s is None:
             return
-        match self.replicas[table].merge(news, now_s):
+        match self.replicas[table].merge(update, now_s):
             case MissingRows():
                 if self.replicas[table].version is not None:
                     self.incomplete.add(table)
@@ -335,7 +338,7 @@
             case NewRows(rows):
                 self._apply(table, rows, False)
         if table is StoreTable.CONFIG:
-            self._record_news(sender, news.store_time_s)
+            self._record_update(sender, known_s)
 
     def _confirm_config(self, store_time_s: float) -> None:
         """Record that no newer configuration existed at a time of the store."""
@@ -344,14 +347,11 @@
             self.config.confirm(known_s)
             self.role.record_state(known_s)
 
-    def _record_news(self, sender: str, store_time_s: float) -> None:
-        now_s = self.serving.clock()
-        known_s = self.clock.local_s(store_time_s, now_s)
-        if known_s is None:
-            return
+    def _record_update(self, sender: str, known_s: float) -> None:
+        """Record that another node knew the newest configuration at a time."""
         if known_s > self.role.known_s:
-            self.serving.store_contact.record_answer(now_s)
+            self.serving.store_contact.record_answer(self.serving.clock())
         self.config.confirm(known_s)
-        self.role.record_news(sender, known_s)
+        self.role.record_update(sender, known_s)
         if not self.role.is_watching:
             self.stopped_watching.set()
