Repeats of changed rows follow the bound; one constant for the interval of summaries

Rows were repeated for 0.7 s wherever a change must be in force within 2 s or within 2.5 s; it is 0.35 of that time now: 0.7 s as before at 2 s, 0.875 s at 2.5 s, where 0.7 s were fewer than two updates. The emulator had its own copy of the summaries' interval, and the idle factor named a constant without using it.

--- a/bench/emulator/fleet.py
+++ b/bench/emulator/fleet.py
@@ -12,6 +12,7 @@
 from lagoonhinge_core.forwarding.cells import cell_zones
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
 from lagoonhinge_core.forwarding.load_tracker import (
+    SUMMARY_INTERVAL_S,
     LoadTracker,
     Prefill,
     update_interval_factor,
@@ -25,7 +26,6 @@
 
 UPDATE_INTERVAL_S = 0.05  # between load updates, as of the nodes
 UPDATE_DELAY_S = 0.002  # one way between availability zones, and two event loops
-SUMMARY_INTERVAL_S = 0.3  # between summaries of a cell, as of the nodes
 SUMMARY_DELAY_S = 0.35  # until all nodes of other cells have them
 SEND_DELAY_S = 0.003  # from a node to an engine, including connection setup
 # A caller disconnects after the longest of these times without an event.
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -11,7 +11,8 @@
 from lagoonhinge_core.forwarding.crashes import Crash
 
 IDLE_INTERVAL_S = 0.2  # between updates of a node whose load does not change
-SUMMARY_TIMEOUT_S = 2.0  # several summaries in a row were lost
+SUMMARY_INTERVAL_S = 0.3  # between summaries of a cell; a few engine passes
+SUMMARY_TIMEOUT_S = 2.0  # six summaries in a row were lost or late
 # The load of a peer that is silent for longer is ignored; also after some missed
 # updates, if these are rarer.
 PEER_TIMEOUT_S = 3.0
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/table_replica.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/table_replica.py
@@ -10,8 +10,6 @@
     TableRow,
 )
 
-# Rows are repeated in the updates for this time, since datagrams may be lost.
-REPEAT_S = 0.7
 DIGEST_BYTES = 8  # a wrong match of two tables is as rare as one in 2^64
 
 
@@ -132,13 +130,21 @@
         self.store_time_s = max(self.store_time_s, update.store_time_s)
         return NewRows(rows) if rows else UpToDate()
 
-    def build_update(self, table: StoreTable, now_s: float) -> TableUpdate:
-        """Return an update for other nodes."""
+    def build_update(
+        self, table: StoreTable, now_s: float, repeat_s: float
+    ) -> TableUpdate:
+        """Return an update for other nodes.
+
+        Args:
+            table: The table.
+            now_s: The time, in seconds.
+            repeat_s: For how long a changed row is repeated, in seconds.
+        """
         assert self.version is not None
         self.recent = {
             key: (row, received_s)
             for key, (row, received_s) in self.recent.items()
-            if now_s - received_s <= REPEAT_S
+            if now_s - received_s <= repeat_s
         }
         rows = tuple(row for row, _ in self.recent.values())
         return TableUpdate(table, self.version, self.digest, self.store_time_s, rows)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/watch_role.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/watch_role.py
@@ -20,6 +20,8 @@
 MIN_TAKEOVER_AGE_SHARE = 0.5  # three updates may be lost or late
 MAX_TAKEOVER_AGE_SHARE = 0.8  # leaves time to read the change and apply it
 UPDATES_PER_POLL = 2
+# Changed rows are in every update for this time, as datagrams may be lost.
+REPEAT_SHARE = 0.35
 FAILED_CALLS_PER_S = 4.0  # of all nodes of a zone together, while the store fails
 FAILURES_OF_OUTAGE = 8  # as many in a row are rarely faults of single nodes
 LEAST_RETRY_SPREAD_S = 0.5  # a quarter of the shortest time in force
@@ -34,6 +36,7 @@
     Attributes:
         poll_s: Wait of each call for a change of the configuration.
         update_interval_s: Interval between updates for the other nodes.
+        repeat_s: For how long a changed row is repeated in updates.
         min_takeover_age_s: Least age of the last known state at which a node reads the
             store itself.
         max_takeover_age_s: Greatest such age.
@@ -41,6 +44,7 @@
 
     poll_s: float
     update_interval_s: float
+    repeat_s: float
     min_takeover_age_s: float
     max_takeover_age_s: float
 
@@ -54,6 +58,7 @@
     return WatchTimes(
         POLL_SHARE * in_force_s,
         POLL_SHARE * in_force_s / UPDATES_PER_POLL,
+        REPEAT_SHARE * in_force_s,
         MIN_TAKEOVER_AGE_SHARE * in_force_s,
         MAX_TAKEOVER_AGE_SHARE * in_force_s,
     )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/cell_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/cell_exchange.py
@@ -7,6 +7,7 @@
 
 from mode import Service
 
+from lagoonhinge_core.forwarding.load_tracker import SUMMARY_INTERVAL_S
 from lagoonhinge_core.forwarding.site_store import NodeEntry
 from lagoonhinge_node.forwarding.board_sections import NodeListSection
 from lagoonhinge_node.forwarding.peer_messages import (
@@ -17,7 +18,6 @@
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.store_watch import StoreWatch
 
-SUMMARY_INTERVAL_S = 0.3  # a few engine passes
 RECEIVERS_PER_ZONE = 2  # one of them may be down, or its datagram may be lost
 
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -7,6 +7,7 @@
 
 from lagoonhinge_core.forwarding.load_tracker import (
     IDLE_INTERVAL_S,
+    PEER_TIMEOUT_UPDATES,
     update_interval_factor,
 )
 from lagoonhinge_core.forwarding.site_store import NodeEntry
@@ -18,8 +19,8 @@
 from lagoonhinge_node.forwarding.serving_state import ServingState
 
 SEND_INTERVAL_S = 0.05  # about the duration of one engine pass
-# Factor of the idle interval in a cell of one zone; half of `PEER_TIMEOUT_UPDATES`.
-IDLE_ZONE_FACTOR = 2
+# Factor of the idle interval in a cell of one zone; two updates before the timeout.
+IDLE_ZONE_FACTOR = PEER_TIMEOUT_UPDATES / 2
 # Share of an interval after which an update is due, since timers fire slightly early
 # or late.
 TIMER_TOLERANCE = 0.9
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -273,7 +273,7 @@
         """Send the state of all tables to the other nodes of the zone."""
         now_s = self.serving.clock()
         tables = tuple(
-            replica.build_update(table, now_s)
+            replica.build_update(table, now_s, self.times.repeat_s)
             for table, replica in self.replicas.items()
         )
         data = self._encode_update(tables)
