Test processes run in process groups of their own

Cause, by its comment: when the shell that started the tests ends, the kernel continues all stopped processes of the group that it leaves behind, so nodes that a scenario has stopped would go on. No check changes.

--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -24,6 +24,9 @@
 PORT_VARIABLE = "LAGOONHINGE_TEST_PORTS"
 FIRST_PORT = 12_000  # below the ephemeral port range of the kernel
 SITE = "perth"
+# Value of `Popen` for a process group of its own. When the shell that started the tests
+# ends, the kernel continues all stopped processes of the group that it leaves behind.
+OWN_GROUP = 0
 ZONES = ("perth-north", "perth-east", "perth-south")
 
 
@@ -277,6 +280,7 @@
                 stdin=DEVNULL,
                 stdout=log_file,
                 stderr=log_file,
+                process_group=OWN_GROUP,
             )
         process = Process(name, port, popen, log)
         self.processes.append(process)
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -8,7 +8,7 @@
 
 from msgspec import json
 
-from features.support.fleet import PORTS, Fleet, HttpAnswer, Process, http
+from features.support.fleet import OWN_GROUP, PORTS, Fleet, HttpAnswer, Process, http
 from features.support.waiting import eventually
 from lagoonhinge_platform.names import (
     ATTEMPT_ID,
@@ -176,6 +176,7 @@
                 stdin=DEVNULL,
                 stdout=PIPE,
                 stderr=DEVNULL,
+                process_group=OWN_GROUP,
             )
             node = PlatformNode(name, port, popen, self.path / "unread.log")
             self.processes.append(node)
