Age of the list of upstreams in metrics, state dump and request logs

The age is recorded with each read and each update, as lagoonhinge_upstreams_age_seconds, `upstreams_age_s` in the state dump and `list_age_s` in the line `Sent.`.

--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -161,6 +161,7 @@
             waiting_s=choice.waiting_s,
             part_s=choice.prefill_s,
             open=load.requests,
+            list_age_s=self.serving.upstreams_age_s(),
             send=context.attempts,
         )
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -84,6 +84,10 @@
                 "Listed upstreams.",
                 lambda: len(serving.directory.by_instance),
             ),
+            "lagoonhinge_upstreams_age_seconds": (
+                "Age of the list of upstreams.",
+                serving.upstreams_age_s,
+            ),
             "lagoonhinge_unreachable_upstreams": (
                 "Upstreams that could not be reached.",
                 lambda: len(serving.health.unreachable()),
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -57,6 +57,8 @@
         self.random = random
         self.clock = clock
         self.directory = UpstreamDirectory()
+        # Latest time at which the list of upstreams was the store's.
+        self.upstreams_known_s = float("-inf")
         self.load = LoadTracker(node)
         self.background_tasks: set[Task[None]] = set()
         self.health = HealthTracker()
@@ -77,6 +79,10 @@
         self.is_stopping = False
         self.log_part = PartLogger("health")
 
+    def upstreams_age_s(self) -> float:
+        """Return the age of the list of upstreams, in seconds."""
+        return self.clock() - self.upstreams_known_s
+
     def run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Run work that may outlast its request."""
         task = create_task(work)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -214,8 +214,11 @@
                     rows = replica.record_read(after, changes, self.serving.clock())
                     if rows or (rows is not None and after is None):
                         self._apply(table, rows, after is None)
-                    if table is StoreTable.CONFIG:
-                        self._confirm_config(changes.store_time_s)
+                    match table:
+                        case StoreTable.CONFIG:
+                            self._confirm_config(changes.store_time_s)
+                        case StoreTable.UPSTREAMS:
+                            self._confirm_upstreams(changes.store_time_s)
                     return True
                 case Failure(HistoryLost()):
                     self.log_part.info(
@@ -295,6 +298,7 @@
             "watching": role.is_watching,
             "watcher": None if watcher is None else watcher.name,
             "age_s": str(round(now_s - role.known_s, 3)),
+            "upstreams_age_s": str(round(self.serving.upstreams_age_s(), 3)),
             "failures": self.failures,
             "calls": self.calls,
             "versions": {t.value: r.version for t, r in self.replicas.items()},
@@ -337,8 +341,11 @@
                 return
             case NewRows(rows):
                 self._apply(table, rows, False)
-        if table is StoreTable.CONFIG:
-            self._record_update(sender, known_s)
+        match table:
+            case StoreTable.CONFIG:
+                self._record_update(sender, known_s)
+            case StoreTable.UPSTREAMS:
+                self._confirm_upstreams(update.store_time_s)
 
     def _confirm_config(self, store_time_s: float) -> None:
         """Record that no newer configuration existed at a time of the store."""
@@ -347,6 +354,12 @@
             self.config.confirm(known_s)
             self.role.record_state(known_s)
 
+    def _confirm_upstreams(self, store_time_s: float) -> None:
+        """Record that the list of upstreams was the store's at a time of its clock."""
+        known_s = self.clock.local_s(store_time_s, self.serving.clock())
+        if known_s is not None and known_s > self.serving.upstreams_known_s:
+            self.serving.upstreams_known_s = known_s
+
     def _record_update(self, sender: str, known_s: float) -> None:
         """Record that another node knew the newest configuration at a time."""
         if known_s > self.role.known_s:
