--- a/features/steps/store_watch_steps.py
+++ b/features/steps/store_watch_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from features.support.virtual_time import VirtualLoop
-from features.support.watch_fleet import IN_FORCE_S, WatchFleet
+from features.support.watch_fleet import DRAIN_S, IN_FORCE_S, WatchFleet
 from lagoonhinge_core.forwarding.site_store import StoreTable
 from lagoonhinge_core.forwarding.store_clock import StoreClock
 from lagoonhinge_core.forwarding.store_contact import StoreContact
@@ -32,7 +32,7 @@
 
     async def start() -> None:
         fleet.put_config(1)
-        fleet.store.write(StoreTable.UPSTREAMS, "u1", "north")
+        fleet.store.write(StoreTable.UPSTREAMS, "u1", False)
         for number in range(context.node_count):
             await fleet.start_node(f"n{number:02}")
             await sleep(fleet.random.random() * 0.3 / context.node_count)
@@ -172,6 +172,55 @@
     context.zone.check_confirmations()
 
 
+@when(
+    "{fault}, an upstream begins to drain {after:g} s later, and configurations are "
+    "written {changes}, for {seeds:d} seeds"
+)
+def step_drain(context, fault, after, changes, seeds):
+    context.late = []
+    for seed in range(seeds):
+        fleet = _new_fleet(context, seed)
+        fleet.loss = context.loss
+
+        async def run(fleet=fleet, seed=seed) -> None:
+            await _pass_time(fleet, fleet.random.random() * IN_FORCE_S)
+            match fault.split():
+                case ["the", "store", "is", "silent", "for", duration, "s"]:
+                    fleet.store.silent.update(fleet.watches)
+                    fleet.store.wake()
+                    await _pass_time(fleet, float(duration))
+                    fleet.store.silent.clear()
+                case [*_, "hangs"]:
+                    tables = {StoreTable.UPSTREAMS}
+                    if "every" in fault:
+                        tables = set(StoreTable)
+                    fleet.store.hanging.update(
+                        (name, table) for name in fleet.watchers() for table in tables
+                    )
+                    fleet.store.wake()
+            await _pass_time(fleet, after)
+            fleet.store.write(StoreTable.UPSTREAMS, "u1", True)
+            drained_s = fleet.loop.time()
+            version = 2
+            while fleet.loop.time() - drained_s < DRAIN_S:
+                if changes == "meanwhile":
+                    fleet.put_config(version)
+                    version += 1
+                await _pass_time(fleet, DRAIN_S / 10)
+            context.late += [
+                (seed, name)
+                for name, watch in fleet.watches.items()
+                if not watch.serving.directory.by_instance["u1"].leaving
+            ]
+
+        context.loop.run_until_complete(run())
+
+
+@then("every node knows within two seconds that it is leaving")
+def step_drain_known(context):
+    assert not context.late, context.late
+
+
 @when("the calls of all nodes are {fault} for 8 seconds")
 def step_outage(context, fault):
     fleet = context.zone
--- a/features/store_watch.feature
+++ b/features/store_watch.feature
@@ -39,6 +39,29 @@
       | 39    | 0    | 0        | the store refuses all nodes but one            |
       | 13    | 0    | 0        | the store loses its history                    |
 
+  # An upstream got requests 2.3 s after it began to drain, from a node whose poll of the
+  # list was never answered.
+  Scenario Outline: A draining upstream is known in time although a call hangs
+    Given a zone of <nodes> nodes that have started
+    And <loss> of 100 messages are lost, and others are late by up to 0 s
+    When <fault>, an upstream begins to drain <after> s later, and configurations are written <changes>, for 8 seeds
+    Then every node knows within two seconds that it is leaving
+
+    Examples:
+      | nodes | loss | fault                                          | after | changes   |
+      | 3     | 0    | nothing fails                                  | 0     | never     |
+      | 39    | 5    | nothing fails                                  | 0     | meanwhile |
+      | 3     | 0    | the store is silent for 8 s                    | 3.3   | never     |
+      | 39    | 0    | the store is silent for 8 s                    | 3.3   | never     |
+      | 3     | 0    | the store is silent for 0.3 s                  | 0     | never     |
+      | 3     | 0    | the watching node's poll of the upstreams hangs | 0     | never     |
+      | 1     | 0    | the watching node's poll of the upstreams hangs | 0     | never     |
+      | 39    | 5    | the watching node's poll of the upstreams hangs | 0     | never     |
+      | 3     | 0    | the watching node's poll of the upstreams hangs | 1     | meanwhile |
+      | 39    | 5    | the watching node's poll of the upstreams hangs | 1.5   | meanwhile |
+      | 3     | 0    | every poll of the watching node hangs          | 0     | never     |
+      | 39    | 0    | every poll of the watching node hangs          | 0     | never     |
+
   Scenario: A node that reads all rows again can still send updates
     Given a zone of 5 nodes that have started
     When the store loses its history, and 3 seconds pass with a change each second
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -35,6 +35,7 @@
 from lagoonhinge_node.forwarding.store_watch import StoreWatch
 
 IN_FORCE_S = 2.0
+DRAIN_S = 2.0
 ZONE = "north"
 STORE_CLOCK_S = 70_000.0  # store time minus virtual time
 STORE_DELAY_S = 0.004
@@ -44,7 +45,7 @@
 
 
 class FakeRows:
-    """Rows whose values are JSON: a version, an upstream's zone, or a node's port."""
+    """Rows whose values are JSON: a version, whether an upstream drains, or a port."""
 
     def config(self, row: TableRow) -> Result[SiteConfig, str]:
         """Return the configuration in a row."""
@@ -56,7 +57,8 @@
 
     def upstream(self, row: TableRow) -> Upstream | None:
         """Return the upstream in a row."""
-        return Upstream(row.key, "desk", "h", 1, ZONE, 8)
+        assert row.value is not None
+        return Upstream(row.key, "desk", "h", 1, ZONE, 8, json.decode(row.value))
 
     def node(self, row: TableRow) -> NodeEntry | None:
         """Return the node in a row."""
@@ -74,6 +76,7 @@
         version: Newest version.
         refused: Nodes whose calls fail at once.
         silent: Nodes whose calls get no answer.
+        hanging: Nodes and tables of which one call gets no answer.
         forgets: Whether the history is discarded.
         delay_s: Time that a call takes without waiting, in seconds.
         calls: Times of all calls.
@@ -84,6 +87,7 @@
     version: int = 0
     refused: set[str] = field(default_factory=set)
     silent: set[str] = field(default_factory=set)
+    hanging: set[tuple[str, StoreTable]] = field(default_factory=set)
     forgets: bool = False
     delay_s: float = STORE_DELAY_S
     calls: list[float] = field(default_factory=list)
@@ -130,7 +134,8 @@
         while True:
             if self.node in store.refused:
                 return Failure(StoreFault("refused"))
-            if self.node in store.silent:
+            if self.node in store.silent or (self.node, table) in store.hanging:
+                store.hanging.discard((self.node, table))
                 await sleep(max(0.0, end_s + STORE_TIMEOUT_S - store.loop.time()))
                 return Failure(StoreFault("silent"))
             if store.forgets and after is not None and after < store.version:
