A poll of the store that hangs no longer keeps a draining upstream in use

Cause in the record: a poll of up to 6.8 s of the list of upstreams, sent into an outage, was never answered; only the configuration's age was watched. On this code the poll lasts 3.8 s and polls of the configuration keep the other nodes from taking over. Ruled out: a choice made before the row was read (8 ms old), a lost datagram (5 of 100 lost: known in time).

Change: after each poll of the configuration, the watching node compares the newest version in the answer with the versions of the rows that it has read. A version of no known row that a table's poll has not delivered by the next such answer makes it read that table at once. The shortest of the bounds, draining among them, sets the intervals; the pause after a change of the list follows from it.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -27,6 +27,16 @@
       | many  | none           | is not a range |
       | 70000 | none           | is not a range |
 
+  Scenario Outline: The shortest bound sets how often the store is read
+    When the platform's settings have <key> set to "<value>"
+    Then changes are in force within <seconds> s
+
+    Examples:
+      | key             | value | seconds |
+      | bounds.configMs | 1500  | 1.5     |
+      | bounds.drainMs  | 1000  | 1       |
+      | bounds.revokeMs | 1600  | 0.8     |
+
   Scenario: Unknown settings are ignored and every error is reported
     When the platform's settings are "new.field=1" alone
     Then the settings errors name node, ip, zone and listen.front
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -16,6 +16,7 @@
 from features.support.platform_fleet import BOUNDS, config
 from lagoonhinge_platform import names
 from lagoonhinge_platform.headers import PlatformHeaders
+from lagoonhinge_platform.main import forwarding_settings
 from lagoonhinge_platform.settings import parse_settings
 from lagoonhinge_platform.site_rows import PlatformRows, StoreRow, table_row
 
@@ -87,6 +88,11 @@
             raise AssertionError(context.result)
 
 
+@then("changes are in force within {seconds:g} s")
+def step_in_force_s(context, seconds):
+    assert forwarding_settings(context.result.unwrap()).in_force_s == seconds
+
+
 @when('the platform\'s settings are "{text}" alone')
 def step_settings_alone(context, text):
     context.result = parse_settings(text)
--- a/features/steps/store_watch_steps.py
+++ b/features/steps/store_watch_steps.py
@@ -8,7 +8,8 @@
 
 from features.support.virtual_time import VirtualLoop
 from features.support.watch_fleet import DRAIN_S, IN_FORCE_S, WatchFleet
-from lagoonhinge_core.forwarding.site_store import StoreTable
+from lagoonhinge_core.forwarding.missed_changes import MissedChanges
+from lagoonhinge_core.forwarding.site_store import StoreTable, TableRow
 from lagoonhinge_core.forwarding.store_clock import StoreClock
 from lagoonhinge_core.forwarding.store_contact import StoreContact
 from lagoonhinge_node.forwarding.peer_messages import (
@@ -221,6 +222,31 @@
     assert not context.late, context.late
 
 
+@given(
+    "the upstreams are known up to version {upstreams:d}, and the nodes up to version "
+    "{nodes:d}"
+)
+def step_known_versions(context, upstreams, nodes):
+    context.states = {StoreTable.UPSTREAMS: upstreams, StoreTable.NODES: nodes}
+
+
+@when("rows of versions {rows} are known, and answers have the newest versions {all}")
+def step_newest_versions(context, rows, all):
+    missed_changes = MissedChanges()
+    if rows != "none":
+        missed_changes.record_rows(
+            TableRow(f"row {version}", b"", int(version)) for version in rows.split(",")
+        )
+    for newest in all.split(","):
+        context.tables = missed_changes.tables(context.states, int(newest))
+
+
+@then("the tables to read again after the last answer are {tables}")
+def step_tables_to_read(context, tables):
+    expected = [] if tables == "none" else tables.split(" and ")
+    assert [table.value for table in context.tables] == expected, context.tables
+
+
 @when("the calls of all nodes are {fault} for 8 seconds")
 def step_outage(context, fault):
     fleet = context.zone
--- a/features/store_watch.feature
+++ b/features/store_watch.feature
@@ -62,6 +62,23 @@
       | 3     | 0    | every poll of the watching node hangs          | 0     | never     |
       | 39    | 0    | every poll of the watching node hangs          | 0     | never     |
 
+  Scenario Outline: Versions that belong to no known row show that a poll hangs
+    Given the upstreams are known up to version 10, and the nodes up to version <nodes>
+    When rows of versions <rows> are known, and answers have the newest versions <newest>
+    Then the tables to read again after the last answer are <tables>
+
+    Examples:
+      | nodes | rows   | newest           | tables              |
+      | 10    | none   | 10, 10           | none                |
+      | 10    | none   | 12               | none                |
+      | 10    | none   | 12, 12           | upstreams and nodes |
+      | 10    | none   | 11, 12           | upstreams and nodes |
+      | 12    | none   | 12, 12           | upstreams           |
+      | 10    | 11, 12 | 12, 12           | none                |
+      | 10    | 12     | 12, 12           | upstreams and nodes |
+      | 10    | 9, 11  | 11, 12           | none                |
+      | 10    | none   | 1000000, 1000000 | upstreams and nodes |
+
   Scenario: A node that reads all rows again can still send updates
     Given a zone of 5 nodes that have started
     When the store loses its history, and 3 seconds pass with a change each second
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/watch_role.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/watch_role.py
@@ -20,6 +20,7 @@
 MIN_TAKEOVER_AGE_SHARE = 0.5  # three updates may be lost or late
 MAX_TAKEOVER_AGE_SHARE = 0.8  # leaves time to read the change and apply it
 UPDATES_PER_POLL = 2
+UPSTREAMS_PAUSE_SHARE = 0.25  # for changes that follow, which come in bursts
 # Changed rows are in every update for this time, as datagrams may be lost.
 REPEAT_SHARE = 0.35
 FAILED_CALLS_PER_S = 4.0  # of all nodes of a zone together, while the store fails
@@ -40,6 +41,8 @@
         min_takeover_age_s: Least age of the last known state at which a node reads the
             store itself.
         max_takeover_age_s: Greatest such age.
+        upstreams_pause_s: Pause after a change of the list of upstreams, so that one
+            call reads several changes.
     """
 
     poll_s: float
@@ -47,6 +50,7 @@
     repeat_s: float
     min_takeover_age_s: float
     max_takeover_age_s: float
+    upstreams_pause_s: float
 
 
 def watch_times(in_force_s: float) -> WatchTimes:
@@ -61,6 +65,7 @@
         REPEAT_SHARE * in_force_s,
         MIN_TAKEOVER_AGE_SHARE * in_force_s,
         MAX_TAKEOVER_AGE_SHARE * in_force_s,
+        UPSTREAMS_PAUSE_SHARE * in_force_s,
     )
 
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Success
 
 from lagoonhinge_core.forwarding.load_tracker import CellSummary
+from lagoonhinge_core.forwarding.missed_changes import MissedChanges
 from lagoonhinge_core.forwarding.site_store import (
     HistoryLost,
     NodeEntry,
@@ -50,7 +51,6 @@
 NODES_WAIT_S = 20.0  # nodes rarely change, and a stale list only costs accuracy
 # Changes come in bursts; a pause after each update lets one call read several.
 CONFIG_PAUSE_S = 0.15  # under a tenth of the time within which a change is in force
-UPSTREAMS_PAUSE_S = 0.5  # a quarter of the time within which draining takes effect
 NODES_PAUSE_S = 3.0  # about the startup time of the whole system
 # Longest delay before a node reads rows that were too large for an update, so that not
 # all nodes read at once.
@@ -106,9 +106,12 @@
         }
         self.pauses_s = {
             StoreTable.CONFIG: CONFIG_PAUSE_S,
-            StoreTable.UPSTREAMS: UPSTREAMS_PAUSE_S,
+            StoreTable.UPSTREAMS: times.upstreams_pause_s,
             StoreTable.NODES: NODES_PAUSE_S,
         }
+        self.missed_changes = MissedChanges()
+        # Set when a table has to be read although its poll has not ended.
+        self.overdue = {table: Event() for table in StoreTable}
         self.log_part = PartLogger("store")
         self.failures = 0
         self.calls = 0
@@ -188,13 +191,51 @@
         """Read the changes of one table until a call fails."""
         while True:
             before = self.replicas[table].version
-            if not await self._read(table, self.waits_s[table]):
+            if not await self._read_next_changes(table):
                 return
+            if table is StoreTable.CONFIG:
+                self._find_missed_changes()
             if self.replicas[table].recent:
                 self.send_update()
             if self.replicas[table].version != before:
                 await sleep(self.pauses_s[table])
 
+    async def _read_next_changes(self, table: StoreTable) -> bool:
+        """Wait for a change of one table; return whether that worked."""
+        overdue = self.overdue[table]
+        overdue.clear()
+        reading = create_task(self._read(table, self.waits_s[table]))
+        noticing = create_task(overdue.wait())
+        try:
+            await wait((reading, noticing), return_when=FIRST_COMPLETED)
+        finally:
+            noticing.cancel()
+            if not reading.done():
+                reading.cancel()
+        if reading.done():
+            return reading.result()
+        self.log_part.warning(
+            "A poll of the store delivered no change; reading the table.",
+            table=table.value,
+            version=self.replicas[table].version,
+        )
+        return await self._read(table, 0.0)
+
+    def _find_missed_changes(self) -> None:
+        """Find the tables whose polls seem to hang, after a read of the configuration.
+
+        That poll ends often, so that a loss of its own answers is soon detected.
+        """
+        newest = self.replicas[StoreTable.CONFIG].version
+        states: dict[StoreTable, int] = {
+            table: replica.version
+            for table, replica in self.replicas.items()
+            if table is not StoreTable.CONFIG and replica.version is not None
+        }
+        if newest is not None:
+            for table in self.missed_changes.tables(states, newest):
+                self.overdue[table].set()
+
     async def _send_updates(self) -> None:
         while True:
             self.send_update()
@@ -211,6 +252,7 @@
             match result:
                 case Success(changes):
                     self._record_answer(requested_s, changes)
+                    self.missed_changes.record_rows(changes.rows)
                     rows = replica.record_read(after, changes, self.serving.clock())
                     if rows or (rows is not None and after is None):
                         self._apply(table, rows, after is None)
