Limits that upstreams name are decoded, logged and counted

The header is decoded in the adapter (the least of several; unreadable ones are logged once and ignored), recorded by instance for answers of the intended upstream only, and shown in log, metrics and state dump.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -87,6 +87,23 @@
       | Transfer-Encoding: chunked          | drops Transfer-Encoding |
       | X-Anything: kept                    | keeps X-Anything       |
 
+  Scenario Outline: The limit that an answer names
+    When an answer has the limit headers <headers>
+    Then the limit is <limit>
+
+    Examples:
+      | headers        | limit      |
+      | none           | none       |
+      | 1.5            | 1.5        |
+      | 0              | 0          |
+      | 4, 2.5         | 2.5        |
+      | 1000000        | 1000000    |
+      | many           | unreadable |
+      | -1             | unreadable |
+      | nan            | unreadable |
+      | 1e3            | unreadable |
+      | 1, many        | unreadable |
+
   Scenario: Only the adapter, its deployment and its tests use the platform's names
     Then no other source contains a header, a path or a table name of the platform
 
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -14,6 +14,11 @@
 from returns.result import Failure, Success
 
 from features.support.platform_fleet import BOUNDS, config
+from lagoonhinge_core.forwarding.messages import (
+    NoLimit,
+    RequestLimit,
+    UnreadableLimit,
+)
 from lagoonhinge_platform import names
 from lagoonhinge_platform.headers import PlatformHeaders
 from lagoonhinge_platform.main import forwarding_settings
@@ -191,6 +196,24 @@
             assert name in kept, request
 
 
+@when("an answer has the limit headers {headers}")
+def step_limit_headers(context, headers):
+    values = [] if headers == "none" else headers.split(",")
+    raw = tuple((names.REQUEST_LIMIT.encode(), value.encode()) for value in values)
+    context.head = PlatformHeaders().read_answer(200, "OK", raw)
+
+
+@then("the limit is {limit}")
+def step_limit(context, limit):
+    match context.head.limit:
+        case NoLimit():
+            assert limit == "none"
+        case UnreadableLimit():
+            assert limit == "unreadable", context.head.limit
+        case RequestLimit(per_s):
+            assert float(limit) == per_s, per_s
+
+
 @then("no other source contains a header, a path or a table name of the platform")
 def step_names_only_in_adapter(context):
     platform_names = {
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
@@ -1,7 +1,7 @@
 """Messages of the forwarding path, independent of the names on the wire."""
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Protocol, TypeAlias
 
 from returns.result import Result
 
@@ -94,6 +94,36 @@
     last_event_id: str | None = None
 
 
+@dataclass(frozen=True)
+class NoLimit:
+    """An answer of an upstream that does not limit its requests."""
+
+
+@dataclass(frozen=True)
+class RequestLimit:
+    """An answer of an upstream that limits its requests.
+
+    Attributes:
+        per_s: Requests a second that it takes from all nodes together.
+    """
+
+    per_s: float
+
+
+@dataclass(frozen=True)
+class UnreadableLimit:
+    """An answer whose limit can't be read; an earlier one stays in force.
+
+    Attributes:
+        text: What it says.
+    """
+
+    text: str
+
+
+LimitNotice: TypeAlias = NoLimit | RequestLimit | UnreadableLimit
+
+
 @dataclass(frozen=True)
 class AnswerHead:
     """Status and headers of an upstream's answer.
@@ -107,6 +137,7 @@
         not_run: Whether the upstream states that it did not run the request.
         failed_address: Address of the upstream at fault; empty if not stated.
         encoded: Whether the body has a content encoding, which is never requested.
+        limit: The limit that the upstream names for its requests.
     """
 
     status: int
@@ -117,6 +148,7 @@
     not_run: bool
     failed_address: str
     encoded: bool
+    limit: LimitNotice = NoLimit()
 
 
 class HeaderCodec(Protocol):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -92,6 +92,10 @@
                 "Upstreams that could not be reached.",
                 lambda: len(serving.health.unreachable()),
             ),
+            "lagoonhinge_limited_upstreams": (
+                "Upstreams that limit their requests.",
+                lambda: len(serving.request_limits.limited()),
+            ),
             "lagoonhinge_nodes_heard": (
                 "Nodes that share the upstreams, this one included.",
                 lambda: serving.load.count_nodes(now_s()),
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
@@ -46,6 +46,7 @@
     UpstreamClient,
     open_upstream_session,
 )
+from lagoonhinge_node.forwarding.upstream_notices import UpstreamNotices
 from lagoonhinge_node.logs import PartLogger
 
 # Time until the load balancer detects that the node is not ready, in seconds: two
@@ -167,7 +168,9 @@
         session = self._register_session(open_upstream_session())
         self.metrics.add_gauges(self.serving)
         self.metrics.add_store_gauges(self.watch)
-        client = UpstreamClient(session, self.adapters.codec)
+        client = UpstreamClient(
+            session, self.adapters.codec, UpstreamNotices(self.serving).record_head
+        )
         engine_memory = self.adapters.open_memory(session)
         request_log = RequestLog(self.serving)
         runner = RequestRunner(
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
@@ -89,6 +89,7 @@
                 for name in listed
                 for load in (serving.load.load(name, now_s),)
             },
+            "limits_per_s": serving.request_limits.limited(),
             "health": to_builtins(serving.health.records),
             "crashes": to_builtins(list(serving.crashes.confirmed)),
             "nodes": to_builtins(serving.board.read(NodeListSection).nodes),
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -17,6 +17,7 @@
     peer_timeout_s,
     update_interval_factor,
 )
+from lagoonhinge_core.forwarding.request_limits import RequestLimits
 from lagoonhinge_core.forwarding.retry_window import RetryBound, RetryWindow
 from lagoonhinge_core.forwarding.store_contact import StoreContact
 from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamDirectory
@@ -62,6 +63,7 @@
         self.load = LoadTracker(node)
         self.background_tasks: set[Task[None]] = set()
         self.health = HealthTracker()
+        self.request_limits = RequestLimits()
         self.partitions = PartitionTracker()
         # Upstreams that a probe reached again, to be told to the cell.
         self.unsent_reachable: list[str] = []
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -161,6 +161,7 @@
         update_cell(self.serving)
         self.serving.load.retain_only(listed)
         self.serving.health.retain_only(listed)
+        self.serving.request_limits.retain_only(listed)
 
 
 class NodeController:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -6,6 +6,7 @@
 """
 
 from asyncio import get_running_loop
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from http import HTTPStatus
@@ -115,11 +116,18 @@
     Args:
         session: Session from `open_upstream_session`.
         codec: Translation of headers.
+        record_head: Called with the head of each answer of the intended upstream.
     """
 
-    def __init__(self, session: ClientSession, codec: HeaderCodec):
+    def __init__(
+        self,
+        session: ClientSession,
+        codec: HeaderCodec,
+        record_head: Callable[[Upstream, AnswerHead], None],
+    ):
         self.session = session
         self.codec = codec
+        self.record_head = record_head
 
     async def send(
         self, upstream: Upstream, request: CallerRequest, options: AttemptOptions
@@ -155,6 +163,8 @@
         head = self.codec.read_answer(
             response.status, response.reason or "", response.raw_headers
         )
+        if _is_of_intended_upstream(head, request):
+            self.record_head(upstream, head)
         failure = _find_failure(head, request)
         if failure is not None:
             response.close()
@@ -166,6 +176,11 @@
     return f"{type(error).__name__}: {error}"
 
 
+def _is_of_intended_upstream(head: AnswerHead, request: CallerRequest) -> bool:
+    is_own = head.request_id in (None, request.request_id)
+    return is_own and head.status != HTTPStatus.MISDIRECTED_REQUEST
+
+
 def _find_failure(head: AnswerHead, request: CallerRequest) -> AttemptFailure | None:
     if head.request_id not in (None, request.request_id):
         return Lost("the answer is of another request")
