--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -71,11 +71,19 @@
         fleet.list_worker(instance, service)
 
 
-@given("a node on the platform with two workers for each service")
-def step_two_workers(context):
+def start_nodes(context, count: int) -> None:
+    """Start nodes with two workers for each service, and wait until all are ready."""
     workers = {"d1": "desk", "d2": "desk", "m1": "models", "m2": "models"}
     _start(context, workers)
-    context.fleet.wait_ready(context.node)
+    for _ in range(count - 1):
+        context.fleet.start_platform_node()
+    for node in context.fleet.nodes:
+        context.fleet.wait_ready(node)
+
+
+@given("a node on the platform with two workers for each service")
+def step_two_workers(context):
+    start_nodes(context, 1)
 
 
 @given("a node on the platform that started before the store answered")
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -3,6 +3,7 @@
 from asyncio import sleep
 from dataclasses import dataclass, field
 from os import _exit
+from time import monotonic
 from typing import Annotated, Any
 
 from aiohttp import web
@@ -19,6 +20,7 @@
     LAST_EVENT_ID,
     NOT_EXECUTED,
     ORDER_PATH,
+    REQUEST_LIMIT,
     RESPONSE_STAMP,
     TENANT,
 )
@@ -37,11 +39,13 @@
         how: Name of the fault; empty for none.
         count: Number of further requests that are affected; negative for all.
         pause_s: Delay before each event or answer, in seconds.
+        limit: Limit named in all answers, as it is sent; empty for none.
     """
 
     how: str = ""
     count: int = -1
     pause_s: float = EVENT_GAP_S
+    limit: str = ""
 
 
 NO_FAULTS = WorkerFaults()
@@ -53,6 +57,7 @@
 
     instance: str
     runs: list[dict[str, Any]] = field(default_factory=list)
+    arrivals_s: list[float] = field(default_factory=list)
     ended: int = 0
     reservations: dict[str, int] = field(default_factory=dict)
     orders: list[dict[str, Any]] = field(default_factory=list)
@@ -77,9 +82,10 @@
     headers = request.headers
     if headers.get(EXPECT_INSTANCE, state.instance) != state.instance:
         return web.Response(status=421)
+    state.arrivals_s.append(monotonic())
     fault = state.next_fault()
     if fault == "shed":
-        return web.Response(status=503, headers={NOT_EXECUTED: "1"})
+        return web.Response(status=503, headers={NOT_EXECUTED: "1", **_notices(state)})
     if fault == "cut":
         cut_connection(request)
         raise ConnectionResetError
@@ -109,9 +115,15 @@
         state.ended += 1
 
 
+def _notices(state: WorkerState) -> dict[str, str]:
+    """Return what the worker says of itself in all its answers."""
+    return {REQUEST_LIMIT: state.faults.limit} if state.faults.limit else {}
+
+
 def _response_headers(request: web.Request, fault: str) -> dict[str, str]:
     attempt = "another" if fault == "foreign" else request.headers.get(ATTEMPT_ID, "")
-    headers = {ATTEMPT_ID: attempt, "X-Served-By": request.app[STATE].instance}
+    state = request.app[STATE]
+    headers = {ATTEMPT_ID: attempt, "X-Served-By": state.instance, **_notices(state)}
     if fault != "unstamped":
         headers[RESPONSE_STAMP] = f"stamp.{request.app[STATE].instance}"
     if fault == "encoded":
@@ -198,6 +210,7 @@
         "ended": state.ended,
         "tickets": state.reservations,
         "orders": state.orders,
+        "arrivals_s": state.arrivals_s,
         "faults_left": state.faults.count,
     }
     return web.Response(body=json.encode(record))
