Few nodes send to an upstream that limits its requests, each an equal part

Ruled out: a limit that each node keeps for itself (the same rate with one node as with six).

Change: the limit is passed on in load updates and in the summaries of cells; the first live nodes of the cell in an order by hash may send, half of the tolerated excess in number, each with an equal part and without a request to begin with. Long prompts leave limited upstreams out while there are others. If all upstreams of a service are limited, what exceeds is refused at once with the time in which they take one more request as Retry-After.

In virtual time, 1 to 39 nodes, up to 5 of 100 messages lost, senders killed each 5 s: within 1.5 times the limit and 5 more, and 0.4 to 0.8 of the limit are used.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -89,7 +89,7 @@
 
   Scenario Outline: The limit that an answer names
     When an answer has the limit headers <headers>
-    Then the limit is <limit>
+    Then its limit reads as <limit>
 
     Examples:
       | headers        | limit      |
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -203,7 +203,7 @@
     context.head = PlatformHeaders().read_answer(200, "OK", raw)
 
 
-@then("the limit is {limit}")
+@then("its limit reads as {limit}")
 def step_limit(context, limit):
     match context.head.limit:
         case NoLimit():
--- a/features/steps/request_limits_steps.py
+++ b/features/steps/request_limits_steps.py
@@ -1,15 +1,24 @@
-"""Steps for upstreams that limit their requests, with real processes."""
+"""Steps for upstreams that limit their requests."""
 
 from concurrent.futures import ThreadPoolExecutor
+from random import Random
 from time import monotonic, sleep
 
 from behave import given, then, when
 
 from features.steps.platform_node_steps import start_nodes
+from features.support.limit_fleet import UPSTREAM, WINDOW_S, LimitFleet
 from features.support.platform_fleet import send
+from lagoonhinge_core.forwarding.messages import (
+    LimitNotice,
+    NoLimit,
+    RequestLimit,
+    UnreadableLimit,
+)
+from lagoonhinge_core.forwarding.request_limits import RequestLimits, StatedLimit
 from lagoonhinge_platform.names import ATTEMPT_ID, RETRY_AFTER
 
-WINDOW_S = 4.0
+DURATION_S = 60.0
 STABLE_S = 3.0  # after which a limit holds
 SENDERS = 32
 
@@ -67,3 +76,85 @@
     assert refused
     assert all(a.status == 503 and RETRY_AFTER in a.headers for a, _ in refused)
     assert max(took_s for _, took_s in refused) <= most_s, refused
+
+
+@given(
+    "a cell of {nodes:d} nodes with {demand:d} requests a second each, of whose "
+    "messages {loss:d} of 100 are lost"
+)
+def step_cell(context, nodes, demand, loss):
+    context.cell = (nodes, demand, loss / 100)
+
+
+@when("an upstream names a limit of {limit:g}, and {fault}, for 60 s and 3 seeds")
+def step_cell_limit(context, limit, fault):
+    nodes, demand, loss = context.cell
+    context.cell_limit = limit
+    context.fleets = []
+    for seed in range(3):
+        fleet = LimitFleet(nodes, limit, demand, loss, Random(seed))
+        # Without messages before, every node would take itself for the only one.
+        for name, node in fleet.by_name.items():
+            node.heard_s = {other: 0.0 for other in fleet.by_name if other != name}
+        context.fleets.append(fleet)
+        while fleet.now_s < DURATION_S:
+            match fault.split():
+                case ["nothing", "happens"]:
+                    fleet.run(DURATION_S)
+                case ["a", "sender", *_, gap_s, "s"]:
+                    fleet.run(float(gap_s))
+                    fleet.restart(fleet.last_sender())
+                case [part, *_, gap_s, "s"]:
+                    fleet.run(float(gap_s))
+                    for name in sorted(fleet.by_name)[:: 2 if part == "half" else 1]:
+                        fleet.restart(name)
+
+
+@then("in any 4 s the upstream got at most 1.5 times the limit and 5 more")
+def step_cell_windows(context):
+    most = [fleet.most_in_window() for fleet in context.fleets]
+    assert max(most) <= 1.5 * context.cell_limit * WINDOW_S + 5, most
+
+
+@then(
+    "it got at least {share:g} of the limit, and at most 1.2 times the limit and 3 for "
+    "each node"
+)
+def step_cell_share(context, share):
+    allowed = context.cell_limit * DURATION_S
+    sent = [fleet.sent for fleet in context.fleets]
+    nodes = len(context.fleets[0].by_name)
+    assert min(sent) >= share * allowed, sent
+    assert max(sent) <= 1.2 * allowed + 3 * nodes, sent
+
+
+def _notice(text: str) -> LimitNotice:
+    match text:
+        case "none":
+            return NoLimit()
+        case "damaged":
+            return UnreadableLimit(text)
+    return RequestLimit(float(text))
+
+
+@given("a node to which an upstream says {own} of its limit")
+def step_statements(context, own):
+    context.limits = RequestLimits("n0")
+    for statement in () if own == "nothing" else own.split(", "):
+        at_s, _, text = statement.partition(": ")
+        context.limits.record_answer(UPSTREAM, _notice(text), float(at_s))
+
+
+@when("a peer was told {other} of it {age:g} s before, at time 10")
+def step_other_statement(context, other, age):
+    if other != "nothing":
+        context.limits.merge((StatedLimit(UPSTREAM, float(other), age),), 10.0)
+
+
+@then("the limit is {limit} requests a second, and {statements} is sent to peers")
+def step_limit_in_force(context, limit, statements):
+    expected = None if limit == "none" else float(limit)
+    assert context.limits.limit_per_s(UPSTREAM) == expected
+    sent = [entry.per_s for entry in context.limits.own_statements(10.0)]
+    texts = {"nothing": [], "none": [None]}
+    assert sent == texts.get(statements, [expected]), sent
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 
 from lagoonhinge_core.forwarding.crashes import Crash
+from lagoonhinge_core.forwarding.request_limits import StatedLimit
 
 IDLE_INTERVAL_S = 0.2  # between updates of a node whose load does not change
 SUMMARY_INTERVAL_S = 0.3  # between summaries of a cell; a few engine passes
@@ -84,6 +85,7 @@
         open_work: Its open requests by upstream.
         crashes: Crashes of upstreams that it detected recently.
         reachable: Upstreams that its probes reached again.
+        limits: Limits that upstreams named to it, or withdrew.
     """
 
     node: str
@@ -92,6 +94,7 @@
     open_work: dict[str, OpenWork]
     crashes: tuple[Crash, ...] = ()
     reachable: tuple[str, ...] = ()
+    limits: tuple[StatedLimit, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -112,11 +115,13 @@
         upstreams: Load by upstream, without those that have none: the time until its
             assigned prefills are finished, in milliseconds, its open requests, and the
             KV cache that they use, in thousands of tokens.
+        limits: Limits that these upstreams named or withdrew.
     """
 
     zone: str
     age_s: float
     upstreams: dict[str, tuple[int, int, int]]
+    limits: tuple[StatedLimit, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -313,8 +318,12 @@
 
     def count_nodes(self, now_s: float) -> int:
         """Return the number of live nodes, including this one."""
+        return 1 + len(self.live_peers(now_s))
+
+    def live_peers(self, now_s: float) -> Collection[str]:
+        """Return the peers that are not silent."""
         self._expire_peers(now_s)
-        return 1 + len(self.peers)
+        return self.peers.keys()
 
     def retain_only(self, instances: Collection[str]) -> None:
         """Drop the predictions of upstreams that are no longer listed."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/cell_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/cell_exchange.py
@@ -5,6 +5,8 @@
 for its own zone, which adds it to its updates.
 """
 
+from dataclasses import replace
+
 from mode import Service
 
 from lagoonhinge_core.forwarding.load_tracker import SUMMARY_INTERVAL_S
@@ -50,7 +52,11 @@
             return
         listed = serving.directory.by_instance.values()
         instances = [entry.instance for entry in listed if entry.zone == serving.zone]
-        summary = serving.load.summarize(serving.zone, instances, serving.clock())
+        now_s = serving.clock()
+        summary = replace(
+            serving.load.summarize(serving.zone, instances, now_s),
+            limits=serving.request_limits.known_statements(instances, now_s),
+        )
         data = encode_message(PeerMessage(cell=summary))
         for nodes in zones.values():
             count = min(RECEIVERS_PER_ZONE, len(nodes))
@@ -62,7 +68,7 @@
         summary = message.cell
         if summary is None or summary.zone in self.serving.cell:
             return
-        self.serving.load.merge_summary(summary, self.serving.clock())
+        self.serving.merge_summary(summary)
         watcher = self.watch.watcher
         if not self.watch.role.is_watching and watcher is not None:
             self.socket.send(encode_message(message), [watcher.peer_address()])
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -3,6 +3,7 @@
 from asyncio import sleep, timeout
 from functools import partial
 from http import HTTPStatus
+from math import inf
 
 from returns.result import Failure, Success
 
@@ -93,16 +94,13 @@
             choice = await self._wait_for_choice(context)
             match choice:
                 case None:
-                    self.log.log_failure(
-                        context,
-                        "No upstream has capacity; ending the request.",
-                        sends=context.attempts,
-                    )
-                    return await self._end_failed(context, writer, FailureAction.REFUSE)
+                    return await self._end_without_capacity(context, writer)
                 case DeadlineUnreachable(ready_s):
                     return await self._end_unreachable_deadline(
                         context, writer, ready_s
                     )
+            for upstream in choice.upstreams():
+                self.serving.record_send(upstream)
             result = await self.sender.send(
                 context, choice, writer, partial(self._may_fail_over, context, choice)
             )
@@ -149,6 +147,8 @@
                 return choice
             if self.chooser.tried_all(context.service, context.tried):
                 return None
+            if self.chooser.over_limits(context.service, context.tried) is not None:
+                return None
             await sleep(CAPACITY_POLL_INTERVAL_S)
 
     def _may_fail_over(
@@ -243,6 +243,27 @@
                 self.serving.health.record_loss(upstream.instance, now_s)
                 context.helper_faults += upstream is not choice.upstream
 
+    async def _end_without_capacity(
+        self, context: RequestContext, writer: ResponseWriter
+    ) -> str:
+        limits_per_s = self.chooser.over_limits(context.service, context.tried)
+        self.log.log_failure(
+            context,
+            "No upstream has capacity; ending the request.",
+            sends=context.attempts,
+            limits_per_s=limits_per_s,
+        )
+        retry_after_s = SHORT_RETRY_AFTER_S
+        if limits_per_s is not None:
+            # The time in which the upstreams take one more request, at any node.
+            interval_s = 1 / limits_per_s if limits_per_s else inf
+            retry_after_s = max(
+                SHORT_RETRY_AFTER_S, min(interval_s, self.log.remaining_s(context))
+            )
+        return await self._end_failed(
+            context, writer, FailureAction.REFUSE, retry_after_s
+        )
+
     async def _end_unreachable_deadline(
         self, context: RequestContext, writer: ResponseWriter, ready_s: float
     ) -> str:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -13,6 +13,7 @@
 from lagoonhinge_core.forwarding.health import HealthTracker
 from lagoonhinge_core.forwarding.load_tracker import (
     IDLE_INTERVAL_S,
+    CellSummary,
     LoadTracker,
     peer_timeout_s,
     update_interval_factor,
@@ -63,7 +64,7 @@
         self.load = LoadTracker(node)
         self.background_tasks: set[Task[None]] = set()
         self.health = HealthTracker()
-        self.request_limits = RequestLimits()
+        self.request_limits = RequestLimits(node)
         self.partitions = PartitionTracker()
         # Upstreams that a probe reached again, to be told to the cell.
         self.unsent_reachable: list[str] = []
@@ -125,6 +126,41 @@
         self.cell_peers = max(0, nodes - 1)
         self.load.peer_timeout_s = peer_timeout_s(self.cell_peers)
 
+    def merge_summary(self, summary: CellSummary) -> None:
+        """Record the summary of another cell."""
+        now_s = self.clock()
+        self.load.merge_summary(summary, now_s)
+        self.request_limits.merge(summary.limits, now_s - summary.age_s)
+
+    def may_send(self, upstream: Upstream) -> bool:
+        """Return whether the limit of an upstream allows a request of this node now."""
+        limits = self.request_limits
+        if limits.limit_per_s(upstream.instance) is None:
+            return True
+        nodes = self._nodes_sharing(upstream)
+        return limits.may_send(upstream.instance, nodes, self.clock())
+
+    def record_send(self, upstream: Upstream) -> None:
+        """Count a request or a part of one against the limit of its upstream."""
+        limits = self.request_limits
+        if limits.limit_per_s(upstream.instance) is not None:
+            nodes = self._nodes_sharing(upstream)
+            limits.record_send(upstream.instance, nodes, self.clock())
+
+    def _nodes_sharing(self, upstream: Upstream) -> frozenset[str]:
+        """Return the live nodes that share the limit of an upstream.
+
+        These are the nodes of its cell. Another cell does not know which of them live,
+        and leaves the upstream to them.
+        """
+        own, zones = self.load.node, self.zone_of_node
+        if upstream.zone in self.cell:
+            live = self.load.live_peers(self.clock())
+            return frozenset((own, *(n for n in live if zones.get(n) in self.cell)))
+        if upstream.zone in zones.values():
+            return frozenset()
+        return frozenset((own, *zones))
+
     def record_connect_failure(self, upstream: Upstream) -> None:
         """Record a failed connection, which a crash or a partition may have caused."""
         self.record_exit(upstream.instance)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -361,10 +361,9 @@
             self.role.record_peer_failure(self.serving.clock(), zone_nodes)
 
     def _receive_update(self, update: StoreUpdate) -> None:
-        now_s, load = self.serving.clock(), self.serving.load
         for summary in update.cells:
             if summary.zone not in self.serving.cell:
-                load.merge_summary(summary, now_s)
+                self.serving.merge_summary(summary)
         nodes = self.serving.board.read(NodeListSection).nodes
         self.watcher = nodes.get(update.node)
         for table_update in update.tables:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
@@ -13,6 +13,7 @@
     MemoryReservation,
     Placement,
     Prompt,
+    is_short,
 )
 from lagoonhinge_core.forwarding.routes import Route
 from lagoonhinge_core.forwarding.upstreams import Upstream
@@ -44,9 +45,13 @@
     tokens: int = 0
     reservations: tuple[MemoryReservation, ...] = ()
 
-    def instances(self) -> list[str]:
+    def upstreams(self) -> tuple[Upstream, ...]:
         """Return the answering upstream and its helpers."""
-        return [upstream.instance for upstream in (self.upstream, *self.helpers)]
+        return (self.upstream, *self.helpers)
+
+    def instances(self) -> list[str]:
+        """Return the names of the answering upstream and its helpers."""
+        return [upstream.instance for upstream in self.upstreams()]
 
     def prefills(self, prompt_number: int) -> list[Prefill]:
         """Return the prefills that the attempt assigns to upstreams."""
@@ -88,14 +93,41 @@
         usable = self.serving.directory.usable(service)
         ejected = self.serving.ejected(usable)
         untried = tuple(entry for entry in usable if entry.instance not in tried)
+        allowed = tuple(entry for entry in untried if self.serving.may_send(entry))
         profile = self._engine_profile(service)
         if profile is None or request.size is None:
-            return self._choose_plain_upstream(untried, ejected)
+            return self._choose_plain_upstream(allowed, ejected)
         size = request.size
         prompt = Prompt(
             size.prompt_tokens, size.max_answer_tokens, route.target_s, remaining_s
         )
-        return self._choose_engine(prompt, profile, untried, ejected)
+        if not is_short(profile, prompt):
+            allowed = self._without_limit(allowed) or allowed
+        return self._choose_engine(prompt, profile, allowed, ejected)
+
+    def _without_limit(self, upstreams: tuple[Upstream, ...]) -> tuple[Upstream, ...]:
+        """Return the upstreams that may prefill long prompts, alone or as helpers."""
+        limits = self.serving.request_limits
+        return tuple(u for u in upstreams if limits.limit_per_s(u.instance) is None)
+
+    def over_limits(self, service: str, tried: set[str]) -> float | None:
+        """Return the limits of a service that takes no request of this node now.
+
+        Args:
+            service: The service.
+            tried: Instances of earlier attempts.
+
+        Returns:
+            The sum of the limits, in requests a second; `None` if an untried upstream
+            has no limit, or there is none.
+        """
+        limits = [
+            self.serving.request_limits.limit_per_s(entry.instance)
+            for entry in self.serving.directory.usable(service)
+            if entry.instance not in tried
+        ]
+        known = [limit for limit in limits if limit is not None]
+        return sum(known) if known and len(known) == len(limits) else None
 
     def tried_all(self, service: str, tried: set[str]) -> bool:
         """Return whether a service has upstreams, and all of them were tried."""
