--- a/features/steps/request_limits_steps.py
+++ b/features/steps/request_limits_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from features.steps.platform_node_steps import start_nodes
+from features.support.fleet import HttpAnswer
 from features.support.limit_fleet import UPSTREAM, WINDOW_S, LimitFleet
 from features.support.platform_fleet import send
 from lagoonhinge_core.forwarding.messages import (
@@ -28,24 +29,28 @@
     start_nodes(context, count)
 
 
-@when("{workers} a limit of {limit}, and {rate:d} requests a second are sent for 9 s")
-def step_limit(context, workers, limit, rate):
-    fleet = context.fleet
-    context.limited = [word for word in workers.split() if word in fleet.workers]
-    for name in context.limited:
-        fleet.workers[name].put_faults(limit=limit)
-    context.started_s = monotonic()
-
-    def send_one(number: int):
-        wait_s = context.started_s + number / rate - monotonic()
-        sleep(max(0.0, wait_s))
-        node = fleet.nodes[number % len(fleet.nodes)]
+def send_requests(context, rate: int, duration_s: int, target: str) -> None:
+    """Send requests to all nodes in turn; keeps the answers and how long they took."""
+    nodes = context.fleet.nodes
+    started_s = monotonic()
+
+    def send_one(number: int) -> tuple[HttpAnswer | None, float]:
+        sleep(max(0.0, started_s + number / rate - monotonic()))
         sent_s = monotonic()
-        answer = send(node, "GET", "/read/1", headers={ATTEMPT_ID: f"attempt-{number}"})
+        headers = {ATTEMPT_ID: f"attempt-{number}"}
+        answer = send(nodes[number % len(nodes)], "GET", target, headers=headers)
         return answer, monotonic() - sent_s
 
     with ThreadPoolExecutor(SENDERS) as pool:
-        context.answers = list(pool.map(send_one, range(9 * rate)))
+        context.answers = list(pool.map(send_one, range(duration_s * rate)))
+
+
+@when("{workers} a limit of {limit}, and {rate:d} requests a second are sent for 9 s")
+def step_limit(context, workers, limit, rate):
+    for name in workers.split():
+        if name in context.fleet.workers:
+            context.fleet.workers[name].put_faults(limit=limit)
+    send_requests(context, rate, 9, "/read/1")
 
 
 @then("every request is answered with {status:d}")
--- /dev/null
+++ b/features/upstream_notices.feature
@@ -0,0 +1,49 @@
+Feature: What upstreams say of themselves decides which requests they get
+
+  Scenario Outline: A worker that says that it leaves gets no more requests
+    Given <nodes> nodes on the platform with two workers for each service
+    When <worker> says that it leaves, and 12 requests a second are sent to <target> for 4 s
+    Then every request is answered with 200
+    And <worker> got a request, and none later than 2 s after its first answer
+
+    Examples:
+      | nodes | worker | target    |
+      | 1     | d1     | /read/1   |
+      | 3     | d1     | /read/1   |
+      | 3     | m1     | /stream/1 |
+
+  Scenario: A worker that says that it leaves and starts again gets requests
+    Given 1 nodes on the platform with two workers for each service
+    When d1 says that it leaves, and 12 requests a second are sent to /read/1 for 2 s
+    And its entry has a later start, and 12 requests a second are sent to /read/1 for 2 s
+    Then d1 got a request after its later start
+
+  # Allowed are two requests of each node.
+  Scenario Outline: A worker that turns requests away gets none for as long as it says
+    Given <nodes> nodes on the platform with two workers for each service
+    When d1 answers 503 with Retry-After <retry_after>, and 12 requests a second are sent to /read/1 for 5 s
+    Then every request is answered with 200
+    And d1 got at most <most> requests from 0.5 s to 3 s after its first answer
+    And d1 got a request later than 3 s after its first answer
+
+    Examples:
+      | nodes | retry_after | most |
+      | 1     | 3           | 2    |
+      | 3     | 3.0         | 6    |
+
+  Scenario Outline: An unreadable Retry-After of a worker is ignored
+    Given 1 nodes on the platform with two workers for each service
+    When d1 answers 503 with Retry-After <retry_after>, and 12 requests a second are sent to /read/1 for 2 s
+    Then every request is answered with 200
+    And d1 got a request later than 0.5 s after its first answer
+
+    Examples:
+      | retry_after |
+      | soon        |
+      | -3          |
+
+  Scenario: Requests are refused at once while all workers turn requests away
+    Given 1 nodes on the platform with two workers for each service
+    When d1 and d2 answer 503 with Retry-After 4, and 12 requests a second are sent to /read/1 for 3 s
+    Then the other requests are refused with 503 and a Retry-After within 0.3 s
+    And the last Retry-After is between 0.5 and 2 s
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -18,10 +18,12 @@
     EXPECT_INSTANCE,
     HELPERS,
     LAST_EVENT_ID,
+    LEAVING,
     NOT_EXECUTED,
     ORDER_PATH,
     REQUEST_LIMIT,
     RESPONSE_STAMP,
+    RETRY_AFTER,
     TENANT,
 )
 from stand_ins.serving import cut_connection, reset_connection, serve
@@ -40,12 +42,16 @@
         count: Number of further requests that are affected; negative for all.
         pause_s: Delay before each event or answer, in seconds.
         limit: Limit named in all answers, as it is sent; empty for none.
+        leaving: Whether all answers say that the worker leaves.
+        retry_after: `Retry-After` of refusals, as it is sent; empty for none.
     """
 
     how: str = ""
     count: int = -1
     pause_s: float = EVENT_GAP_S
     limit: str = ""
+    leaving: bool = False
+    retry_after: str = ""
 
 
 NO_FAULTS = WorkerFaults()
@@ -85,7 +91,10 @@
     state.arrivals_s.append(monotonic())
     fault = state.next_fault()
     if fault == "shed":
-        return web.Response(status=503, headers={NOT_EXECUTED: "1", **_notices(state)})
+        headers = {NOT_EXECUTED: "1", **_notices(state)}
+        if state.faults.retry_after:
+            headers[RETRY_AFTER] = state.faults.retry_after
+        return web.Response(status=503, headers=headers)
     if fault == "cut":
         cut_connection(request)
         raise ConnectionResetError
@@ -117,7 +126,10 @@
 
 def _notices(state: WorkerState) -> dict[str, str]:
     """Return what the worker says of itself in all its answers."""
-    return {REQUEST_LIMIT: state.faults.limit} if state.faults.limit else {}
+    headers = {REQUEST_LIMIT: state.faults.limit} if state.faults.limit else {}
+    if state.faults.leaving:
+        headers[LEAVING] = "1"
+    return headers
 
 
 def _response_headers(request: web.Request, fault: str) -> dict[str, str]:
