An upstream that says that it leaves gets no more requests

Cause: the header was not read; only the row in the store counted, which may be late. A later start of the same name may get requests.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 
 from lagoonhinge_core.forwarding.crashes import Crash
+from lagoonhinge_core.forwarding.leaving_notices import LeavingUpstream
 from lagoonhinge_core.forwarding.request_limits import StatedLimit
 
 IDLE_INTERVAL_S = 0.2  # between updates of a node whose load does not change
@@ -86,6 +87,7 @@
         crashes: Crashes of upstreams that it detected recently.
         reachable: Upstreams that its probes reached again.
         limits: Limits that upstreams named to it, or withdrew.
+        leaving: Upstreams that told it that they leave.
     """
 
     node: str
@@ -95,6 +97,7 @@
     crashes: tuple[Crash, ...] = ()
     reachable: tuple[str, ...] = ()
     limits: tuple[StatedLimit, ...] = ()
+    leaving: tuple[LeavingUpstream, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
@@ -138,6 +138,7 @@
         failed_address: Address of the upstream at fault; empty if not stated.
         encoded: Whether the body has a content encoding, which is never requested.
         limit: The limit that the upstream names for its requests.
+        leaving: Whether the upstream says that it leaves.
     """
 
     status: int
@@ -149,6 +150,7 @@
     failed_address: str
     encoded: bool
     limit: LimitNotice = NoLimit()
+    leaving: bool = False
 
 
 class HeaderCodec(Protocol):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -25,7 +25,7 @@
 # or late.
 TIMER_TOLERANCE = 0.9
 MAX_PREFILLS = 100  # in one message, so that it fits into a datagram
-MAX_LIMITS = 100  # likewise
+MAX_NOTICES = 100  # of upstreams, of each kind; likewise
 
 
 class LoadExchange(Service):
@@ -87,6 +87,7 @@
             or self.serving.crashes.gossiped
             or self.serving.unsent_reachable
             or self.serving.request_limits.has_unsent
+            or self.serving.leaving_notices.has_unsent
         )
         is_unchanged = not has_changes and load.own_work == self.last_sent_work
         interval_s = self._idle_interval_s() if is_unchanged else SEND_INTERVAL_S
@@ -103,9 +104,11 @@
             read=update.read[-MAX_PREFILLS:],
             crashes=self.serving.crashes.crashes_to_gossip(now_s),
             reachable=tuple(reachable),
-            limits=self.serving.request_limits.own_statements(now_s)[-MAX_LIMITS:],
+            limits=self.serving.request_limits.own_statements(now_s)[-MAX_NOTICES:],
+            leaving=tuple(self.serving.leaving_notices.own)[-MAX_NOTICES:],
         )
         self.serving.request_limits.has_unsent = False
+        self.serving.leaving_notices.has_unsent = False
         self.socket.send(encode_message(PeerMessage(load=update)), receivers)
 
     def receive(self, message: PeerMessage) -> None:
@@ -116,5 +119,6 @@
         self.serving.load.merge(message.load, now_s)
         self.serving.crashes.merge(message.load.crashes, now_s)
         self.serving.request_limits.merge(message.load.limits, now_s)
+        self.serving.leaving_notices.merge(message.load.leaving)
         for instance in message.load.reachable:
             self.serving.health.record_connect(instance)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
@@ -89,6 +89,9 @@
                 for name in listed
                 for load in (serving.load.load(name, now_s),)
             },
+            "said_to_leave": sorted(
+                run.instance for run in serving.leaving_notices.known
+            ),
             "limits_per_s": serving.request_limits.limited(),
             "health": to_builtins(serving.health.records),
             "crashes": to_builtins(list(serving.crashes.confirmed)),
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -11,6 +11,7 @@
 from lagoonhinge_core.forwarding.crashes import CrashTracker
 from lagoonhinge_core.forwarding.freshness import Freshness
 from lagoonhinge_core.forwarding.health import HealthTracker
+from lagoonhinge_core.forwarding.leaving_notices import LeavingNotices
 from lagoonhinge_core.forwarding.load_tracker import (
     IDLE_INTERVAL_S,
     CellSummary,
@@ -65,6 +66,7 @@
         self.background_tasks: set[Task[None]] = set()
         self.health = HealthTracker()
         self.request_limits = RequestLimits(node)
+        self.leaving_notices = LeavingNotices()
         self.partitions = PartitionTracker()
         # Upstreams that a probe reached again, to be told to the cell.
         self.unsent_reachable: list[str] = []
@@ -132,6 +134,12 @@
         self.load.merge_summary(summary, now_s)
         self.request_limits.merge(summary.limits, now_s - summary.age_s)
 
+    def usable(self, service: str) -> tuple[Upstream, ...]:
+        """Return a service's upstreams that don't leave, in an order for all nodes."""
+        notices = self.leaving_notices
+        listed = self.directory.usable(service)
+        return tuple(entry for entry in listed if not notices.is_leaving(entry))
+
     def may_send(self, upstream: Upstream) -> bool:
         """Return whether the limit of an upstream allows a request of this node now."""
         limits = self.request_limits
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
@@ -90,7 +90,7 @@
             tried: Instances of earlier attempts, which are excluded.
             remaining_s: Time until its deadline, in seconds.
         """
-        usable = self.serving.directory.usable(service)
+        usable = self.serving.usable(service)
         ejected = self.serving.ejected(usable)
         untried = tuple(entry for entry in usable if entry.instance not in tried)
         allowed = tuple(entry for entry in untried if self.serving.may_send(entry))
@@ -123,7 +123,7 @@
         """
         limits = [
             self.serving.request_limits.limit_per_s(entry.instance)
-            for entry in self.serving.directory.usable(service)
+            for entry in self.serving.usable(service)
             if entry.instance not in tried
         ]
         known = [limit for limit in limits if limit is not None]
@@ -131,7 +131,7 @@
 
     def tried_all(self, service: str, tried: set[str]) -> bool:
         """Return whether a service has upstreams, and all of them were tried."""
-        usable = self.serving.directory.usable(service)
+        usable = self.serving.usable(service)
         return bool(usable) and all(entry.instance in tried for entry in usable)
 
     def _engine_profile(self, service: str) -> EngineProfile | None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_notices.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_notices.py
@@ -22,6 +22,12 @@
     def record_head(self, upstream: Upstream, head: AnswerHead) -> None:
         """Record the head of an upstream's answer."""
         limits, instance = self.serving.request_limits, upstream.instance
+        if head.leaving and self.serving.leaving_notices.record(upstream):
+            self.log_part.info(
+                "An upstream says that it leaves.",
+                upstream=instance,
+                request_id=head.request_id or "-",
+            )
         if limits.record_answer(instance, head.limit, self.serving.clock()):
             self.log_part.info(
                 "An upstream changed the limit of its requests.",
