An upstream that asks for a pause gets no requests until it ends

What callers saw: requests went on to a worker that had turned one away with Retry-After, each refused and sent elsewhere; with all workers closed, callers were told to return after 0.25 s. Cause: Retry-After of upstreams was not read. If all upstreams of a service are paused or limited for longer than a request may wait, it is refused at once, with the time until one of them takes a request as Retry-After. Both kinds of identity of a run became one type.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/leaving_notices.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/leaving_notices.py
@@ -10,24 +10,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from lagoonhinge_core.forwarding.upstreams import Upstream
-
-
-@dataclass(frozen=True)
-class LeavingUpstream:
-    """A run of an upstream that leaves.
-
-    Attributes:
-        instance: The upstream.
-        started_ms: Its start, in milliseconds since the epoch.
-    """
-
-    instance: str
-    started_ms: int
-
-
-def _run_of(upstream: Upstream) -> LeavingUpstream:
-    return LeavingUpstream(upstream.instance, upstream.started_ms)
+from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamRun
 
 
 @dataclass
@@ -40,13 +23,13 @@
         has_unsent: Whether peers have not been sent one of them.
     """
 
-    known: set[LeavingUpstream] = field(default_factory=set)
-    own: set[LeavingUpstream] = field(default_factory=set)
+    known: set[UpstreamRun] = field(default_factory=set)
+    own: set[UpstreamRun] = field(default_factory=set)
     has_unsent: bool = False
 
     def record(self, upstream: Upstream) -> bool:
         """Record a notice of an upstream; return whether it is the first one."""
-        run = _run_of(upstream)
+        run = upstream.run()
         is_first = run not in self.known
         if run not in self.own:
             self.own.add(run)
@@ -54,16 +37,16 @@
             self.has_unsent = True
         return is_first
 
-    def merge(self, runs: Iterable[LeavingUpstream]) -> None:
+    def merge(self, runs: Iterable[UpstreamRun]) -> None:
         """Record notices that peers got."""
         self.known.update(runs)
 
     def is_leaving(self, upstream: Upstream) -> bool:
         """Return whether a run of an upstream leaves."""
-        return bool(self.known) and _run_of(upstream) in self.known
+        return bool(self.known) and upstream.run() in self.known
 
     def retain_only(self, listed: Mapping[str, Upstream]) -> None:
         """Drop notices of upstreams that are not listed or have started again."""
-        runs = {_run_of(upstream) for upstream in listed.values()}
+        runs = {upstream.run() for upstream in listed.values()}
         self.known &= runs
         self.own &= runs
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field, replace
 
 from lagoonhinge_core.forwarding.crashes import Crash
-from lagoonhinge_core.forwarding.leaving_notices import LeavingUpstream
 from lagoonhinge_core.forwarding.request_limits import StatedLimit
+from lagoonhinge_core.forwarding.upstreams import UpstreamRun
 
 IDLE_INTERVAL_S = 0.2  # between updates of a node whose load does not change
 SUMMARY_INTERVAL_S = 0.3  # between summaries of a cell; a few engine passes
@@ -97,7 +97,7 @@
     crashes: tuple[Crash, ...] = ()
     reachable: tuple[str, ...] = ()
     limits: tuple[StatedLimit, ...] = ()
-    leaving: tuple[LeavingUpstream, ...] = ()
+    leaving: tuple[UpstreamRun, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
@@ -139,6 +139,8 @@
         encoded: Whether the body has a content encoding, which is never requested.
         limit: The limit that the upstream names for its requests.
         leaving: Whether the upstream says that it leaves.
+        retry_after_s: Time for which the upstream wants no further request, in seconds;
+            `None` if it states none that can be read.
     """
 
     status: int
@@ -151,6 +153,7 @@
     encoded: bool
     limit: LimitNotice = NoLimit()
     leaving: bool = False
+    retry_after_s: float | None = None
 
 
 class HeaderCodec(Protocol):
--- /dev/null
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/pauses.py
@@ -0,0 +1,39 @@
+"""Pauses that upstreams ask for when they turn a request away.
+
+Load pattern: an overloaded upstream refuses requests, and retries keep it overloaded.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamRun
+
+MAX_PAUSE_S = 3600.0  # a longer one would outlast any overload
+
+
+@dataclass
+class UpstreamPauses:
+    """Upstreams that take no requests of this node for some time.
+
+    Attributes:
+        until_s: End of each pause, in seconds, by run of an upstream.
+    """
+
+    until_s: dict[UpstreamRun, float] = field(default_factory=dict)
+
+    def record(self, upstream: Upstream, pause_s: float, now_s: float) -> None:
+        """Record that an upstream wants no requests for a time, in seconds."""
+        self.until_s[upstream.run()] = now_s + min(pause_s, MAX_PAUSE_S)
+
+    def remaining_s(self, upstream: Upstream, now_s: float) -> float:
+        """Return how long an upstream still takes no requests, in seconds."""
+        if not self.until_s:
+            return 0.0
+        return max(0.0, self.until_s.get(upstream.run(), now_s) - now_s)
+
+    def retain_only(self, listed: Mapping[str, Upstream]) -> None:
+        """Drop the pauses of upstreams that are not listed or have started again."""
+        runs = {upstream.run() for upstream in listed.values()}
+        self.until_s = {
+            run: end_s for run, end_s in self.until_s.items() if run in runs
+        }
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/upstreams.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/upstreams.py
@@ -5,6 +5,19 @@
 from hashlib import blake2b
 
 
+@dataclass(frozen=True)
+class UpstreamRun:
+    """Identity of one run of an upstream, which may start again under its name.
+
+    Attributes:
+        instance: Name of the upstream.
+        started_ms: Start, in milliseconds since the epoch.
+    """
+
+    instance: str
+    started_ms: int
+
+
 @dataclass(frozen=True)
 class Upstream:
     """One run of an upstream.
@@ -34,6 +47,10 @@
         """Return `host:port`."""
         return f"{self.host}:{self.port}"
 
+    def run(self) -> UpstreamRun:
+        """Return the identity of this run."""
+        return UpstreamRun(self.instance, self.started_ms)
+
 
 def stable_rank(name: str) -> bytes:
     """Return a sort key for a name, spread evenly and the same on all nodes."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
@@ -92,6 +92,11 @@
             "said_to_leave": sorted(
                 run.instance for run in serving.leaving_notices.known
             ),
+            "paused_s": {
+                run.instance: round(until_s - now_s, 3)
+                for run, until_s in serving.pauses.until_s.items()
+                if until_s > now_s
+            },
             "limits_per_s": serving.request_limits.limited(),
             "health": to_builtins(serving.health.records),
             "crashes": to_builtins(list(serving.crashes.confirmed)),
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -147,7 +147,8 @@
                 return choice
             if self.chooser.tried_all(context.service, context.tried):
                 return None
-            if self.chooser.over_limits(context.service, context.tried) is not None:
+            closed_s = self.chooser.closed_for_s(context.service, context.tried)
+            if closed_s is not None and self.serving.clock() + closed_s > wait_end_s:
                 return None
             await sleep(CAPACITY_POLL_INTERVAL_S)
 
@@ -246,20 +247,16 @@
     async def _end_without_capacity(
         self, context: RequestContext, writer: ResponseWriter
     ) -> str:
-        limits_per_s = self.chooser.over_limits(context.service, context.tried)
+        closed_s = self.chooser.closed_for_s(context.service, context.tried)
         self.log.log_failure(
             context,
             "No upstream has capacity; ending the request.",
             sends=context.attempts,
-            limits_per_s=limits_per_s,
+            closed_s=closed_s,
         )
-        retry_after_s = SHORT_RETRY_AFTER_S
-        if limits_per_s is not None:
-            # The time in which the upstreams take one more request, at any node.
-            interval_s = 1 / limits_per_s if limits_per_s else inf
-            retry_after_s = max(
-                SHORT_RETRY_AFTER_S, min(interval_s, self.log.remaining_s(context))
-            )
+        if closed_s == inf:
+            closed_s = self.log.remaining_s(context)
+        retry_after_s = max(SHORT_RETRY_AFTER_S, closed_s or 0.0)
         return await self._end_failed(
             context, writer, FailureAction.REFUSE, retry_after_s
         )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -19,6 +19,7 @@
     peer_timeout_s,
     update_interval_factor,
 )
+from lagoonhinge_core.forwarding.pauses import UpstreamPauses
 from lagoonhinge_core.forwarding.request_limits import RequestLimits
 from lagoonhinge_core.forwarding.retry_window import RetryBound, RetryWindow
 from lagoonhinge_core.forwarding.store_contact import StoreContact
@@ -67,6 +68,7 @@
         self.health = HealthTracker()
         self.request_limits = RequestLimits(node)
         self.leaving_notices = LeavingNotices()
+        self.pauses = UpstreamPauses()
         self.partitions = PartitionTracker()
         # Upstreams that a probe reached again, to be told to the cell.
         self.unsent_reachable: list[str] = []
@@ -141,7 +143,9 @@
         return tuple(entry for entry in listed if not notices.is_leaving(entry))
 
     def may_send(self, upstream: Upstream) -> bool:
-        """Return whether the limit of an upstream allows a request of this node now."""
+        """Return whether an upstream takes a request of this node now."""
+        if self.pauses.remaining_s(upstream, self.clock()):
+            return False
         limits = self.request_limits
         if limits.limit_per_s(upstream.instance) is None:
             return True
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -163,6 +163,7 @@
         self.serving.health.retain_only(listed)
         self.serving.request_limits.retain_only(listed)
         self.serving.leaving_notices.retain_only(listed)
+        self.serving.pauses.retain_only(listed)
 
 
 class NodeController:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
@@ -1,6 +1,7 @@
 """Choice of the upstream and its helpers for an attempt."""
 
 from dataclasses import dataclass
+from math import inf
 
 from lagoonhinge_core.forwarding.cell_placement import EnginePool, place_in_cells
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
@@ -110,24 +111,34 @@
         limits = self.serving.request_limits
         return tuple(u for u in upstreams if limits.limit_per_s(u.instance) is None)
 
-    def over_limits(self, service: str, tried: set[str]) -> float | None:
-        """Return the limits of a service that takes no request of this node now.
+    def closed_for_s(self, service: str, tried: set[str]) -> float | None:
+        """Return how long the untried upstreams of a service take no request.
 
         Args:
             service: The service.
             tried: Instances of earlier attempts.
 
         Returns:
-            The sum of the limits, in requests a second; `None` if an untried upstream
-            has no limit, or there is none.
+            The time until the first pause ends, or until limited upstreams together
+            take one more request from any node, in seconds; `None` if an upstream takes
+            a request of this node now, or there is none.
         """
-        limits = [
-            self.serving.request_limits.limit_per_s(entry.instance)
-            for entry in self.serving.usable(service)
-            if entry.instance not in tried
-        ]
-        known = [limit for limit in limits if limit is not None]
-        return sum(known) if known and len(known) == len(limits) else None
+        serving, now_s = self.serving, self.serving.clock()
+        untried = [u for u in serving.usable(service) if u.instance not in tried]
+        if not untried or any(serving.may_send(entry) for entry in untried):
+            return None
+        pauses_s: list[float] = []
+        limits_per_s = 0.0
+        for entry in untried:
+            pause_s = serving.pauses.remaining_s(entry, now_s)
+            if pause_s:
+                pauses_s.append(pause_s)
+            else:
+                limit_per_s = serving.request_limits.limit_per_s(entry.instance)
+                limits_per_s += limit_per_s or 0.0
+        if limits_per_s:
+            pauses_s.append(1 / limits_per_s)
+        return min(pauses_s, default=inf)
 
     def tried_all(self, service: str, tried: set[str]) -> bool:
         """Return whether a service has upstreams, and all of them were tried."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_notices.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_notices.py
@@ -1,5 +1,7 @@
 """What upstreams say of themselves in the heads of their answers."""
 
+from http import HTTPStatus
+
 from lagoonhinge_core.forwarding.messages import AnswerHead, UnreadableLimit
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_node.forwarding.serving_state import ServingState
@@ -28,6 +30,17 @@
                 upstream=instance,
                 request_id=head.request_id or "-",
             )
+        is_refusal = head.status == HTTPStatus.SERVICE_UNAVAILABLE
+        if is_refusal and head.retry_after_s is not None:
+            self.serving.pauses.record(
+                upstream, head.retry_after_s, self.serving.clock()
+            )
+            self.log_part.info(
+                "An upstream wants no requests for a time.",
+                upstream=instance,
+                request_id=head.request_id or "-",
+                pause_s=head.retry_after_s,
+            )
         if limits.record_answer(instance, head.limit, self.serving.clock()):
             self.log_part.info(
                 "An upstream changed the limit of its requests.",
