Nodes follow a store that comes back from an older copy

What would have been seen: after such a drill the store refuses to read from a version that it does not have, and all rows that it then gives look older than what the nodes know. Nodes dropped them and asked again at once, without end, until the versions had grown past the old ones; changes made meanwhile were missed, and the nodes' own entries stayed lost. Change: the era in the store's answers is part of the order of rows, in replicas and in updates between nodes. A later era replaces all rows; changes since a version of another era are read as a whole; an earlier one is ignored. A node writes its entry again when all entries were read without it. The newer configuration stays in force, and an upstream that has drained stays out of use for that run.

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -101,6 +101,21 @@
     When a worker of the desk is removed
     Then within two seconds only the other worker gets requests
 
+  Scenario Outline: The store comes back from an older copy
+    Given a node on the platform with two workers for each service
+    When the store is copied, <change>, and the store comes back from the copy
+    And <again> after the loss
+    Then within two seconds <effect>
+    And the store has the node's entry
+
+    Examples:
+      | change                           | again                            | effect                              |
+      | a route is added                 | nothing is written               | the new route is served             |
+      | the key is removed               | nothing is written               | the key is refused with 401         |
+      | a worker of the desk is draining | nothing is written               | only the other worker gets requests |
+      | a worker of the desk is draining | a route is added                 | the new route is served             |
+      | nothing is written               | a worker of the desk is draining | only the other worker gets requests |
+
   Scenario: A worker whose entry expired during a store outage stays listed for a while
     Given a node on the platform with two workers for each service
     When the store is silent for 4 seconds, and a worker's entry expires
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -20,7 +20,9 @@
 from lagoonhinge_platform.names import (
     ATTEMPT_ID,
     AUTHORIZATION,
+    NODES_TABLE,
     RETRY_AFTER,
+    ROWS_GET_PATH,
     TOKEN_COUNTS,
 )
 from stand_ins.platform_worker import EVENT_COUNT
@@ -29,6 +31,7 @@
 IN_FORCE_S = 2.0
 STORE_PAUSE_S = 3.0  # the node's first calls time out meanwhile
 REACTION_LIMIT_S = 0.5
+APPLIED_S = 1.0  # half of the time in which a change must be in force
 MAX_TRIES = 10
 MARGIN_S = 0.3  # for the test's own calls
 WHOLE_STREAM = "".join(
@@ -579,3 +582,38 @@
         )
 
     eventually(check)
+
+
+STORE_CHANGES = {
+    "nothing is written": lambda _: None,
+    "a route is added": step_route_added,
+    "the key is removed": step_key_removed,
+    "a worker of the desk is draining": step_draining,
+}
+
+
+@when("the store is copied, {change}, and the store comes back from the copy")
+def step_copied(context, change):
+    store = context.fleet.store
+    # The node's own entry is lost, too.
+    context.fleet.drop_row("nodes", context.node.name)
+    http("PUT", f"{store.url}/control/copy")
+    STORE_CHANGES[change](context)
+    sleep(APPLIED_S)
+    http("PUT", f"{store.url}/control/restore")
+
+
+@when("{change} after the loss")
+def step_after_loss(context, change):
+    STORE_CHANGES[change](context)
+
+
+@then("the store has the node's entry")
+def step_has_entry(context):
+    url = f"{context.fleet.store.url}{ROWS_GET_PATH}?table={NODES_TABLE}&part="
+
+    def check() -> None:
+        rows = http("GET", url).json()["rows"]
+        assert context.node.name in [row["key"] for row in rows], rows
+
+    eventually(check)
--- a/features/steps/store_watch_steps.py
+++ b/features/steps/store_watch_steps.py
@@ -18,6 +18,7 @@
     decode_message,
     encode_message,
 )
+from lagoonhinge_node.forwarding.store_watch import NODES_PAUSE_S
 
 START_S = 3.5
 CHECK_INTERVAL_S = 0.1
@@ -222,6 +223,112 @@
     assert not context.late, context.late
 
 
+@when(
+    "the store is {away} for 1 s and comes back from a copy that is {old:g} s old, "
+    "{times:d} times"
+)
+def step_restore(context, away, old, times):
+    context.restore = (away, old, times)
+
+
+@when("what the operator and the upstreams wrote since is written again after {s:g} s")
+def step_write_again(context, s):
+    away, old_s, times = context.restore
+    context.went_back = []
+    context.extra_calls = 0.0
+    context.restored = []
+    for seed in range(4):
+        fleet = _new_fleet(context, seed)
+        fleet.loss, fleet.lateness_s = context.loss, context.lateness_s
+        fleet.store.write(StoreTable.UPSTREAMS, "u2", False)
+        context.loop.run_until_complete(
+            _restore_repeatedly(context, fleet, away, old_s, times, s)
+        )
+        context.restored.append(fleet)
+        _check_rows(fleet, StoreTable.CONFIG, StoreTable.UPSTREAMS)
+        context.loop.run_until_complete(_pass_time(fleet, 2 * NODES_PAUSE_S))
+        _check_rows(fleet, *StoreTable)
+        entries = fleet.store.row_versions(StoreTable.NODES)
+        assert entries.keys() == fleet.watches.keys(), entries
+
+
+def _check_rows(fleet: WatchFleet, *tables: StoreTable) -> None:
+    """Check that every node has the store's rows."""
+    late = [
+        (name, table.value)
+        for name, watch in fleet.watches.items()
+        for table in tables
+        if watch.replicas[table].row_versions != fleet.store.row_versions(table)
+    ]
+    assert not late, late
+
+
+async def _restore_repeatedly(context, fleet, away, old_s, times, again_s) -> None:
+    version = 1
+    faulty = fleet.store.refused if away == "refused" else fleet.store.silent
+    for number in range(times):
+        await _pass_time(fleet, old_s)
+        copy = fleet.store.copy()
+        await _pass_time(fleet, old_s / 2)
+        version += 1
+        fleet.put_config(version)
+        # The entries of a new node and of an upstream, and a state, are lost.
+        await fleet.start_node(f"new{number}")
+        fleet.store.write(StoreTable.UPSTREAMS, f"later{number}", False)
+        fleet.store.write(StoreTable.UPSTREAMS, "u1", True)
+        await _pass_time(fleet, max(IN_FORCE_S, old_s / 2))
+        faulty.update(fleet.watches)
+        fleet.store.wake()
+        await _pass_time(fleet, 1.0)
+        fleet.store.restore(copy)
+        faulty.clear()
+        returned_s, calls = fleet.loop.time(), len(fleet.store.calls)
+        before_s = returned_s - 1.0  # the outage; the steady rate is of the time before
+        steady = sum(before_s - old_s <= at_s < before_s for at_s in fleet.store.calls)
+        while fleet.loop.time() - returned_s < again_s:
+            await _check_restored(context, fleet, version)
+        fleet.put_config(version)
+        fleet.store.write(StoreTable.UPSTREAMS, f"later{number}", False)
+        fleet.store.write(StoreTable.UPSTREAMS, "u1", True)
+        written_s = fleet.loop.time()
+        while fleet.loop.time() - written_s < IN_FORCE_S:
+            await _check_restored(context, fleet, version)
+        calls = len(fleet.store.calls) - calls
+        steady_calls = steady / old_s * (fleet.loop.time() - returned_s)
+        extra = (calls - steady_calls) / len(fleet.watches)
+        context.extra_calls = max(context.extra_calls, extra)
+
+
+async def _check_restored(context, fleet, version: int) -> None:
+    await sleep(CHECK_INTERVAL_S)
+    for name, watch in fleet.watches.items():
+        usable = {entry.instance for entry in watch.serving.usable("desk")}
+        if fleet.config_version(name) < version or "u1" in usable:
+            context.went_back.append((name, fleet.config_version(name), usable))
+
+
+@then(
+    "every node has configuration and upstreams within two seconds, and the store the "
+    "entries of all nodes"
+)
+def step_restored(context):
+    # Checked for each seed in the step before.
+    assert len(context.restored) == 4
+
+
+@then(
+    "no node went back to an older configuration, and none sent to an upstream that "
+    "had drained"
+)
+def step_not_back(context):
+    assert not context.went_back, context.went_back
+
+
+@then("each node made at most {most:d} calls more than before")
+def step_extra_calls(context, most):
+    assert context.extra_calls <= most, context.extra_calls
+
+
 @given(
     "the upstreams are known up to version {upstreams:d}, and the nodes up to version "
     "{nodes:d}"
--- a/features/store_watch.feature
+++ b/features/store_watch.feature
@@ -62,6 +62,25 @@
       | 3     | 0    | every poll of the watching node hangs          | 0     | never     |
       | 39    | 0    | every poll of the watching node hangs          | 0     | never     |
 
+  Scenario Outline: A store that comes back from an older copy
+    Given a zone of <nodes> nodes that have started
+    And <loss> of 100 messages are lost, and others are late by up to <lateness> s
+    When the store is <away> for 1 s and comes back from a copy that is <old> s old, <times> times
+    And what the operator and the upstreams wrote since is written again after <again> s
+    # Three tables, each refused once and read twice, and the node's own entry.
+    Then every node has configuration and upstreams within two seconds, and the store the entries of all nodes
+    And no node went back to an older configuration, and none sent to an upstream that had drained
+    And each node made at most 10 calls more than before
+
+    Examples:
+      | nodes | loss | lateness | away    | old | times | again |
+      | 1     | 0    | 0        | refused | 3   | 1     | 0.5   |
+      | 3     | 0    | 0        | silent  | 3   | 1     | 0.5   |
+      | 3     | 0    | 0        | refused | 3   | 2     | 0     |
+      | 3     | 0    | 3        | refused | 6   | 2     | 1.5   |
+      | 39    | 5    | 0        | refused | 3   | 1     | 0.5   |
+      | 39    | 5    | 0.1      | silent  | 6   | 3     | 1     |
+
   Scenario Outline: Versions that belong to no known row show that a poll hangs
     Given the upstreams are known up to version 10, and the nodes up to version <nodes>
     When rows of versions <rows> are known, and answers have the newest versions <newest>
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -78,6 +78,7 @@
         silent: Nodes whose calls get no answer.
         hanging: Nodes and tables of which one call gets no answer.
         forgets: Whether the history is discarded.
+        era: Number of times that it came back from an older copy.
         delay_s: Time that a call takes without waiting, in seconds.
         calls: Times of all calls.
     """
@@ -89,6 +90,7 @@
     silent: set[str] = field(default_factory=set)
     hanging: set[tuple[str, StoreTable]] = field(default_factory=set)
     forgets: bool = False
+    era: int = 0
     delay_s: float = STORE_DELAY_S
     calls: list[float] = field(default_factory=list)
     changed: Event = field(default_factory=Event)
@@ -100,6 +102,25 @@
         self.rows[(table, key)] = TableRow(key, data, self.version)
         self.wake()
 
+    def row_versions(self, table: StoreTable) -> dict[str, int]:
+        """Return the versions of a table's rows."""
+        return {
+            key: row.version
+            for (name, key), row in self.rows.items()
+            if name is table and row.value is not None
+        }
+
+    def copy(self) -> tuple[int, dict[tuple[StoreTable, str], TableRow]]:
+        """Return a copy of all rows, with its version."""
+        return self.version, dict(self.rows)
+
+    def restore(self, copy: tuple[int, dict[tuple[StoreTable, str], TableRow]]) -> None:
+        """Come back from an older copy."""
+        self.version, rows = copy
+        self.rows = dict(rows)
+        self.era += 1
+        self.wake()
+
     def wake(self) -> None:
         """Let waiting calls look at the rows and faults again."""
         self.changed.set()
@@ -113,7 +134,8 @@
             if name is table
             and (row.version > after if after is not None else row.value is not None)
         )
-        return TableChanges(rows, self.version, self.loop.time() + STORE_CLOCK_S)
+        store_time_s = self.loop.time() + STORE_CLOCK_S
+        return TableChanges(rows, self.version, store_time_s, self.era)
 
 
 @dataclass
@@ -138,6 +160,8 @@
                 store.hanging.discard((self.node, table))
                 await sleep(max(0.0, end_s + STORE_TIMEOUT_S - store.loop.time()))
                 return Failure(StoreFault("silent"))
+            if after is not None and after > store.version:
+                return Failure(HistoryLost())
             if store.forgets and after is not None and after < store.version:
                 return Failure(HistoryLost())
             changes = store.changes(table, after)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_store.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_store.py
@@ -77,11 +77,14 @@
         rows: The last state of each changed row; all rows if everything was read.
         version: Version of the store up to which the rows are complete.
         store_time_s: Time of the store's clock at which they were, in seconds.
+        era: Number that grows each time the store comes back from an older copy.
+            Versions of an earlier era may be given out again.
     """
 
     rows: tuple[TableRow, ...]
     version: int
     store_time_s: float
+    era: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/store_contact.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/store_contact.py
@@ -29,6 +29,10 @@
         """Record a call that failed."""
         self.has_failed = True
 
+    def record_older_copy(self, now_s: float) -> None:
+        """Record that the store came back from a copy that may lack entries."""
+        self.grace_end_s = now_s + REMOVAL_GRACE_S
+
     def record_answer(self, now_s: float) -> None:
         """Record an answer; the first one after an outage starts the grace period."""
         # Before the first answer nothing is listed that could be missing.
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/table_replica.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/table_replica.py
@@ -24,6 +24,7 @@
         store_time_s: Time of the store's clock at which this was the newest state, in
             seconds.
         rows: Rows that changed recently.
+        era: Era of the store that the versions belong to.
     """
 
     table: StoreTable
@@ -31,6 +32,7 @@
     digest: int
     store_time_s: float
     rows: tuple[TableRow, ...] = ()
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -45,6 +47,13 @@
     rows: tuple[TableRow, ...]
 
 
+@dataclass(frozen=True)
+class AllRows:
+    """All rows of a table in a later era, which replace those of the replica."""
+
+    rows: tuple[TableRow, ...]
+
+
 @dataclass(frozen=True)
 class MissingRows:
     """A replica lacks rows that are not in the update."""
@@ -59,11 +68,13 @@
 class TableReplica:
     """Versions of one table's rows at a node, and its latest rows.
 
-    Versions never decrease, so late, repeated or replayed updates can't bring back an
-    older row. Replicas are compared by the digest of their rows' versions, since the
-    store's version also grows with changes of other tables.
+    Versions never decrease within an era, and an earlier era never replaces a later
+    one, so late, repeated or replayed updates can't bring back an older row. Replicas
+    are compared by the digest of their rows' versions, since the store's version also
+    grows with changes of other tables.
 
     Attributes:
+        era: Era of the store that the versions belong to.
         version: Version of the store up to which the table is known; `None` before it
             was read.
         store_time_s: Time of the store's clock at which this was the newest state, in
@@ -74,6 +85,7 @@
             in seconds.
     """
 
+    era: int = 0
     version: int | None = None
     store_time_s: float = float("-inf")
     row_versions: dict[str, int] = field(default_factory=dict)
@@ -92,26 +104,28 @@
 
         Returns:
             The rows to apply: those that no update overtook during the call; `None` if
-            one overtook all of them.
+            one overtook all of them, or if they are changes since an earlier era.
         """
-        known = self.version if self.version is not None else -1
-        if changes.version < known:
+        is_later_era = self.version is not None and changes.era > self.era
+        known = -1 if self.version is None or is_later_era else self.version
+        if changes.era < self.era or changes.version < known:
+            return None
+        if is_later_era and after is not None:
             return None
         if after is None:
             rows = changes.rows
-            self.row_versions, self.digest = {}, 0
+            self._clear()
         else:
             rows = tuple(row for row in changes.rows if row.version > known)
         self._record(rows)
-        if after is not None:
+        if after is not None or is_later_era:
             self._remember(rows, now_s)
-        self.version = changes.version
-        self.store_time_s = max(self.store_time_s, changes.store_time_s)
+        self._advance(changes)
         return rows
 
     def merge(
         self, update: TableUpdate, now_s: float
-    ) -> UpToDate | NewRows | MissingRows:
+    ) -> UpToDate | NewRows | AllRows | MissingRows:
         """Record the rows in an update of another node.
 
         Returns:
@@ -119,6 +133,10 @@
         """
         if self.version is None:
             return MissingRows()
+        if update.era < self.era:
+            return UpToDate()
+        if update.era > self.era:
+            return self._replace(update, now_s)
         if update.version < self.version:
             return UpToDate()
         rows = tuple(row for row in update.rows if row.version > self.version)
@@ -126,8 +144,7 @@
             return MissingRows()
         self._record(rows)
         self._remember(rows, now_s)
-        self.version = update.version
-        self.store_time_s = max(self.store_time_s, update.store_time_s)
+        self._advance(update)
         return NewRows(rows) if rows else UpToDate()
 
     def build_update(
@@ -147,7 +164,33 @@
             if now_s - received_s <= repeat_s
         }
         rows = tuple(row for row, _ in self.recent.values())
-        return TableUpdate(table, self.version, self.digest, self.store_time_s, rows)
+        return TableUpdate(
+            table, self.version, self.digest, self.store_time_s, rows, self.era
+        )
+
+    def _replace(self, update: TableUpdate, now_s: float) -> AllRows | MissingRows:
+        """Replace all rows by those of a later era, if the update has all of them."""
+        rows = tuple(row for row in update.rows if row.value is not None)
+        digest = 0
+        for row in rows:
+            digest ^= _row_digest(row.key, row.version)
+        if digest != update.digest:
+            return MissingRows()
+        self._clear()
+        self._record(rows)
+        self._remember(rows, now_s)
+        self._advance(update)
+        return AllRows(rows)
+
+    def _advance(self, state: TableChanges | TableUpdate) -> None:
+        """Record that the replica has all rows of a state."""
+        # The store's clock may have been set anew with a later era.
+        earlier_s = self.store_time_s if state.era == self.era else float("-inf")
+        self.era, self.version = state.era, state.version
+        self.store_time_s = max(earlier_s, state.store_time_s)
+
+    def _clear(self) -> None:
+        self.row_versions, self.digest, self.recent = {}, 0, {}
 
     def _digest_change(self, rows: Iterable[TableRow]) -> int:
         change = 0
--- a/packages/lagoonhinge-http/src/lagoonhinge_http/calls.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/calls.py
@@ -1,6 +1,7 @@
 """HTTP calls whose responses are read into memory."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import TypeAlias
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, hdrs
@@ -19,11 +20,13 @@
         status: HTTP status.
         body: The whole body.
         etag: Entity tag; empty if the response has none.
+        headers: All headers.
     """
 
     status: int
     body: bytes
     etag: str = ""
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 async def call(
@@ -52,6 +55,7 @@
             method, url, data=body, headers=headers, timeout=timeout
         ) as response:
             etag = response.headers.get(hdrs.ETAG, "")
-            return Success(HttpResponse(response.status, await response.read(), etag))
+            body = await response.read()
+            return Success(HttpResponse(response.status, body, etag, response.headers))
     except (ConnectionLost, ClientError, TimeoutError) as error:
         return Failure(error)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -133,6 +133,9 @@
         for entry in update.changed:
             self.pending_removals.pop(entry.instance, None)
             self._log_change(current.get(entry.instance), entry)
+            if entry.leaving:
+                # Holds for this run even if an older copy of its row comes back.
+                self.serving.leaving_notices.merge((entry.run(),))
         grace_end_s = self.serving.store_contact.grace_end_s
         if self.serving.clock() < grace_end_s:
             for instance in removed:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -24,6 +24,7 @@
 )
 from lagoonhinge_core.forwarding.store_clock import StoreClock
 from lagoonhinge_core.forwarding.table_replica import (
+    AllRows,
     MissingRows,
     NewRows,
     TableReplica,
@@ -116,6 +117,8 @@
         self.failures = 0
         self.calls = 0
         self.stopped_watching = Event()
+        self.era = 0  # latest one in the store's answers and other nodes' updates
+        self.announcement_due = Event()
         self.incomplete: set[StoreTable] = set()
         self.found_incomplete = Event()
         # The node that watches the store for the zone, if it is another one.
@@ -146,17 +149,18 @@
 
     @Service.task
     async def announce(self) -> None:
-        """Write this node's entry unless the store has it."""
-        while self.replicas[StoreTable.NODES].version is None:
-            await sleep(START_CHECK_S)
-        while not self.nodes.is_announced() and not self.should_stop:
-            self.calls += 1
-            match await self.store.announce(self.own_entry):
-                case Success(_):
-                    return
-                case Failure(fault):
-                    self._log_fault(fault)
-                    await sleep(START_RETRY_S * self.serving.random.random())
+        """Write this node's entry when all entries were read without it."""
+        while not self.should_stop:
+            await self.announcement_due.wait()
+            self.announcement_due.clear()
+            while not self.nodes.is_announced() and not self.should_stop:
+                self.calls += 1
+                match await self.store.announce(self.own_entry):
+                    case Success(_):
+                        break
+                    case Failure(fault):
+                        self._log_fault(fault)
+                        await sleep(START_RETRY_S * self.serving.random.random())
 
     @Service.task
     async def read_missing_rows(self) -> None:
@@ -230,7 +234,9 @@
         states: dict[StoreTable, int] = {
             table: replica.version
             for table, replica in self.replicas.items()
-            if table is not StoreTable.CONFIG and replica.version is not None
+            if table is not StoreTable.CONFIG
+            and replica.version is not None
+            and replica.era == self.era
         }
         if newest is not None:
             for table in self.missed_changes.tables(states, newest):
@@ -251,6 +257,11 @@
             result = await self.store.read_table(table, after, wait_s)
             match result:
                 case Success(changes):
+                    self._enter_era(changes.era)
+                    if after is not None and changes.era > replica.era:
+                        # Versions after the known one may be of another history.
+                        after = None
+                        continue
                     self._record_answer(requested_s, changes)
                     self.missed_changes.record_rows(changes.rows)
                     rows = replica.record_read(after, changes, self.serving.clock())
@@ -273,6 +284,21 @@
                     self._log_fault(fault)
                     return False
 
+    def _enter_era(self, era: int) -> None:
+        """Note that the store came back from an older copy, if it has a later era."""
+        if era <= self.era:
+            return
+        is_first = all(replica.version is None for replica in self.replicas.values())
+        self.era = era
+        if is_first:
+            return
+        self.log_part.warning("The store came back from an older copy.", era=era)
+        self.serving.store_contact.record_older_copy(self.serving.clock())
+        self.missed_changes = MissedChanges()
+        for table, replica in self.replicas.items():
+            if replica.era < era:
+                self.overdue[table].set()
+
     def _record_answer(self, requested_s: float, changes: TableChanges) -> None:
         now_s = self.serving.clock()
         self.clock.observe(requested_s, now_s, changes.store_time_s)
@@ -305,6 +331,8 @@
                 self.upstreams.apply(rows, is_complete)
             case StoreTable.NODES:
                 self.nodes.apply(rows, is_complete)
+                if is_complete and not self.nodes.is_announced():
+                    self.announcement_due.set()
 
     def _zone_peers(self) -> list[tuple[str, int]]:
         nodes = self.serving.board.read(NodeListSection).nodes.values()
@@ -343,6 +371,7 @@
             "upstreams_age_s": str(round(self.serving.upstreams_age_s(), 3)),
             "failures": self.failures,
             "calls": self.calls,
+            "era": self.era,
             "versions": {t.value: r.version for t, r in self.replicas.items()},
         }
 
@@ -374,6 +403,7 @@
         known_s = self.clock.local_s(update.store_time_s, now_s)
         if known_s is None:
             return
+        self._enter_era(update.era)
         match self.replicas[table].merge(update, now_s):
             case MissingRows():
                 if self.replicas[table].version is not None:
@@ -382,6 +412,8 @@
                 return
             case NewRows(rows):
                 self._apply(table, rows, False)
+            case AllRows(rows):
+                self._apply(table, rows, True)
         match table:
             case StoreTable.CONFIG:
                 self._record_update(sender, known_s)
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -11,7 +11,12 @@
 from msgspec import json
 
 from lagoonhinge_http.wire import decode
-from lagoonhinge_platform.names import ROWS_FEED_PATH, ROWS_GET_PATH, ROWS_TX_PATH
+from lagoonhinge_platform.names import (
+    ROWS_FEED_PATH,
+    ROWS_GET_PATH,
+    ROWS_TX_PATH,
+    STORE_ERA,
+)
 from stand_ins.serving import cut_connection, serve
 
 HANG_DURATION_S = 3600.0
@@ -56,12 +61,16 @@
 
     Attributes:
         oldest_version: Feeds that start after a smaller version are refused.
+        era: Number of times that the store came back from an older copy.
+        copy: Version, rows and history to come back to.
     """
 
     rows: dict[tuple[str, str], Change] = field(default_factory=dict)
     history: list[Change] = field(default_factory=list)
     version: int = 0
     oldest_version: int = 0
+    era: int = 0
+    copy: tuple[int, dict[tuple[str, str], Change], list[Change]] = (0, {}, [])
     faults: StoreFaults = StoreFaults()
     changed: Event = field(default_factory=Event)
     calls: int = 0
@@ -92,6 +101,14 @@
     if request.path.startswith("/control/"):
         return await handler(request)
     state.calls += 1
+    response = await _answer_call(request, handler, state)
+    response.headers[STORE_ERA] = str(state.era)
+    return response
+
+
+async def _answer_call(
+    request: web.Request, handler: Any, state: StoreState
+) -> web.StreamResponse:
     faults = state.faults
     match faults.down:
         case "busy":
@@ -122,7 +139,7 @@
     after, wait_s = int(request.query["after"]), int(request.query["waitMs"]) / 1000
     deadline_s = monotonic() + wait_s
     while True:
-        if after < state.oldest_version:
+        if not state.oldest_version <= after <= state.version:
             return web.Response(status=410)
         rows = [
             change.to_message()
@@ -182,6 +199,22 @@
     return _answer(state)
 
 
+async def _make_copy(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    state.copy = state.version, dict(state.rows), list(state.history)
+    return _answer(state)
+
+
+async def _restore_copy(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    state.version, rows, history = state.copy
+    state.rows, state.history = dict(rows), list(history)
+    state.era += 1
+    state.changed.set()
+    state.changed = Event()
+    return _answer(state)
+
+
 async def _set_faults(request: web.Request) -> web.Response:
     state = request.app[STATE]
     state.faults = decode(await request.read(), StoreFaults)
@@ -208,6 +241,8 @@
             web.put("/control/rows/{table}/{key}", _put_row),
             web.delete("/control/rows/{table}/{key}", _remove_row),
             web.put("/control/forget", _discard_history),
+            web.put("/control/copy", _make_copy),
+            web.put("/control/restore", _restore_copy),
             web.put("/control/faults", _set_faults),
         ]
     )
