Memory is released when the engine that answers a prompt stays unreachable

Cause: the lease is renewed as long as the attempt waits, though the node knew 0.7 s after the engine's end that no connection to it could be opened. Ruled out: a lost release (none was sent). Change: at two renewals in a row with the engine unreachable, its memory is released. Evidence: attempt_memory, two of four rows failed before and pass; in virtual time.

--- /dev/null
+++ b/features/attempt_memory.feature
@@ -0,0 +1,14 @@
+Feature: Memory reserved for a prompt does not outlive its use
+
+  # Memory stayed reserved for 7 s after the answering engine had gone dark.
+  Scenario Outline: Memory is released when the engine that answers stays unreachable
+    Given memory is reserved on two engines for a prompt that a third one answers
+    When the third one is unreachable from <from> s to <to> s
+    Then the memory is <state> at <at> s
+
+    Examples:
+      | from | to  | state    | at  |
+      | 9    | 9   | reserved | 8   |
+      | 0.5  | 9   | released | 2.5 |
+      | 2.2  | 9   | released | 4.5 |
+      | 0.5  | 1.5 | reserved | 8   |
--- /dev/null
+++ b/features/steps/attempt_memory_steps.py
@@ -0,0 +1,68 @@
+"""Steps for memory reservations of an attempt, in virtual time."""
+
+from asyncio import sleep
+from random import Random
+
+from behave import given, then, when
+from returns.result import Success
+
+from features.support.virtual_time import VirtualLoop
+from lagoonhinge_core.blackboard import Blackboard
+from lagoonhinge_core.forwarding.freshness import Freshness, FreshnessLimits
+from lagoonhinge_core.forwarding.prompt_placement import MemoryReservation
+from lagoonhinge_core.forwarding.retry_window import RetryBound
+from lagoonhinge_core.forwarding.upstreams import Upstream
+from lagoonhinge_node.forwarding.attempt_memory import AttemptMemory
+from lagoonhinge_node.forwarding.serving_state import ServingState
+
+TOKENS = 1000
+
+
+class FakeMemory:
+    """Memory of all engines."""
+
+    def __init__(self):
+        self.reserved: set[str] = set()
+
+    async def reserve(self, address, reservation_id, tokens, lease_s):
+        self.reserved.add(address)
+        return Success(None)
+
+    async def release(self, address, reservation_id):
+        self.reserved.discard(address)
+        return Success(None)
+
+
+@given("memory is reserved on two engines for a prompt that a third one answers")
+def step_reserved(context):
+    context.loop = loop = VirtualLoop()
+    context.serving = serving = ServingState(
+        Blackboard(),
+        Freshness(FreshnessLimits(2.6, 4.5)),
+        RetryBound(10.0, 0.2, 100.0),
+        Random(1),
+        loop.time,
+        "n0",
+        "north",
+    )
+    engines = [Upstream(f"e{n}", "models", f"h{n}", 1, "north", 8) for n in range(3)]
+    serving.directory.update(engines, ())
+    context.memory = FakeMemory()
+    answering, *helpers = engines
+    attempt_memory = AttemptMemory(serving, context.memory, "n0.1", answering)
+    reservations = [MemoryReservation(e.instance, TOKENS) for e in helpers]
+    assert loop.run_until_complete(attempt_memory.reserve(reservations))
+
+
+@when("the third one is unreachable from {from_s:g} s to {to_s:g} s")
+def step_unreachable(context, from_s, to_s):
+    loop, health = context.loop, context.serving.health
+    loop.call_later(from_s, health.record_connect_failure, "e0", 0.0)
+    loop.call_later(to_s, health.record_connect, "e0")
+
+
+@then("the memory is {state} at {at_s:g} s")
+def step_state(context, state, at_s):
+    context.loop.run_until_complete(sleep(at_s))
+    expected = {"h1:1", "h2:1"} if state == "reserved" else set()
+    assert context.memory.reserved == expected, context.memory.reserved
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/health.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/health.py
@@ -46,9 +46,7 @@
             now_s: The time, in seconds.
         """
         names = tuple(instances)
-        unreachable = frozenset(
-            name for name in names if self.records.get(name, NO_FAILURES).unreachable
-        )
+        unreachable = frozenset(name for name in names if self.is_unreachable(name))
         outliers = frozenset(
             name
             for name in names
@@ -58,6 +56,10 @@
             return unreachable
         return outliers | unreachable
 
+    def is_unreachable(self, instance: str) -> bool:
+        """Return whether the last connection to an upstream could not be opened."""
+        return self.records.get(instance, NO_FAILURES).unreachable
+
     def unreachable(self) -> tuple[str, ...]:
         """Return the upstreams whose last connection could not be opened."""
         return tuple(name for name, entry in self.records.items() if entry.unreachable)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_memory.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_memory.py
@@ -17,6 +17,9 @@
 
 LEASE_S = 3.5  # under the 4 s after which unused memory counts as leaked
 RENEW_INTERVAL_S = 1.0  # two renewals may fail
+# Renewals in a row at which the answering engine is unreachable before its memory is
+# released; probes of the engine in between may reach it.
+UNREACHABLE_RENEWALS = 2
 RELEASE_ATTEMPTS = 3
 RELEASE_RETRY_DELAY_S = 0.3
 
@@ -28,14 +31,20 @@
         serving: State shared by all requests.
         memory: Client of the engines' memory.
         reservation_id: Id of the reservations; unique to this attempt.
+        answering: The engine that answers the prompt.
     """
 
     def __init__(
-        self, serving: ServingState, memory: EngineMemory, reservation_id: str
+        self,
+        serving: ServingState,
+        memory: EngineMemory,
+        reservation_id: str,
+        answering: Upstream,
     ):
         self.serving = serving
         self.memory = memory
         self.reservation_id = reservation_id
+        self.answering = answering
         self.reserved: list[tuple[Upstream, int]] = []
         self.renewal: Task[None] | None = None
         self.log_part = PartLogger("memory")
@@ -83,8 +92,24 @@
         raise AssertionError("not a result")
 
     async def _renew(self) -> None:
+        """Renew the leases; release them if the answering engine stays unreachable.
+
+        An engine that ended without closing its connections uses them no longer, while
+        the attempt still waits for its answer.
+        """
+        unreachable = 0
         while True:
             await sleep(RENEW_INTERVAL_S)
+            is_unreachable = self.serving.health.is_unreachable(self.answering.instance)
+            unreachable = unreachable + 1 if is_unreachable else 0
+            if unreachable >= UNREACHABLE_RENEWALS:
+                self.log_part.info(
+                    "The answering engine is unreachable; releasing its memory.",
+                    upstream=self.answering.instance,
+                    ticket=self.reservation_id,
+                )
+                self.release()
+                return
             await gather(*(self._reserve_one(*entry) for entry in self.reserved))
 
     async def _release_one(self, upstream: Upstream) -> None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -111,7 +111,10 @@
         context.tried.add(instance)
         prompt_number = serving.load.next_prompt_number()
         attempt_memory = AttemptMemory(
-            serving, self.memory, self._reservation_id(prompt_number)
+            serving,
+            self.memory,
+            self._reservation_id(prompt_number),
+            choice.upstream,
         )
         try:
             if choice.reservations and not await attempt_memory.reserve(
