Announcing a node and the state of all replicas are modules of their own

Writing the node's entry is a service of its own, and the era of the store and the versions of known rows stand with the replicas in the core.

--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -25,6 +25,7 @@
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_core.forwarding.watch_role import watch_times
 from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
+from lagoonhinge_node.forwarding.node_announcer import NodeAnnouncer
 from lagoonhinge_node.forwarding.peer_messages import decode_message
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.site_controllers import (
@@ -216,6 +217,7 @@
     loss: float = 0.0
     lateness_s: float = 0.0
     watches: dict[str, StoreWatch] = field(default_factory=dict)
+    announcers: dict[str, NodeAnnouncer] = field(default_factory=dict)
     sent_messages: list[bytes] = field(default_factory=list)
     changed_s: dict[int, float] = field(default_factory=dict)
 
@@ -241,22 +243,28 @@
         entry = NodeEntry(name, name, 1, ZONE)
         rows = FakeRows()
         upstreams = UpstreamController(serving, rows)
+        nodes = NodeController(serving, rows, entry, lambda _: None)
+        client = StoreClient(self.store, name)
+        announcer = NodeAnnouncer(serving, client, nodes)
         watch = StoreWatch(
             serving,
-            StoreClient(self.store, name),
+            client,
             entry,
             FakeSocket(self, name),
             watch_times(IN_FORCE_S),
             ConfigController(serving, rows),
             upstreams,
-            NodeController(serving, rows, entry, lambda _: None),
+            nodes,
         )
         self.watches[name] = watch
+        self.announcers[name] = announcer
         await watch.start()
+        await announcer.start()
 
     async def stop_node(self, name: str) -> None:
         """Stop a node without notice."""
         await self.watches.pop(name).stop()
+        await self.announcers.pop(name).stop()
 
     def deliver(self, name: str, data: bytes) -> None:
         """Hand a message to a node, if it runs."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -116,7 +116,7 @@
         gauges: dict[str, tuple[str, Callable[[], float]]] = {
             "lagoonhinge_store_calls": (
                 "Calls to the store since the start.",
-                lambda: watch.calls,
+                lambda: watch.serving.store_calls,
             ),
             "lagoonhinge_watches_store": (
                 "Whether this node watches the store for its zone.",
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
@@ -23,6 +23,7 @@
 from lagoonhinge_node.forwarding.cell_exchange import CellExchange
 from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.load_exchange import LoadExchange
+from lagoonhinge_node.forwarding.node_announcer import NodeAnnouncer
 from lagoonhinge_node.forwarding.operator_interface import OperatorInterface
 from lagoonhinge_node.forwarding.peer_messages import PeerSocket
 from lagoonhinge_node.forwarding.reachability import ReachabilityController
@@ -138,6 +139,9 @@
         exchange = LoadExchange(self.serving, socket)
         decoder = self.adapters.decoder
         upstreams = UpstreamController(self.serving, decoder)
+        nodes = NodeController(
+            self.serving, decoder, settings.entry, exchange.set_peers
+        )
         self.watch = watch = StoreWatch(
             self.serving,
             store,
@@ -146,7 +150,7 @@
             watch_times(settings.in_force_s),
             ConfigController(self.serving, decoder),
             upstreams,
-            NodeController(self.serving, decoder, settings.entry, exchange.set_peers),
+            nodes,
         )
         cells = CellExchange(self.serving, socket, watch)
         socket.handlers += [exchange.receive, watch.receive, cells.receive]
@@ -156,6 +160,7 @@
         return [
             socket,
             watch,
+            NodeAnnouncer(self.serving, store, nodes),
             upstreams,
             exchange,
             cells,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -76,6 +76,7 @@
         self.retry_windows: dict[str, RetryWindow] = {}
         self.node_count = 1
         self.store_contact = StoreContact()
+        self.store_calls = 0  # since the start
         self.zone = zone
         self.zone_of_node: dict[str, str] = {}
         # Zones whose nodes and engines form one cell with this node.
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -1,5 +1,6 @@
 """Controllers that apply the rows of the platform's store to the blackboard."""
 
+from asyncio import Event
 from collections.abc import Callable
 
 from mode import Service
@@ -190,6 +191,8 @@
         self.decoder = decoder
         self.own_entry = own_entry
         self.on_change = on_change
+        # Set when all entries were read and this node's is not among them.
+        self.announcement_due = Event()
         self.writer = serving.board.writer(NodeListSection(), "node controller")
 
     def apply(self, rows: tuple[TableRow, ...], is_complete: bool) -> None:
@@ -210,6 +213,8 @@
         self.serving.node_count = max(1, len(nodes))
         self.serving.zone_of_node = {node.name: node.zone for node in nodes.values()}
         update_cell(self.serving)
+        if is_complete and not self.is_announced():
+            self.announcement_due.set()
         self.on_change([n for n in nodes.values() if n.name != self.own_entry.name])
 
     def is_announced(self) -> bool:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -12,7 +12,6 @@
 from returns.result import Failure, Success
 
 from lagoonhinge_core.forwarding.load_tracker import CellSummary
-from lagoonhinge_core.forwarding.missed_changes import MissedChanges
 from lagoonhinge_core.forwarding.site_store import (
     HistoryLost,
     NodeEntry,
@@ -23,11 +22,11 @@
     TableRow,
 )
 from lagoonhinge_core.forwarding.store_clock import StoreClock
+from lagoonhinge_core.forwarding.store_replicas import StoreReplicas
 from lagoonhinge_core.forwarding.table_replica import (
     AllRows,
     MissingRows,
     NewRows,
-    TableReplica,
     TableUpdate,
 )
 from lagoonhinge_core.forwarding.watch_role import WatchRole, WatchTimes
@@ -57,7 +56,6 @@
 # all nodes read at once.
 MISSING_ROWS_SPREAD_S = 0.2  # a tenth of the time within which a change is in force
 START_RETRY_S = 0.5  # longest pause between failed calls before the first answer
-START_CHECK_S = 0.05  # between checks whether the nodes' table has been read
 DUE_CHECKS = (
     5.0  # checks within the least takeover age whether the store has to be read
 )
@@ -99,7 +97,8 @@
         self.nodes = nodes
         self.clock = StoreClock()
         self.role = WatchRole(own_entry.name, times, serving.random)
-        self.replicas = {table: TableReplica() for table in StoreTable}
+        self.store_replicas = StoreReplicas()
+        self.replicas = self.store_replicas.tables
         self.waits_s = {
             StoreTable.CONFIG: times.poll_s,
             StoreTable.UPSTREAMS: UPSTREAMS_WAIT_S,
@@ -110,15 +109,11 @@
             StoreTable.UPSTREAMS: times.upstreams_pause_s,
             StoreTable.NODES: NODES_PAUSE_S,
         }
-        self.missed_changes = MissedChanges()
         # Set when a table has to be read although its poll has not ended.
         self.overdue = {table: Event() for table in StoreTable}
         self.log_part = PartLogger("store")
         self.failures = 0
-        self.calls = 0
         self.stopped_watching = Event()
-        self.era = 0  # latest one in the store's answers and other nodes' updates
-        self.announcement_due = Event()
         self.incomplete: set[StoreTable] = set()
         self.found_incomplete = Event()
         # The node that watches the store for the zone, if it is another one.
@@ -147,21 +142,6 @@
         wait_s = self.role.due_s - self.serving.clock()
         return min(wait_s, self.times.min_takeover_age_s / DUE_CHECKS)
 
-    @Service.task
-    async def announce(self) -> None:
-        """Write this node's entry when all entries were read without it."""
-        while not self.should_stop:
-            await self.announcement_due.wait()
-            self.announcement_due.clear()
-            while not self.nodes.is_announced() and not self.should_stop:
-                self.calls += 1
-                match await self.store.announce(self.own_entry):
-                    case Success(_):
-                        break
-                    case Failure(fault):
-                        self._log_fault(fault)
-                        await sleep(START_RETRY_S * self.serving.random.random())
-
     @Service.task
     async def read_missing_rows(self) -> None:
         """Read tables of which an update was incomplete."""
@@ -198,7 +178,8 @@
             if not await self._read_next_changes(table):
                 return
             if table is StoreTable.CONFIG:
-                self._find_missed_changes()
+                for missed in self.store_replicas.find_missed_changes():
+                    self.overdue[missed].set()
             if self.replicas[table].recent:
                 self.send_update()
             if self.replicas[table].version != before:
@@ -225,23 +206,6 @@
         )
         return await self._read(table, 0.0)
 
-    def _find_missed_changes(self) -> None:
-        """Find the tables whose polls seem to hang, after a read of the configuration.
-
-        That poll ends often, so that a loss of its own answers is soon detected.
-        """
-        newest = self.replicas[StoreTable.CONFIG].version
-        states: dict[StoreTable, int] = {
-            table: replica.version
-            for table, replica in self.replicas.items()
-            if table is not StoreTable.CONFIG
-            and replica.version is not None
-            and replica.era == self.era
-        }
-        if newest is not None:
-            for table in self.missed_changes.tables(states, newest):
-                self.overdue[table].set()
-
     async def _send_updates(self) -> None:
         while True:
             self.send_update()
@@ -253,7 +217,7 @@
         after = replica.version
         while True:
             requested_s = self.serving.clock()
-            self.calls += 1
+            self.serving.store_calls += 1
             result = await self.store.read_table(table, after, wait_s)
             match result:
                 case Success(changes):
@@ -263,7 +227,7 @@
                         after = None
                         continue
                     self._record_answer(requested_s, changes)
-                    self.missed_changes.record_rows(changes.rows)
+                    self.store_replicas.record_rows(changes.rows)
                     rows = replica.record_read(after, changes, self.serving.clock())
                     if rows or (rows is not None and after is None):
                         self._apply(table, rows, after is None)
@@ -285,18 +249,11 @@
                     return False
 
     def _enter_era(self, era: int) -> None:
-        """Note that the store came back from an older copy, if it has a later era."""
-        if era <= self.era:
-            return
-        is_first = all(replica.version is None for replica in self.replicas.values())
-        self.era = era
-        if is_first:
-            return
-        self.log_part.warning("The store came back from an older copy.", era=era)
-        self.serving.store_contact.record_older_copy(self.serving.clock())
-        self.missed_changes = MissedChanges()
-        for table, replica in self.replicas.items():
-            if replica.era < era:
+        """Read everything again if the store came back from an older copy."""
+        if self.store_replicas.enter_era(era):
+            self.log_part.warning("The store came back from an older copy.", era=era)
+            self.serving.store_contact.record_older_copy(self.serving.clock())
+            for table in self.store_replicas.of_earlier_eras():
                 self.overdue[table].set()
 
     def _record_answer(self, requested_s: float, changes: TableChanges) -> None:
@@ -331,8 +288,6 @@
                 self.upstreams.apply(rows, is_complete)
             case StoreTable.NODES:
                 self.nodes.apply(rows, is_complete)
-                if is_complete and not self.nodes.is_announced():
-                    self.announcement_due.set()
 
     def _zone_peers(self) -> list[tuple[str, int]]:
         nodes = self.serving.board.read(NodeListSection).nodes.values()
@@ -345,10 +300,7 @@
     def send_update(self) -> None:
         """Send the state of all tables to the other nodes of the zone."""
         now_s = self.serving.clock()
-        tables = tuple(
-            replica.build_update(table, now_s, self.times.repeat_s)
-            for table, replica in self.replicas.items()
-        )
+        tables = self.store_replicas.build_updates(now_s, self.times.repeat_s)
         data = self._encode_update(tables)
         if len(data) > MAX_DATAGRAM_BYTES:
             data = self._encode_update(
@@ -370,8 +322,8 @@
             "age_s": str(round(now_s - role.known_s, 3)),
             "upstreams_age_s": str(round(self.serving.upstreams_age_s(), 3)),
             "failures": self.failures,
-            "calls": self.calls,
-            "era": self.era,
+            "calls": self.serving.store_calls,
+            "era": self.store_replicas.era,
             "versions": {t.value: r.version for t, r in self.replicas.items()},
         }
 
