--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/store_replicas.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/store_replicas.py
@@ -43,7 +43,8 @@
     def find_missed_changes(self) -> tuple[StoreTable, ...]:
         """Return the tables whose polls seem to hang.
 
-        To be called after each poll of the configuration. That poll ends often, so that a loss of its own answers is soon detected.
+        To be called after each poll of the configuration, which ends often, so that a
+        loss of its own answers is soon detected.
         """
         newest = self.tables[StoreTable.CONFIG].version
         if newest is None:
