Checks of closed upstreams cost nothing while none is closed

Each decision asked for every upstream whether it is paused, limited or leaving. It is now asked only if one is; ended pauses are dropped.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/pauses.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/pauses.py
@@ -29,7 +29,12 @@
         """Return how long an upstream still takes no requests, in seconds."""
         if not self.until_s:
             return 0.0
-        return max(0.0, self.until_s.get(upstream.run(), now_s) - now_s)
+        run = upstream.run()
+        remaining_s = self.until_s.get(run, now_s) - now_s
+        if remaining_s > 0:
+            return remaining_s
+        self.until_s.pop(run, None)
+        return 0.0
 
     def retain_only(self, listed: Mapping[str, Upstream]) -> None:
         """Drop the pauses of upstreams that are not listed or have started again."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/node_announcer.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/node_announcer.py
@@ -37,6 +37,7 @@
         while not self.should_stop:
             await self.nodes.announcement_due.wait()
             self.nodes.announcement_due.clear()
+            failures = 0
             while not self.nodes.is_announced() and not self.should_stop:
                 self.serving.store_calls += 1
                 match await self.store.announce(self.nodes.own_entry):
@@ -44,7 +45,10 @@
                         break
                     case Failure(fault):
                         self.serving.store_contact.record_failure()
-                        self.log_part.warning(
-                            "Announcing this node failed; retrying.", reason=repr(fault)
-                        )
+                        failures += 1
+                        if failures == 1:
+                            self.log_part.warning(
+                                "Announcing this node failed; retrying.",
+                                reason=repr(fault),
+                            )
                         await sleep(RETRY_S * self.serving.random.random())
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
@@ -89,9 +89,7 @@
                 for name in listed
                 for load in (serving.load.load(name, now_s),)
             },
-            "said_to_leave": sorted(
-                run.instance for run in serving.leaving_notices.known
-            ),
+            "said_to_leave": sorted(serving.leaving_notices.known),
             "paused_s": {
                 run.instance: round(until_s - now_s, 3)
                 for run, until_s in serving.pauses.until_s.items()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -141,8 +141,16 @@
         """Return a service's upstreams that don't leave, in an order for all nodes."""
         notices = self.leaving_notices
         listed = self.directory.usable(service)
+        if not notices.known:
+            return listed
         return tuple(entry for entry in listed if not notices.is_leaving(entry))
 
+    def allowed(self, upstreams: tuple[Upstream, ...]) -> tuple[Upstream, ...]:
+        """Return which upstreams take a request of this node now."""
+        if not self.pauses.until_s and not self.request_limits.statements:
+            return upstreams
+        return tuple(entry for entry in upstreams if self.may_send(entry))
+
     def may_send(self, upstream: Upstream) -> bool:
         """Return whether an upstream takes a request of this node now."""
         if self.pauses.remaining_s(upstream, self.clock()):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -356,6 +356,8 @@
         if known_s is None:
             return
         self._enter_era(update.era)
+        if update.era < self.store_replicas.era:
+            return
         match self.replicas[table].merge(update, now_s):
             case MissingRows():
                 if self.replicas[table].version is not None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
@@ -94,7 +94,7 @@
         usable = self.serving.usable(service)
         ejected = self.serving.ejected(usable)
         untried = tuple(entry for entry in usable if entry.instance not in tried)
-        allowed = tuple(entry for entry in untried if self.serving.may_send(entry))
+        allowed = self.serving.allowed(untried)
         profile = self._engine_profile(service)
         if profile is None or request.size is None:
             return self._choose_plain_upstream(allowed, ejected)
@@ -102,7 +102,7 @@
         prompt = Prompt(
             size.prompt_tokens, size.max_answer_tokens, route.target_s, remaining_s
         )
-        if not is_short(profile, prompt):
+        if self.serving.request_limits.statements and not is_short(profile, prompt):
             allowed = self._without_limit(allowed) or allowed
         return self._choose_engine(prompt, profile, allowed, ejected)
 
@@ -124,8 +124,8 @@
             a request of this node now, or there is none.
         """
         serving, now_s = self.serving, self.serving.clock()
-        untried = [u for u in serving.usable(service) if u.instance not in tried]
-        if not untried or any(serving.may_send(entry) for entry in untried):
+        untried = tuple(u for u in serving.usable(service) if u.instance not in tried)
+        if not untried or serving.allowed(untried):
             return None
         pauses_s: list[float] = []
         limits_per_s = 0.0
