--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/request_limits.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/request_limits.py
@@ -82,6 +82,8 @@
         node: Name of the node.
 
     Attributes:
+        statements: What each upstream last said, if it ever named a limit.
+        permits: Requests that this node may send to each limited upstream.
         has_unsent: Whether an upstream told this node a change that its peers have not
             been sent.
     """
