--- a/features/steps/store_watch_steps.py
+++ b/features/steps/store_watch_steps.py
@@ -337,15 +337,17 @@
     context.states = {StoreTable.UPSTREAMS: upstreams, StoreTable.NODES: nodes}
 
 
-@when("rows of versions {rows} are known, and answers have the newest versions {all}")
-def step_newest_versions(context, rows, all):
+@when(
+    "rows of versions {rows} are known, and answers have the newest versions {newest}"
+)
+def step_newest_versions(context, rows, newest):
     missed_changes = MissedChanges()
     if rows != "none":
         missed_changes.record_rows(
             TableRow(f"row {version}", b"", int(version)) for version in rows.split(",")
         )
-    for newest in all.split(","):
-        context.tables = missed_changes.tables(context.states, int(newest))
+    for version in newest.split(","):
+        context.tables = missed_changes.tables(context.states, int(version))
 
 
 @then("the tables to read again after the last answer are {tables}")
