Interrupted streams are logged and counted with their cause

It has cause, silent_s and config_version now, and the counter lagoonhinge_interrupted_streams has the failure.

--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -281,7 +281,7 @@
                 self._record_first_event(attempt, "First event.")
             else:
                 attempt.longest_gap_s = max(attempt.longest_gap_s, now_s - last_event_s)
-            last_event_s = now_s
+            last_event_s = context.last_event_s = now_s
             if not writer.started:
                 await writer.start(answer.head)
             for event in events:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -4,6 +4,13 @@
 
 from prometheus_client import Gauge, Histogram
 
+from lagoonhinge_core.forwarding.attempts import (
+    AttemptFailure,
+    Declined,
+    Failed,
+    Lost,
+    NotDelivered,
+)
 from lagoonhinge_core.forwarding.messages import CallerRequest
 from lagoonhinge_core.forwarding.routes import (
     AtMostOnce,
@@ -37,6 +44,23 @@
     return "none" if size is None else length_class(size.prompt_tokens)
 
 
+def failure_label(failure: AttemptFailure | None) -> str:
+    """Return the label of an attempt's failure."""
+    match failure:
+        case NotDelivered():
+            return "not_delivered"
+        case Declined():
+            return "declined"
+        case Lost(timed_out=True):
+            return "silent"
+        case Lost():
+            return "lost"
+        case Failed():
+            return "failed"
+        case None:
+            return "none"
+
+
 class ForwardingMetrics(RegistryMetrics):
     """The metrics of the forwarding path."""
 
@@ -52,6 +76,11 @@
             "Sends to upstreams by result and whether the zone is the node's own.",
             ("result", "same_zone"),
         )
+        self.interrupted = self.counter(
+            "lagoonhinge_interrupted_streams",
+            "Streams that were interrupted, by the failure of the last attempt.",
+            ("failure",),
+        )
         self.refusals = self.counter(
             "lagoonhinge_refusals",
             "Requests that were not admitted, by status.",
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_context.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_context.py
@@ -4,6 +4,7 @@
 from functools import cached_property
 from typing import Protocol
 
+from lagoonhinge_core.forwarding.attempts import AttemptFailure
 from lagoonhinge_core.forwarding.crashes import CrashTracker, digest_request
 from lagoonhinge_core.forwarding.messages import AnswerHead, CallerRequest
 from lagoonhinge_core.forwarding.routes import Route
@@ -60,6 +61,8 @@
         last_event_id: Id of the last event forwarded; at first, of the last event that
             the caller has.
         failed_answer: An upstream's failure, forwarded if no attempt succeeds.
+        last_failure: Failure of the last attempt that failed.
+        last_event_s: When the last event was forwarded, in seconds of the node's clock.
         deferred_lines: Log lines above the rate limit, written only on failure.
     """
 
@@ -78,6 +81,8 @@
     may_be_running: bool = False
     last_event_id: str | None = None
     failed_answer: tuple[AnswerHead, bytes] | None = None
+    last_failure: AttemptFailure | None = None
+    last_event_s: float | None = None
     deferred_lines: list["DeferredLine"] = field(default_factory=list)
 
     @cached_property
@@ -127,6 +132,11 @@
         """Return the time since a request arrived, in seconds."""
         return self.serving.clock() - context.arrived_s
 
+    def silent_s(self, context: RequestContext) -> float | None:
+        """Return the time since a stream's last event, in seconds; `None` if none."""
+        last_event_s = context.last_event_s
+        return None if last_event_s is None else self.serving.clock() - last_event_s
+
     def log_event(
         self, context: RequestContext, message: str, **inputs: object
     ) -> None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -19,8 +19,10 @@
 )
 from lagoonhinge_core.forwarding.prompt_placement import DeadlineUnreachable
 from lagoonhinge_node.forwarding.attempt_sender import AttemptSender
+from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
 from lagoonhinge_node.forwarding.forwarding_metrics import (
     ForwardingMetrics,
+    failure_label,
     kind_label,
     length_label,
 )
@@ -175,29 +177,25 @@
     ) -> FailureAction:
         now_s = self.serving.clock()
         instance = choice.upstream.instance
+        context.last_failure = failure
         match failure:
             case NotDelivered():
-                result = "not_delivered"
                 context.not_delivered += 1
                 self.serving.record_connect_failure(choice.upstream)
             case Declined():
-                result = "declined"
                 context.declined += 1
                 self._record_decline_fault(context, choice, failure)
             case Lost(timed_out=True):
-                result = "silent"
                 context.runs += 1
                 self.serving.health.record_timeout(instance, now_s)
             case Lost():
-                result = "lost"
                 context.runs += 1
                 self.serving.crashes.add_suspect(context.digest, instance, now_s)
                 self.serving.health.record_loss(instance, now_s)
             case Failed():
-                result = "failed"
                 context.runs += 1
                 self.serving.health.record_answer(instance, True, now_s)
-        self._count_attempt(choice, result)
+        self._count_attempt(choice, failure_label(failure))
         history = RequestHistory(
             context.runs,
             context.declined,
@@ -286,10 +284,7 @@
     ) -> str:
         took_s = self.log.took_s(context)
         if writer.started:
-            self.log.log_failure(
-                context, "Broke off.", took_s=took_s, runs=context.runs
-            )
-            writer.abort()
+            self._abort(context, writer)
             return "broke_off"
         if context.failed_answer is not None:
             head, body = context.failed_answer
@@ -304,6 +299,21 @@
         await writer.refuse(HTTPStatus.BAD_GATEWAY, None)
         return "failed"
 
+    def _abort(self, context: RequestContext, writer: ResponseWriter) -> None:
+        """Interrupt a stream, and record why."""
+        config = self.serving.board.read(SiteConfigSection).config
+        self.log.log_failure(
+            context,
+            "Broke off.",
+            took_s=self.log.took_s(context),
+            runs=context.runs,
+            cause=repr(context.last_failure),
+            silent_s=self.log.silent_s(context),
+            config_version=None if config is None else config.version,
+        )
+        self.metrics.interrupted.labels(failure_label(context.last_failure)).inc()
+        writer.abort()
+
     async def _time_out(self, context: RequestContext, writer: ResponseWriter) -> None:
         took_s = self.log.took_s(context)
         self.log.log_failure(
