Test: a request whose upstream is silent for a while is answered (red)

A worker that is silent for 1.2 or 1.6 s and goes on is given up after 0.4 s (calls) or 1 s (streams).

--- /dev/null
+++ b/features/steps/silent_upstreams_steps.py
@@ -0,0 +1,67 @@
+"""Steps for workers that are silent for a while and go on."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import then, when
+
+from features.steps.platform_node_steps import BODY, WHOLE_STREAM
+from features.support.platform_fleet import PlatformFleet, send
+from features.support.waiting import eventually
+
+# Faults of the other worker; it gets a request when the first one was silent for 0.4 s.
+OTHER_FAULTS = {
+    "answers": {},
+    "streams": {},
+    "declines": {"how": "shed"},
+    "breaks off": {"how": "cut"},
+    "answers with 500": {"how": "error"},
+    "is silent": {"how": "silent"},
+}
+
+
+def _wait_for_run(fleet: PlatformFleet, workers: tuple[str, str]) -> tuple[str, str]:
+    """Return the worker that got a request, and the other one."""
+
+    def find() -> tuple[str, str]:
+        first, second = workers
+        if not fleet.worker_record(first)["runs"]:
+            first, second = second, first
+        assert fleet.worker_record(first)["runs"]
+        return first, second
+
+    return eventually(find)
+
+
+@when(
+    "a worker is silent {when} a {kind} for {silence_s:g} s, and the other one {other}"
+)
+def step_silence(context, when, kind, silence_s, other):
+    fleet = context.fleet
+    is_stream = kind == "stream"
+    workers = ("m1", "m2") if is_stream else ("d1", "d2")
+    how = "stall" if when == "within" else "silent"
+    for name in workers:
+        fleet.workers[name].put_faults(how=how, silence_s=silence_s)
+    request = ("POST", "/stream/1", BODY) if is_stream else ("GET", "/read/1")
+    with ThreadPoolExecutor() as executor:
+        sent = executor.submit(send, context.node, *request)
+        _, second = _wait_for_run(fleet, workers)
+        if other == "is gone":
+            fleet.workers[second].popen.kill()
+        else:
+            fleet.workers[second].put_faults(**OTHER_FAULTS[other])
+        context.answer = sent.result()
+
+
+@then("the client gets a whole stream")
+def step_whole_stream(context):
+    answer = context.answer
+    assert answer is not None, "the stream was interrupted"
+    assert answer.body.decode() == WHOLE_STREAM, answer
+
+
+@then("the client gets a whole answer")
+def step_whole_answer(context):
+    answer = context.answer
+    assert answer is not None and answer.status == 200, answer
+    assert answer.body.decode() == "answer of /read/1", answer
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -41,6 +41,7 @@
         how: Name of the fault; empty for none.
         count: Number of further requests that are affected; negative for all.
         pause_s: Delay before each event or answer, in seconds.
+        silence_s: Length of the silences "silent" and "stall", in seconds.
         limit: Limit named in all answers, as it is sent; empty for none.
         leaving: Whether all answers say that the worker leaves.
         retry_after: `Retry-After` of refusals, as it is sent; empty for none.
@@ -49,6 +50,7 @@
     how: str = ""
     count: int = -1
     pause_s: float = EVENT_GAP_S
+    silence_s: float = HANG_DURATION_S
     limit: str = ""
     leaving: bool = False
     retry_after: str = ""
@@ -116,7 +118,7 @@
         if fault == "crash":
             _exit(CRASH_EXIT_STATUS)
         if fault == "silent":
-            await sleep(HANG_DURATION_S)
+            await sleep(state.faults.silence_s)
         if request.path.startswith("/stream/"):
             return await _stream(request, state, fault)
         return await _call(request, state, fault)
@@ -180,7 +182,10 @@
 async def _stream(
     request: web.Request, state: WorkerState, fault: str
 ) -> web.StreamResponse:
-    response = web.StreamResponse(headers=_response_headers(request, fault))
+    headers = _response_headers(request, fault)
+    if fault == "error":
+        return web.Response(status=500, body=b"failed", headers=headers)
+    response = web.StreamResponse(headers=headers)
     response.content_type = "text/event-stream"
     await response.prepare(request)
     first_number = int(request.headers.get(LAST_EVENT_ID, "0")) + 1
@@ -192,7 +197,7 @@
             cut_connection(request)
             raise ConnectionResetError
         if fault == "stall" and number == 3:
-            await sleep(HANG_DURATION_S)
+            await sleep(state.faults.silence_s)
         await response.write(event)
     await response.write_eof()
     return response
