A silent upstream is given up only once another one continues the answer

Callers saw streams cut off, or 502 and 504, although their upstream would have gone on.

Cause: a silence was taken for a failure. The attempt at a silent upstream was cancelled before another one had begun, and what could end the second attempt (declined, no capacity, retry budget spent, reset) ended the request. Whether a failover was possible was checked, not ensured.

Ruled out: a longer timeout, which delays every failover from an upstream that is really gone; checking more before the failover, since the second upstream can fail at any later time.

Change: when an upstream is silent, another attempt starts beside its own. The first attempt that has a part of the answer forwards it and cancels the others; a failed attempt ends the request only if none is open. The timeout no longer counts the time in which a caller reads slowly. Attempts that may be running count as runs from their start, so a 503 stays true while several are open.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/attempts.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/attempts.py
@@ -35,11 +35,9 @@
 
     Attributes:
         reason: Description of the fault.
-        timed_out: Whether the only fault was a timeout.
     """
 
     reason: str
-    timed_out: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -1,6 +1,5 @@
 """Attempts: send a request to an upstream and forward its answer to the caller."""
 
-from asyncio import timeout
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -51,6 +50,8 @@
         prompt_number: Number of its prompt at this node.
         writer: Writes the answer to the caller.
         silence_timeout: Timeout for a silent upstream.
+        claim_answer: Called when this attempt has a part of the answer; cancels the
+            request's other open attempts.
         longest_gap_s: Longest gap between events so far, in seconds.
     """
 
@@ -59,6 +60,7 @@
     prompt_number: int
     writer: ResponseWriter
     silence_timeout: SilenceTimeout
+    claim_answer: Callable[[], None]
     longest_gap_s: float = 0.0
 
 
@@ -92,7 +94,8 @@
         context: RequestContext,
         choice: UpstreamChoice,
         writer: ResponseWriter,
-        may_fail_over: Callable[[float], bool],
+        silence_timeout: SilenceTimeout,
+        claim_answer: Callable[[], None],
     ) -> Result[None, AttemptFailure]:
         """Send a request once and forward its answer.
 
@@ -100,8 +103,9 @@
             context: The request.
             choice: The upstreams.
             writer: Writes the answer to the caller.
-            may_fail_over: Returns whether to fail over to another upstream after a
-                silence, given in seconds.
+            silence_timeout: Timeout for a silent upstream.
+            claim_answer: Called when the upstream has answered with a part of the
+                answer; cancels the request's other open attempts.
 
         Returns:
             Success once the answer is forwarded, else the failure.
@@ -121,7 +125,7 @@
                 choice.reservations
             ):
                 return Failure(Declined(HTTPStatus.SERVICE_UNAVAILABLE.value))
-            context.may_be_running = True
+            context.runs += 1
             serving.load.start_request(instance, choice.tokens)
             for prefill in choice.prefills(prompt_number):
                 serving.load.add_prefill(prefill, serving.clock())
@@ -129,11 +133,20 @@
             not_run = False
             try:
                 result = await self._exchange(
-                    context, choice, prompt_number, writer, may_fail_over
+                    Attempt(
+                        context,
+                        choice,
+                        prompt_number,
+                        writer,
+                        silence_timeout,
+                        claim_answer,
+                    )
                 )
                 not_run = isinstance(result, Failure) and isinstance(
                     result.failure(), NotDelivered | Declined
                 )
+                if not_run:
+                    context.runs -= 1
             finally:
                 serving.load.finish_request(instance, choice.tokens)
                 if not_run:
@@ -144,9 +157,6 @@
                     )
         finally:
             attempt_memory.release()
-        # Not reached after a timeout, when the upstream may still run the request.
-        if not isinstance(result, Success):
-            context.may_be_running = context.runs > 0 or not not_run
         return result
 
     def _reservation_id(self, prompt_number: int) -> str:
@@ -195,48 +205,27 @@
             context.last_event_id,
         )
 
-    async def _exchange(
-        self,
-        context: RequestContext,
-        choice: UpstreamChoice,
-        prompt_number: int,
-        writer: ResponseWriter,
-        may_fail_over: Callable[[float], bool],
-    ) -> Result[None, AttemptFailure]:
-        attempt_timeout = timeout(None)
-        attempt = Attempt(
-            context,
-            choice,
-            prompt_number,
-            writer,
-            SilenceTimeout(attempt_timeout, may_fail_over),
-        )
+    async def _exchange(self, attempt: Attempt) -> Result[None, AttemptFailure]:
+        context, choice = attempt.context, attempt.choice
         predicted_s = choice.waiting_s + choice.prefill_s
         attempt.silence_timeout.restart(answer_timeout_s(context.route, predicted_s))
         answer: UpstreamAnswer | None = None
         try:
-            async with attempt_timeout:
-                match await self.client.send(
-                    choice.upstream,
-                    context.request,
-                    self._attempt_options(context, choice, prompt_number),
-                ):
-                    case Failure(failure):
-                        return Failure(failure)
-                    case Success(received):
-                        answer = received
-                        self.serving.record_contact(choice.upstream)
-                assert answer is not None
-                is_success = answer.head.status < MIN_REDIRECT_STATUS
-                if isinstance(context.route.kind, EventStream) and is_success:
-                    return await self._forward_stream(
-                        attempt, answer, context.route.kind
-                    )
-                return await self._forward_whole(attempt, answer)
-        except TimeoutError:
-            if not attempt_timeout.expired():
-                raise
-            return Failure(Lost("silent for too long", True))
+            match await self.client.send(
+                choice.upstream,
+                context.request,
+                self._attempt_options(context, choice, attempt.prompt_number),
+            ):
+                case Failure(failure):
+                    return Failure(failure)
+                case Success(received):
+                    answer = received
+                    self.serving.record_contact(choice.upstream)
+            assert answer is not None
+            is_success = answer.head.status < MIN_REDIRECT_STATUS
+            if isinstance(context.route.kind, EventStream) and is_success:
+                return await self._forward_stream(attempt, answer, context.route.kind)
+            return await self._forward_whole(attempt, answer)
         finally:
             attempt.silence_timeout.stop()
             if answer is not None:
@@ -254,6 +243,8 @@
         if answer.head.status >= MIN_FAILURE_STATUS:
             context.failed_answer = (answer.head, body)
             return Failure(Failed(answer.head.status))
+        attempt.claim_answer()
+        attempt.silence_timeout.stop()
         self._record_success(attempt)
         self._record_first_event(attempt, "Answered.")
         await attempt.writer.reply(answer.head, body)
@@ -276,6 +267,9 @@
             events = splitter.feed(data)
             if not events:
                 continue
+            attempt.claim_answer()
+            # A caller that reads slowly is no silence of the upstream.
+            attempt.silence_timeout.stop()
             now_s = self.serving.clock()
             if last_event_s is None:
                 self._record_first_event(attempt, "First event.")
@@ -291,6 +285,8 @@
             attempt.silence_timeout.restart(event_gap_timeout_s(kind))
         if splitter.buffer:
             return Failure(Lost("the stream ended within an event"))
+        attempt.claim_answer()
+        attempt.silence_timeout.stop()
         self._record_success(attempt)
         self._record_stream_end(attempt)
         if not writer.started:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -51,8 +51,6 @@
             return "not_delivered"
         case Declined():
             return "declined"
-        case Lost(timed_out=True):
-            return "silent"
         case Lost():
             return "lost"
         case Failed():
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_context.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_context.py
@@ -53,11 +53,10 @@
         arrived_s: When it arrived, in seconds of the node's clock.
         tried: Instances of its attempts.
         attempts: Attempts so far.
-        runs: Attempts in which the upstream may have run it.
+        runs: Attempts in which the upstream may have run it, or may be running it.
         declined: Attempts that upstreams declined.
         helper_faults: Declined attempts that a helper caused.
         not_delivered: Attempts that reached no upstream.
-        may_be_running: Whether an open attempt may be running.
         last_event_id: Id of the last event forwarded; at first, of the last event that
             the caller has.
         failed_answer: An upstream's failure, forwarded if no attempt succeeds.
@@ -78,7 +77,6 @@
     declined: int = 0
     helper_faults: int = 0
     not_delivered: int = 0
-    may_be_running: bool = False
     last_event_id: str | None = None
     failed_answer: tuple[AnswerHead, bytes] | None = None
     last_failure: AttemptFailure | None = None
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -26,12 +26,18 @@
     kind_label,
     length_label,
 )
+from lagoonhinge_node.forwarding.open_attempts import (
+    AttemptEnded,
+    OpenAttempts,
+    UpstreamSilent,
+)
 from lagoonhinge_node.forwarding.request_context import (
     RequestContext,
     RequestLog,
     ResponseWriter,
 )
 from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.silence_timeout import SilenceTimeout
 from lagoonhinge_node.forwarding.upstream_choice import UpstreamChoice, UpstreamChooser
 
 SHORT_RETRY_AFTER_S = 0.25  # another node or a newly listed upstream may serve it
@@ -92,39 +98,81 @@
     async def _attempt_until_done(
         self, context: RequestContext, writer: ResponseWriter
     ) -> str:
+        attempts = OpenAttempts(partial(self._record_superseded, context))
+        try:
+            while True:
+                # While an attempt is open, its upstream may still answer.
+                match (
+                    await self._wait_for_choice(context)
+                    if attempts.is_empty()
+                    else self._choose_now(context)
+                ):
+                    case UpstreamChoice() as choice:
+                        self._start_attempt(context, writer, attempts, choice)
+                    case None if attempts.is_empty():
+                        return await self._end_without_capacity(context, writer)
+                    case DeadlineUnreachable(ready_s) if attempts.is_empty():
+                        return await self._end_unreachable_deadline(
+                            context, writer, ready_s
+                        )
+                end = await self._wait_for_retry(context, writer, attempts)
+                if end is not None:
+                    return end
+        finally:
+            await attempts.close()
+
+    def _start_attempt(
+        self,
+        context: RequestContext,
+        writer: ResponseWriter,
+        attempts: OpenAttempts,
+        choice: UpstreamChoice,
+    ) -> None:
+        if context.runs or context.declined:
+            self.serving.retry_window(context.service).count_retry(self.serving.clock())
+        for upstream in choice.upstreams():
+            self.serving.record_send(upstream)
+        silence_timeout = SilenceTimeout(
+            partial(self._may_fail_over, context, attempts, choice),
+            partial(attempts.report_silence, choice),
+        )
+        claim_answer = partial(attempts.claim_answer, choice)
+        attempts.start(
+            choice,
+            self.sender.send(context, choice, writer, silence_timeout, claim_answer),
+        )
+
+    async def _wait_for_retry(
+        self, context: RequestContext, writer: ResponseWriter, attempts: OpenAttempts
+    ) -> str | None:
+        """Wait until a request ends or needs another attempt.
+
+        Returns:
+            How the request ended; `None` if it needs another attempt.
+        """
         while True:
-            choice = await self._wait_for_choice(context)
-            match choice:
-                case None:
-                    return await self._end_without_capacity(context, writer)
-                case DeadlineUnreachable(ready_s):
-                    return await self._end_unreachable_deadline(
-                        context, writer, ready_s
-                    )
-            for upstream in choice.upstreams():
-                self.serving.record_send(upstream)
-            result = await self.sender.send(
-                context, choice, writer, partial(self._may_fail_over, context, choice)
-            )
-            match result:
-                case Success(_):
+            match await attempts.next_update():
+                case UpstreamSilent() as silence:
+                    self._record_silence(context, silence)
+                    return None
+                case AttemptEnded(choice, Success(_)):
                     self._count_attempt(choice, "answered")
                     return "answered"
-                case Failure(failure):
+                case AttemptEnded(choice, Failure(failure)):
                     action = self._handle_failure(context, choice, failure)
-            if action is not FailureAction.RETRY:
-                return await self._end_failed(context, writer, action)
             # The failed attempt itself may have confirmed the crash that starts it.
             quarantine_s = context.quarantine_s(
                 self.serving.crashes, self.serving.clock()
             )
-            if quarantine_s:
+            if action is FailureAction.RETRY:
+                if not quarantine_s:
+                    return None
+                action = FailureAction.REFUSE
+            may_pass_on = action is FailureAction.PASS_ON and not writer.started
+            if attempts.is_empty() or may_pass_on:
+                await attempts.close()
                 return await self._end_failed(
-                    context, writer, FailureAction.REFUSE, quarantine_s
-                )
-            if context.runs or context.declined:
-                self.serving.retry_window(context.service).count_retry(
-                    self.serving.clock()
+                    context, writer, action, quarantine_s or SHORT_RETRY_AFTER_S
                 )
 
     def _choose_now(
@@ -155,16 +203,23 @@
             await sleep(CAPACITY_POLL_INTERVAL_S)
 
     def _may_fail_over(
-        self, context: RequestContext, choice: UpstreamChoice, silent_s: float
+        self,
+        context: RequestContext,
+        attempts: OpenAttempts,
+        choice: UpstreamChoice,
+        silent_s: float,
     ) -> bool:
-        """Return whether to fail over from a silent upstream to another one."""
+        """Return whether another upstream may take over from a silent one."""
+        if not attempts.is_newest(choice):
+            return False
         load = self.serving.load.load(choice.upstream.instance, self.serving.clock())
         if load.prefill_s > 0 and silent_s < MAX_PREFILL_SILENCE_S:
             # A prefill explains the silence and ends soon.
             return False
-        if not context.route.may_run_again(context.runs + 1):
-            return False
-        if not self.serving.allows_retry(context.service):
+        action = decide_after_failure(
+            context.route, self._history(context), Lost("silent for too long")
+        )
+        if action is not FailureAction.RETRY or self._is_crash_suspect(context):
             return False
         alternative = self._choose_now(context)
         return (
@@ -185,25 +240,13 @@
             case Declined():
                 context.declined += 1
                 self._record_decline_fault(context, choice, failure)
-            case Lost(timed_out=True):
-                context.runs += 1
-                self.serving.health.record_timeout(instance, now_s)
             case Lost():
-                context.runs += 1
                 self.serving.crashes.add_suspect(context.digest, instance, now_s)
                 self.serving.health.record_loss(instance, now_s)
             case Failed():
-                context.runs += 1
                 self.serving.health.record_answer(instance, True, now_s)
         self._count_attempt(choice, failure_label(failure))
-        history = RequestHistory(
-            context.runs,
-            context.declined,
-            context.helper_faults,
-            context.not_delivered,
-            self.serving.allows_retry(context.service),
-            self.log.remaining_s(context),
-        )
+        history = self._history(context)
         action = decide_after_failure(context.route, history, failure)
         if action is FailureAction.RETRY and self._is_crash_suspect(context):
             action = FailureAction.FAIL
@@ -220,6 +263,40 @@
         )
         return action
 
+    def _history(self, context: RequestContext) -> RequestHistory:
+        return RequestHistory(
+            context.runs,
+            context.declined,
+            context.helper_faults,
+            context.not_delivered,
+            self.serving.allows_retry(context.service),
+            self.log.remaining_s(context),
+        )
+
+    def _record_silence(self, context: RequestContext, silence: UpstreamSilent) -> None:
+        instance = silence.choice.upstream.instance
+        if silence.is_first:
+            self.serving.health.record_timeout(instance, self.serving.clock())
+        self.log.log_event(
+            context,
+            "An upstream is silent; trying another one.",
+            upstream=instance,
+            silent_s=silence.silent_s,
+            runs=context.runs,
+            remaining_s=self.log.remaining_s(context),
+        )
+
+    def _record_superseded(
+        self, context: RequestContext, choice: UpstreamChoice, was_silent: bool
+    ) -> None:
+        self._count_attempt(choice, "silent" if was_silent else "superseded")
+        self.log.log_event(
+            context,
+            "Another upstream continues the answer.",
+            instead_of=choice.upstream.instance,
+            was_silent=was_silent,
+        )
+
     def _is_crash_suspect(self, context: RequestContext) -> bool:
         crashes = self.serving.crashes
         if crashes.is_empty() or not context.runs:
@@ -321,7 +398,7 @@
         )
         if writer.started:
             writer.abort()
-        elif context.may_be_running or context.runs:
+        elif context.runs:
             await writer.refuse(HTTPStatus.GATEWAY_TIMEOUT, None)
         else:
             await writer.refuse(HTTPStatus.SERVICE_UNAVAILABLE, SHORT_RETRY_AFTER_S)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/silence_timeout.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/silence_timeout.py
@@ -1,25 +1,28 @@
-"""Timeout for a silent upstream, in force only while a failover is possible."""
+"""Timeout for a silent upstream, which reports only while a failover is possible."""
 
-from asyncio import Timeout, TimerHandle, get_running_loop
+from asyncio import TimerHandle, get_running_loop
 from collections.abc import Callable
 
 RECHECK_INTERVAL_S = 0.2  # until the next check whether a failover is possible
 
 
 class SilenceTimeout:
-    """Ends an attempt when its upstream is silent for too long.
+    """Reports an upstream that is silent for too long.
 
     Args:
-        attempt_timeout: Ends the attempt when it expires.
-        may_fail_over: Returns whether to fail over to another upstream after a silence,
+        may_fail_over: Returns whether another upstream may take over after a silence,
             given in seconds.
+        report_silence: Called with the length of a silence, in seconds, after which
+            another upstream may take over.
     """
 
     def __init__(
-        self, attempt_timeout: Timeout, may_fail_over: Callable[[float], bool]
+        self,
+        may_fail_over: Callable[[float], bool],
+        report_silence: Callable[[float], None],
     ):
-        self.attempt_timeout = attempt_timeout
         self.may_fail_over = may_fail_over
+        self.report_silence = report_silence
         self.handle: TimerHandle | None = None
         self.started_s = 0.0
 
@@ -39,7 +42,8 @@
 
     def _check(self) -> None:
         loop = get_running_loop()
-        if self.may_fail_over(loop.time() - self.started_s):
-            self.attempt_timeout.reschedule(loop.time())
-        else:
-            self.handle = loop.call_later(RECHECK_INTERVAL_S, self._check)
+        silent_s = loop.time() - self.started_s
+        if self.may_fail_over(silent_s):
+            self.report_silence(silent_s)
+        # The attempt that starts now may fail, and another one may be possible later.
+        self.handle = loop.call_later(RECHECK_INTERVAL_S, self._check)
