Fuzz of requests whose attempts are open at the same time

300 random requests in virtual time (EventStream, idempotent, at most once; upstreams that are silent, decline, break off or fail; retry budgets; slow callers): a sound first attempt is answered unless another one took over, no answer is mixed up, runs stay within the route's limit, 503 only if nothing ran, and no task or answer stays open.

--- a/features/silent_upstreams.feature
+++ b/features/silent_upstreams.feature
@@ -33,3 +33,8 @@
       | 1.2     | is silent  |
       | 1.2     | is gone    |
       | 30      | answers    |
+
+  @fuzz
+  Scenario: Attempts that are open at the same time never lose or mix up an answer
+    When 300 requests meet upstreams with random silences and failures
+    Then each sound first attempt was answered, and no answer was mixed up or run too often
--- a/features/steps/silent_upstreams_steps.py
+++ b/features/steps/silent_upstreams_steps.py
@@ -3,9 +3,13 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import then, when
+from hypothesis import given
+from hypothesis import strategies as st
 
 from features.steps.platform_node_steps import BODY, WHOLE_STREAM
+from features.support.fuzz import run_examples
 from features.support.platform_fleet import PlatformFleet, send
+from features.support.silence_fuzz import KINDS, SCRIPTS, UPSTREAMS, check_request
 from features.support.waiting import eventually
 
 # Faults of the other worker; it gets a request when the first one was silent for 0.4 s.
@@ -65,3 +69,23 @@
     answer = context.answer
     assert answer is not None and answer.status == 200, answer
     assert answer.body.decode() == "answer of /read/1", answer
+
+
+@when("{examples:d} requests meet upstreams with random silences and failures")
+def step_fuzz(context, examples):
+    run_examples(
+        given(
+            KINDS,
+            st.tuples(*[SCRIPTS] * UPSTREAMS),
+            st.sampled_from((0.0, 1.0, 2.0, 100.0)),
+            st.sampled_from((0.0, 0.0, 0.5)),
+        )(check_request),
+        examples,
+    )
+
+
+@then(
+    "each sound first attempt was answered, and no answer was mixed up or run too often"
+)
+def step_checked(context):
+    """Each example was checked as it ran."""
