A request gets no further attempt while one of its attempts goes on

Callers could get a stream with events of two runs, and a request could run on three upstreams where its route allows two.

Cause: a failed attempt started another one although a newer attempt was open and not silent. While memory is reserved, that newer attempt is not counted as a run yet, so the limit of runs allowed a third. If two attempts failed at the same time, two more were started before the first of them was marked as tried: both at the same upstream, where the second replaced the first in the table of open attempts, so that neither cancelled the other and both wrote to the caller.

Ruled out: counting runs before the reservation, which would turn the refusal of a request that was never sent into a 502 or 504.

Change: after a failure or a silence, another attempt starts only if every open attempt is at a silent upstream.

--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/open_attempts.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/open_attempts.py
@@ -76,6 +76,10 @@
         self.tasks[instance] = task
         task.add_done_callback(self.updates.put_nowait)
 
+    def all_silent(self) -> bool:
+        """Return whether each open attempt, if any, is at a silent upstream."""
+        return self.tasks.keys() <= self.silent
+
     def is_newest(self, choice: UpstreamChoice) -> bool:
         """Return whether an attempt is the last one started of those open."""
         return next(reversed(self.tasks), None) == choice.upstream.instance
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -154,7 +154,9 @@
             match await attempts.next_update():
                 case UpstreamSilent() as silence:
                     self._record_silence(context, silence)
-                    return None
+                    if attempts.all_silent():
+                        return None
+                    continue
                 case AttemptEnded(choice, Success(_)):
                     self._count_attempt(choice, "answered")
                     return "answered"
@@ -164,10 +166,13 @@
             quarantine_s = context.quarantine_s(
                 self.serving.crashes, self.serving.clock()
             )
+            if action is FailureAction.RETRY and quarantine_s:
+                action = FailureAction.REFUSE
             if action is FailureAction.RETRY:
-                if not quarantine_s:
+                if attempts.all_silent():
                     return None
-                action = FailureAction.REFUSE
+                # The other attempt goes on, and may not be counted as a run yet.
+                continue
             may_pass_on = action is FailureAction.PASS_ON and not writer.started
             if attempts.is_empty() or may_pass_on:
                 await attempts.close()
