A whole answer is not written into a stream that has begun

A stream was broken although its upstream was only silent: the upstream of the second attempt answered with a 404, which cancelled the first attempt and was written, head included, between the chunks of the stream.

Cause: only statuses from 500 on counted as failures of an attempt. The same happened before, after a lost attempt; since a second attempt may start beside a silent one, it also ends streams that would have gone on.

Change: once a stream has begun, any whole answer is a failure of its attempt.

On real nodes, silent_upstreams with the row "answers with 404", before: "the stream was interrupted"; now that row passes.

--- a/features/open_attempts.feature
+++ b/features/open_attempts.feature
@@ -24,6 +24,8 @@
       | stream | event 1; wait 1.2; lost             | reserve 0.3; wait 0.9; event 2; end | wait 0.9; event 2; end | 1 2 end | 0 1 |
       | stream | wait 1.5; refuse                    | wait 0.5; refuse            | event 1; end | 1 end    | 0 1 2 |
       | stream | wait 1.6; refuse                    | wait 0.9; event 1; end      | event 1; end | 1 end    | 0 1   |
+      | stream | event 1; wait 1.2; event 2; end     | status 404                  | end   | 1 2 end         | 0 1   |
+      | stream | event 1; lost                       | status 404                  | end   | 1 aborted       | 0 1   |
       | call   | wait 0.8; status 200                | status 500                  | status 200 | 500        | 0 1   |
       | call   | wait 0.6; lost                      | wait 0.6; status 200        | status 200 | 200        | 0 1   |
       | call   | wait 0.6; fault                     | wait 0.6; status 200        | status 200 | fault      | 0 1   |
--- a/features/silent_upstreams.feature
+++ b/features/silent_upstreams.feature
@@ -10,6 +10,7 @@
       | when   | silence | other                |
       | within | 1.6     | declines             |
       | within | 1.6     | breaks off           |
+      | within | 1.6     | answers with 404     |
       | within | 1.6     | answers with 500     |
       | within | 1.6     | is silent            |
       | within | 1.6     | is gone              |
--- a/features/steps/silent_upstreams_steps.py
+++ b/features/steps/silent_upstreams_steps.py
@@ -14,6 +14,7 @@
     "streams": {},
     "declines": {"how": "shed"},
     "breaks off": {"how": "cut"},
+    "answers with 404": {"how": "not found"},
     "answers with 500": {"how": "error"},
     "is silent": {"how": "silent"},
 }
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -240,7 +240,8 @@
                 return Failure(lost)
             case Success(body):
                 pass
-        if answer.head.status >= MIN_FAILURE_STATUS:
+        # A stream that has begun can't be followed by a whole answer.
+        if answer.head.status >= MIN_FAILURE_STATUS or attempt.writer.started:
             context.failed_answer = (answer.head, body)
             return Failure(Failed(answer.head.status))
         attempt.claim_answer()
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -185,6 +185,8 @@
     headers = _response_headers(request, fault)
     if fault == "error":
         return web.Response(status=500, body=b"failed", headers=headers)
+    if fault == "not found":
+        return web.Response(status=404, body=b"no such answer", headers=headers)
     response = web.StreamResponse(headers=headers)
     response.content_type = "text/event-stream"
     await response.prepare(request)
