Engines that use reserved memory are probed by the node that reserved it

A prompt was cut off in the midst of its answer although its engine was sound.

Cause: one connection that failed, or took over 0.15 s, marks an upstream as unreachable until a probe reaches it. The nodes of a cell share these probes, as if all of them had found it unreachable; if one node alone did, it probes the upstream rarely. At two renewals 1 s apart the mark is taken for an engine that is gone, and the memory of the prompts that it answers is released.

Ruled out: events as proof of a live engine, since long prompts have none for seconds during their prefill.

Change: a node always probes unreachable upstreams that answer prompts for which it holds memory.

--- a/features/attempt_memory.feature
+++ b/features/attempt_memory.feature
@@ -12,3 +12,16 @@
       | 0.5  | 9   | released | 2.5 |
       | 2.2  | 9   | released | 4.5 |
       | 0.5  | 1.5 | reserved | 8   |
+
+  # Memory was released in the midst of an answer after one connection had failed: the
+  # nodes of a large cell rarely probe an upstream, and it counted as unreachable so long.
+  Scenario Outline: Memory is kept while connections to the engine fail now and then
+    Given memory is reserved on two engines for a prompt that a third one answers
+    When one connection in 2 s to the third one fails, at a node with <peers> peers
+    Then the memory is reserved at 20 s
+
+    Examples:
+      | peers |
+      | 0     |
+      | 28    |
+      | 86    |
--- a/features/steps/attempt_memory_steps.py
+++ b/features/steps/attempt_memory_steps.py
@@ -13,9 +13,14 @@
 from lagoonhinge_core.forwarding.retry_window import RetryBound
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_node.forwarding.attempt_memory import AttemptMemory
+from lagoonhinge_node.forwarding.reachability import (
+    PROBE_INTERVAL_S,
+    ReachabilityController,
+)
 from lagoonhinge_node.forwarding.serving_state import ServingState
 
 TOKENS = 1000
+FAILURE_INTERVAL_S = 2.0
 
 
 class FakeMemory:
@@ -61,6 +66,26 @@
     loop.call_later(to_s, health.record_connect, "e0")
 
 
+@when("one connection in 2 s to the third one fails, at a node with {peers:d} peers")
+def step_single_failures(context, peers):
+    loop, serving = context.loop, context.serving
+    serving.cell_peers = peers
+    reachability = ReachabilityController(serving)
+
+    async def fail():
+        while True:
+            serving.health.record_connect_failure("e0", 0.0)
+            await sleep(FAILURE_INTERVAL_S)
+
+    async def probe():
+        while True:
+            await sleep(PROBE_INTERVAL_S)
+            for instance in reachability.due_instances():
+                serving.health.record_connect(instance)
+
+    context.tasks = [loop.create_task(fail()), loop.create_task(probe())]
+
+
 @then("the memory is {state} at {at_s:g} s")
 def step_state(context, state, at_s):
     context.loop.run_until_complete(sleep(at_s))
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_memory.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_memory.py
@@ -5,6 +5,7 @@
 """
 
 from asyncio import Task, create_task, gather, sleep
+from collections import Counter
 from collections.abc import Iterable
 
 from returns.result import Failure, Success
@@ -63,12 +64,15 @@
         if not all(results):
             return False
         self.renewal = create_task(self._renew())
+        self.serving.memory_users[self.answering.instance] += 1
         return True
 
     def release(self) -> None:
         """Release all reservations in the background, with a few retries."""
         if self.renewal is not None:
             self.renewal.cancel()
+            self.renewal = None
+            self.serving.memory_users -= Counter((self.answering.instance,))
         for upstream, tokens in self.reserved:
             self.serving.load.add_reserved(upstream.instance, -tokens)
             self.serving.run_in_background(self._release_one(upstream))
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
@@ -51,7 +51,11 @@
         }
 
     def _unreachable_in_turn(self) -> list[str]:
-        """Return the unreachable upstreams that are this node's turn to probe."""
+        """Return the unreachable upstreams that are this node's turn to probe.
+
+        Those that answer prompts with reserved memory always are, since the memory is
+        released if they stay unreachable.
+        """
         random = self.serving.random
         turn_share = 1 / update_interval_factor(self.serving.cell_peers)
         listed = self.serving.directory.by_instance
@@ -60,8 +64,10 @@
             instance
             for instance in self.serving.health.unreachable()
             if instance in listed
-            and listed[instance].zone not in zones
-            and random.random() < turn_share
+            and (
+                instance in self.serving.memory_users
+                or (listed[instance].zone not in zones and random.random() < turn_share)
+            )
         ]
 
     def _in_partitioned_zones(self) -> list[str]:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -72,6 +72,8 @@
         self.partitions = PartitionTracker()
         # Upstreams that a probe reached again, to be told to the cell.
         self.unsent_reachable: list[str] = []
+        # Upstreams that answer prompts for which this node holds memory, and how many.
+        self.memory_users: Counter[str] = Counter()
         self.crashes = CrashTracker()
         self.retry_windows: dict[str, RetryWindow] = {}
         self.node_count = 1
