A stop answers requests whose body is still arriving

What callers see: a request whose body arrived across the moment at which a stopping node closed its listener (3 s after SIGTERM) got no answer. The node received every byte of it, kept the connection open to the end of the stop, and closed it: 1.8 to 3.3 s after the last byte in the scenario.

Cause: BaseRunner.cleanup of aiohttp first calls close() on all connections, and from then on RequestHandler.data_received drops what arrives, also the rest of a body that a handler waits for. The handler waits until the stop is out of time.

Ruled out: requests whose bodies had arrived before, with a length or in chunks (row 5 passes on the old code); the answer of the upstream.

Change: stop_gracefully stops listening, then closes each connection when it waits for a request and no byte of one is unread, and leaves the others open until their answers. Both listeners use it, as the other one had the same fault.

Evidence: "A request whose body arrives while the node stops is answered" in caller_connections.feature: 4 of 5 rows failed before ("answer is not None"), 5 of 5 pass. "A stop waits for the rest of a request's body" in stopping.feature: rows 1 and 2 failed before ((False, False)), 15 of 15 scenarios pass.

--- /dev/null
+++ b/features/caller_connections.feature
@@ -0,0 +1,17 @@
+Feature: Each request that a node has read is answered on its caller's connection
+
+  # The rest of a body that arrived after the node stopped listening was dropped, and the
+  # connection ended without an answer.
+  Scenario Outline: A request whose body arrives while the node stops is answered
+    Given a node on the platform with two workers for each service
+    When the node is stopped, and a client sends <target> with a body <framing> from <start> s to <end> s later
+    Then it gets the worker's own answer within 1 s, and the connection is closed
+    And the node exits with status 0
+
+    Examples:
+      | target       | framing      | start | end |
+      | /order/1     | with length  | 2     | 4   |
+      | /order/1     | in chunks    | 2     | 4   |
+      | /read/1      | with length  | 1.5   | 4   |
+      | /stream/1    | in chunks    | 2.5   | 3.5 |
+      | /order/1     | with length  | 0.5   | 2   |
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -43,6 +43,7 @@
 CALL_INTERVAL_S = 0.05
 CALLERS = 3
 NON_LOCAL_HOST = "192.0.2.1"
+BODY_PART = b"Batch dossier of core 76-12."
 
 
 @given(
@@ -209,33 +210,51 @@
 
 @given("a listener with a request that runs for {seconds:g} s")
 def step_listener(context, seconds):
-    context.seconds = seconds
+    context.seconds, context.request = seconds, {}
+
+
+@given("a listener with a request whose body arrives {framing} during {seconds:g} s")
+def step_listener_upload(context, framing, seconds):
+    is_sized = framing == "with length"
+    headers = {"Content-Length": str(2 * len(BODY_PART))} if is_sized else {}
+    context.seconds = 0.0
+    context.request = {"data": _slow_body(seconds), "headers": headers}
 
 
 @when("it is stopped with a limit of {limit:g} s")
 def step_listener_stop(context, limit):
-    context.outcome = run(_stop_listener(context.seconds, limit))
+    context.outcome = run(_stop_listener(context.seconds, limit, context.request))
+
+
+async def _slow_body(seconds: float):
+    yield BODY_PART
+    await sleep(seconds)
+    yield BODY_PART
 
 
-async def _stop_listener(seconds: float, limit_s: float) -> tuple[bool, bool]:
+async def _stop_listener(
+    seconds: float, limit_s: float, request: dict
+) -> tuple[bool, bool]:
     started = Event()
 
-    async def handle(_: web.Request) -> web.Response:
+    async def handle(http_request: web.Request) -> web.Response:
         started.set()
+        body = await http_request.read()
         await sleep(seconds)
-        return web.Response(text="whole")
+        return web.Response(body=body or b"whole")
 
     app = web.Application()
-    app.add_routes([web.get("/", handle)])
+    app.add_routes([web.post("/", handle)])
     address = Address("127.0.0.1", PORTS.allocate())
     listener = Listener(app, bind(address).unwrap())
     await listener.start()
     async with ClientSession() as session:
 
         async def call() -> bool:
+            expected = 2 * BODY_PART if request else b"whole"
             try:
-                async with session.get(f"http://{address}/") as answer:
-                    return await answer.text() == "whole"
+                async with session.post(f"http://{address}/", **request) as answer:
+                    return await answer.read() == expected
             except (ClientError, CancelledError):
                 return False
 
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -28,6 +28,18 @@
       | 30    | finished    |
       | 0.05  | interrupted |
 
+  # The rest of the body was dropped, and the connection ended without an answer.
+  Scenario Outline: A stop waits for the rest of a request's body
+    Given a listener with a request whose body arrives <framing> during 0.5 s
+    When it is stopped with a limit of <limit> s
+    Then the request is <end>
+
+    Examples:
+      | framing     | limit | end         |
+      | with length | 5     | finished    |
+      | in chunks   | 5     | finished    |
+      | in chunks   | 0.05  | interrupted |
+
   Scenario Outline: The limit of a stop covers the longest request
     When the longest time_bound of a configuration is <bound> s
     Then a stop waits at least <bound> s, and no library limit is shorter
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/server_listener.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/server_listener.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from lagoonhinge_node.addresses import Address
+from lagoonhinge_node.graceful_stop import stop_gracefully
 from lagoonhinge_node.listener import BACKLOG, MAX_STOP_S
 
 
@@ -38,7 +39,7 @@
             Whether every request was finished.
         """
         try:
-            await wait_for(self.runner.cleanup(), limit_s)
+            await wait_for(stop_gracefully(self.runner), limit_s)
         except TimeoutError:
             for connection in self.server.connections:
                 connection.force_close()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/listener.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/listener.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_node.addresses import Address
+from lagoonhinge_node.graceful_stop import stop_gracefully
 
 BACKLOG = 1024
 
@@ -97,7 +98,7 @@
             return True
         runner, self.runner = self.runner, None
         try:
-            await wait_for(runner.cleanup(), limit_s)
+            await wait_for(stop_gracefully(runner), limit_s)
         except TimeoutError:
             return False
         return True
