A slow caller is not taken for a silent upstream

What callers see: on an idempotent route, a caller that reads a large answer slowly got a second answer, of another upstream, after the first one on its connection. On a resumable stream, its connection ended amid the stream.

Cause: the timeout for a silent upstream also ran while the node wrote to the caller, and cancelled the write. The request was then sent to another upstream. In a stream, the next write found aiohttp's cancelled drain future, so the handler ended as cancelled and the connection was closed.

Change: the timeout is stopped before each write to the caller, and starts anew after events.

Evidence: "A caller that reads a large answer slowly gets it once" in caller_connections.feature: rows 2 and 4 failed before (a byte of a second answer; no whole stream), 10 of 10 scenarios pass; platform_node.feature passes (68 of 68).

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -15,3 +15,19 @@
       | /read/1      | with length  | 1.5   | 4   |
       | /stream/1    | in chunks    | 2.5   | 3.5 |
       | /order/1     | with length  | 0.5   | 2   |
+
+  # While the answer waited for the caller, the upstream was taken for silent: the request
+  # went to another one, whose answer followed the first on the same connection.
+  Scenario Outline: A caller that reads a large answer slowly gets it once
+    Given a node on the platform with two workers for each service
+    When its workers give large answers, and a client sends <target> and reads after <pause> s
+    Then it gets <answer> of the worker and nothing else
+    And one worker ran the request
+
+    Examples:
+      | target         | pause | answer           |
+      | /read/1        | 0.1   | the whole answer |
+      | /read/1        | 1.2   | the whole answer |
+      | /order/1       | 1.2   | the whole answer |
+      | /stream/1      | 1.8   | the whole stream |
+      | /stream/once/1 | 1.8   | the whole stream |
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -1,5 +1,6 @@
 """Steps about the connections of callers to nodes on the platform."""
 
+from contextlib import suppress
 from signal import SIGTERM
 from time import monotonic, sleep
 
@@ -8,10 +9,13 @@
 from features.steps.platform_node_steps import WHOLE_STREAM
 from features.support.fleet import STOP_TIMEOUT_S
 from features.support.raw_callers import RawCaller
+from stand_ins.platform_worker import EVENT_COUNT, LARGE_BODY, LARGE_EVENT_DATA
 
 PIECES = 10
 PIECE = b"x" * 200
 LIMIT_MS = 8000  # longer than the whole stop
+RECEIVE_BYTES = 1 << 18
+QUIET_S = 0.5  # time in which a second answer would arrive
 
 
 @when(
@@ -51,3 +55,38 @@
 @then("the node exits with status 0")
 def step_exits(context):
     assert context.node.popen.wait(STOP_TIMEOUT_S) == 0
+
+
+@when(
+    "its workers give large answers, and a client sends {target} and reads"
+    " after {pause:g} s"
+)
+def step_slow_reader(context, target, pause):
+    for worker in context.fleet.workers.values():
+        worker.put_faults(how="large")
+    context.caller = RawCaller(context.node, RECEIVE_BYTES)
+    context.caller.send_head("GET", target, LIMIT_MS)
+    sleep(pause)
+    context.answer = context.caller.read_answer()
+
+
+@then("it gets {answer} of the worker and nothing else")
+def step_large_answer(context, answer):
+    expected = LARGE_BODY
+    if answer == "the whole stream":
+        events = range(1, EVENT_COUNT + 1)
+        expected = b"".join(
+            b"id: %d\ndata: %s\n\n" % (n, LARGE_EVENT_DATA) for n in events
+        )
+    got, log = context.answer, context.node.log.read_text()
+    assert got is not None and got.status == 200, log
+    assert got.body == expected, (len(got.body), len(expected), log)
+    context.caller.socket.settimeout(QUIET_S)
+    with suppress(TimeoutError):
+        rest = context.caller.socket.recv(1)
+        raise AssertionError((rest, log))
+
+
+@then("one worker ran the request")
+def step_one_run(context):
+    assert len(context.fleet.runs()) == 1, context.node.log.read_text()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -256,6 +256,8 @@
             return Failure(Failed(answer.head.status))
         self._record_success(attempt)
         self._record_first_event(attempt, "Answered.")
+        # A slow caller is no reason to fail over.
+        attempt.silence_timeout.stop()
         await attempt.writer.reply(answer.head, body)
         return Success(None)
 
@@ -282,6 +284,8 @@
             else:
                 attempt.longest_gap_s = max(attempt.longest_gap_s, now_s - last_event_s)
             last_event_s = now_s
+            # A slow caller is no reason to fail over.
+            attempt.silence_timeout.stop()
             if not writer.started:
                 await writer.start(answer.head)
             for event in events:
@@ -291,6 +295,7 @@
             attempt.silence_timeout.restart(event_gap_timeout_s(kind))
         if splitter.buffer:
             return Failure(Lost("the stream ended within an event"))
+        attempt.silence_timeout.stop()
         self._record_success(attempt)
         self._record_stream_end(attempt)
         if not writer.started:
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -32,6 +32,9 @@
 EVENT_GAP_S = 0.02
 HANG_DURATION_S = 3600.0
 CRASH_EXIT_STATUS = 70
+# More than the kernel buffers of a connection hold.
+LARGE_BODY = b"Batch dossier. " * 500_000
+LARGE_EVENT_DATA = b"Batch dossier. " * 100_000
 
 
 class WorkerFaults(Struct, frozen=True):
@@ -149,6 +152,8 @@
     await sleep(state.faults.pause_s)
     body = f"answer of {request.raw_path}".encode()
     headers = _response_headers(request, fault)
+    if fault == "large":
+        return web.Response(body=LARGE_BODY, headers=headers)
     if fault == "error":
         return web.Response(status=500, body=b"failed", headers=headers)
     if fault == "refusal":
@@ -187,6 +192,8 @@
     for number in range(first_number, EVENT_COUNT + 1):
         await sleep(state.faults.pause_s)
         event = f"id: {number}\ndata: token {number}\n\n".encode()
+        if fault == "large":
+            event = b"id: %d\ndata: %s\n\n" % (number, LARGE_EVENT_DATA)
         if fault == "break" and number == 3:
             await response.write(event[: len(event) // 2])
             cut_connection(request)
