Encoded bodies reach upstreams as they came

What callers see: a body with Content-Encoding gzip or deflate was decompressed before it was forwarded, under its old headers; one that could not be decompressed got 500, and one of encoding br got 400.

Cause: the server of aiohttp decompresses bodies of requests by default.

Change: auto_decompress=False, as in the client sessions. The stand-ins record bodies as they came, too.

Evidence: the three new rows of "A forwarded request reaches the worker as it came" in platform_node.feature failed before (another body; 500; 400); the scenario's 9 rows pass.

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -29,6 +29,9 @@
       | POST   | /order//1          | a body          |
       | POST   | /order/../order/2  | a body          |
       | POST   | /stream/1          | a body          |
+      | POST   | /order/1           | a gzip body     |
+      | POST   | /read/1            | a body said to be gzip |
+      | POST   | /order/1           | a body of encoding br |
 
   Scenario Outline: A worker's fault never causes a wrong answer to the client
     Given a node on the platform with two workers for each service
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -1,5 +1,6 @@
 """Steps for the node on the platform, run as real processes."""
 
+from gzip import compress
 from signal import SIGCONT, SIGHUP, SIGSTOP
 from threading import Thread
 from time import monotonic, sleep
@@ -46,8 +47,17 @@
     "headers over the limit": {"X-Long": "x" * 5000},
     "a body over the limit": {},
     "a body": {},
+    "a gzip body": {"Content-Encoding": "gzip"},
+    "a body said to be gzip": {"Content-Encoding": "gzip"},
+    "a body of encoding br": {"Content-Encoding": "br"},
+}
+BODIES = {
+    "a body over the limit": b"x" * 70_000,
+    "a body": BODY,
+    "a gzip body": compress(BODY),
+    "a body said to be gzip": BODY,
+    "a body of encoding br": BODY,
 }
-BODIES = {"a body over the limit": b"x" * 70_000, "a body": BODY}
 
 
 def _start(
@@ -154,7 +164,7 @@
 @then("the worker got method, target and body unchanged, the account and no key")
 def step_unchanged(context):
     (run,) = context.fleet.runs()
-    got = (run["method"], run["target"], run["body"].encode())
+    got = (run["method"], run["target"], run["body"].encode("latin-1"))
     assert got == context.sent, (got, context.sent)
     assert run["account"] == ACCOUNT and run["key"] is None, run
     added = {"User-Agent", "Accept", "Accept-Encoding"} & set(run["names"])
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
@@ -161,6 +161,7 @@
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+            auto_decompress=False,
             max_line_size=max_line_bytes,
             max_field_size=max_line_bytes,
             max_headers=MAX_HEADERS,
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -106,7 +106,7 @@
             "id": headers.get(ATTEMPT_ID),
             "method": request.method,
             "target": request.raw_path,
-            "body": body.decode(),
+            "body": body.decode("latin-1"),
             "account": headers.get(TENANT),
             "key": headers.get(AUTHORIZATION),
             "limit_ms": headers.get(DEADLINE_MS),
--- a/stand_ins/serving.py
+++ b/stand_ins/serving.py
@@ -17,7 +17,11 @@
     stopped = Event()
     get_running_loop().add_signal_handler(SIGTERM, stopped.set)
     runner = web.AppRunner(
-        app, handler_cancellation=True, shutdown_timeout=0.1, access_log=None
+        app,
+        handler_cancellation=True,
+        shutdown_timeout=0.1,
+        access_log=None,
+        auto_decompress=False,
     )
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", port).start()
