Malformed bytes amid an answer end the attempt at once

What callers see: when an upstream sent bytes that are no chunk amid its answer and kept its connection open, the node noticed nothing. A call that may not run again got 504 at its deadline, a stream that may not resume was cut there, and the others waited for the timeout for a silent upstream.

Cause: the client of aiohttp closes the connection and reports the error to the reader of heads, but not to the reader of the body.

Ruled out: malformed bytes in the same segment as the head (502 at once in a trial), resets and early ends (noticed before).

Change: the handler of upstream connections also passes the error on to the body.

Evidence: "A garbled answer ends the attempt at once" in platform_node.feature: 4 of 4 rows failed before (0.43 s; 504; 1.12 s; 2.50 s), 4 of 4 pass; "A worker's fault never causes a wrong answer to the client" passes (21 rows).

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -62,6 +62,20 @@
       | break          | POST   | /stream/once/1 | no whole answer | 1 |
       | stall          | POST   | /stream/1 | a whole stream   | 2    |
 
+  # The fault was noticed only at the deadline, or at the timeout for a silent worker.
+  Scenario Outline: A garbled answer ends the attempt at once
+    Given a node on the platform with two workers for each service
+    When the next request meets the fault garbled, and a client sends <method> <target>
+    Then it gets <answer> after <runs> runs
+    And the client waited at most 0.3 s for it
+
+    Examples:
+      | method | target         | answer          | runs |
+      | GET    | /read/1        | a whole answer  | 2    |
+      | POST   | /order/1       | status 502      | 1    |
+      | POST   | /stream/1      | a whole stream  | 2    |
+      | POST   | /stream/once/1 | no whole answer | 1    |
+
   Scenario: The worker's work ends when the client disconnects
     Given a node on the platform with two workers for each service
     When a client disconnects while its call is silent at the worker
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -181,7 +181,9 @@
         worker = services[tried % 2]
         fleet.workers[worker].put_faults(how=fault, count=1)
         runs_before = len(fleet.runs(services))
+        sent_s = monotonic()
         context.answer = send(context.node, *context.sent)
+        context.waited_s = monotonic() - sent_s
         had_fault = fleet.worker_record(worker)["faults_left"] == 0
         fleet.workers[worker].put_faults()
         if had_fault:
@@ -207,6 +209,11 @@
     assert context.run_count == runs, context.run_count
 
 
+@then("the client waited at most {limit:g} s for it")
+def step_waited(context, limit):
+    assert context.waited_s <= limit, context.waited_s
+
+
 @when("a client disconnects while its call is silent at the worker")
 def step_disconnect(context):
     for instance in ("d1", "d2"):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -21,6 +21,7 @@
     ConnectionTimeoutError,
 )
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import _EXC_SENTINEL
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 from yarl import URL
@@ -52,8 +53,16 @@
 )
 
 
-class _ResetAwareHandler(ResponseHandler):
-    """Reports a reset as an error, as opposed to an end of the connection."""
+class _FaultAwareHandler(ResponseHandler):
+    """Reports resets and malformed bytes amid a body as errors, and at once."""
+
+    def set_exception(
+        self, exc: BaseException, exc_cause: BaseException = _EXC_SENTINEL
+    ) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof() and not payload.exception():
+            payload.set_exception(ClientPayloadError(f"malformed body: {exc}"))
+        super().set_exception(exc, exc_cause)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
@@ -67,7 +76,7 @@
     session = open_session(reuse=False)
     connector = session.connector
     assert connector is not None
-    factory: Any = partial(_ResetAwareHandler, loop=get_running_loop())
+    factory: Any = partial(_FaultAwareHandler, loop=get_running_loop())
     connector._factory = factory
     return session
 
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -32,6 +32,8 @@
 EVENT_GAP_S = 0.02
 HANG_DURATION_S = 3600.0
 CRASH_EXIT_STATUS = 70
+BAD_CHUNK = b"not a size\r\n"
+GARBLE_DELAY_S = 0.05  # so that it arrives after the head
 # More than the kernel buffers of a connection hold.
 LARGE_BODY = b"Batch dossier. " * 500_000
 LARGE_EVENT_DATA = b"Batch dossier. " * 100_000
@@ -158,11 +160,27 @@
         return web.Response(status=500, body=b"failed", headers=headers)
     if fault == "refusal":
         return web.Response(status=503, body=b"ran, though", headers=headers)
+    if fault == "garbled":
+        return await _write_garbled(request, headers, body)
     if fault in ("unframed", "truncated", "unframed reset", "extra"):
         return await _write_raw(request, headers, body, fault)
     return web.Response(body=body, headers=headers)
 
 
+async def _write_garbled(
+    request: web.Request, headers: dict[str, str], body: bytes
+) -> web.StreamResponse:
+    response = web.StreamResponse(headers=headers)
+    response.enable_chunked_encoding()
+    await response.prepare(request)
+    await response.write(body)
+    await sleep(GARBLE_DELAY_S)
+    assert request.transport is not None
+    request.transport.write(BAD_CHUNK)
+    await sleep(HANG_DURATION_S)
+    return response
+
+
 async def _write_raw(
     request: web.Request, headers: dict[str, str], body: bytes, fault: str
 ) -> web.StreamResponse:
@@ -198,6 +216,10 @@
             await response.write(event[: len(event) // 2])
             cut_connection(request)
             raise ConnectionResetError
+        if fault == "garbled" and number == 3:
+            assert request.transport is not None
+            request.transport.write(BAD_CHUNK)
+            await sleep(HANG_DURATION_S)
         if fault == "stall" and number == 3:
             await sleep(HANG_DURATION_S)
         await response.write(event)
