Requests that outlast a stop get an answer

What callers see: the connections of requests that were still running at the end of a stop, 1.2 s before the process is killed, were closed without an answer, also where no byte of one had been sent.

Cause: the listener's stop closes the remaining connections when it is out of time.

Change: 0.1 s before that, all running requests end as at their deadlines: 504 if an upstream may have run them, else 503. Streams that have begun are cut, as before.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -31,3 +31,16 @@
       | /order/1       | 1.2   | the whole answer |
       | /stream/1      | 1.8   | the whole stream |
       | /stream/once/1 | 1.8   | the whole stream |
+
+  # Its connection was closed without an answer.
+  Scenario Outline: A request that outlasts the stop of its node gets an answer
+    Given a node on the platform with two workers for each service
+    When the node is stopped while a client's <target> takes longer than the stop
+    Then the client gets status 504 before the node is killed, and the connection is closed
+    And the node exits with status 0
+
+    Examples:
+      | target    |
+      | /read/1   |
+      | /order/1  |
+      | /stream/1 |
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -8,12 +8,15 @@
 
 from features.steps.platform_node_steps import WHOLE_STREAM
 from features.support.fleet import STOP_TIMEOUT_S
+from features.support.platform_fleet import BOUNDS, config
 from features.support.raw_callers import RawCaller
+from features.support.waiting import eventually
 from stand_ins.platform_worker import EVENT_COUNT, LARGE_BODY, LARGE_EVENT_DATA
 
+LONG_S = 20.0  # longer than the whole stop
 PIECES = 10
 PIECE = b"x" * 200
-LIMIT_MS = 8000  # longer than the whole stop
+LIMIT_MS = 8000
 RECEIVE_BYTES = 1 << 18
 QUIET_S = 0.5  # time in which a second answer would arrive
 
@@ -90,3 +93,41 @@
 @then("one worker ran the request")
 def step_one_run(context):
     assert len(context.fleet.runs()) == 1, context.node.log.read_text()
+
+
+@when("the node is stopped while a client's {target} takes longer than the stop")
+def step_outlast_stop(context, target):
+    fleet = context.fleet
+    routes = config()["routes"]
+    limits = {"timeoutMs": LONG_S * 1000, "targetLatencyMs": LONG_S * 1000}
+    fleet.put_config(version=2, routes=[{**route, **limits} for route in routes])
+    for worker in fleet.workers.values():
+        worker.put_faults(pause_s=LONG_S)
+
+    def in_force() -> None:
+        log = context.node.log.read_text()
+        assert '"A configuration is in force.","version":2' in log, log
+
+    eventually(in_force)
+    context.caller = RawCaller(context.node)
+    context.caller.send_head("GET", target, int(LONG_S * 1000))
+
+    def running() -> None:
+        assert fleet.runs()
+
+    eventually(running)
+    context.stopped_s = monotonic()
+    context.node.popen.send_signal(SIGTERM)
+
+
+@then(
+    "the client gets status {status:d} before the node is killed,"
+    " and the connection is closed"
+)
+def step_status_before_kill(context, status):
+    answer = context.caller.read_answer()
+    took_s = monotonic() - context.stopped_s
+    assert answer is not None, (took_s, context.node.log.read_text())
+    assert answer.status == status, answer
+    assert took_s < BOUNDS["graceS"], took_s
+    assert context.caller.read_rest() == b""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
@@ -1,6 +1,6 @@
 """Root service of a forwarding node: its components, start and graceful stop."""
 
-from asyncio import sleep
+from asyncio import get_running_loop, sleep
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -54,6 +54,7 @@
 # checks one second apart, and one second for their answers.
 LOAD_BALANCER_DELAY_S = 3.0
 STOP_MARGIN_S = 1.2  # for the exit of the process before it is killed
+END_MARGIN_S = 0.1  # for the answers to requests that are ended before that
 
 
 def boot_time_s() -> float:
@@ -178,7 +179,7 @@
         )
         engine_memory = self.adapters.open_memory(session)
         request_log = RequestLog(self.serving)
-        runner = RequestRunner(
+        self.runner = RequestRunner(
             self.serving,
             UpstreamChooser(self.serving),
             AttemptSender(
@@ -188,7 +189,7 @@
             request_log,
         )
         interface = CallerInterface(
-            self.serving, self.adapters.codec, runner, self.metrics
+            self.serving, self.adapters.codec, self.runner, self.metrics
         )
         self.caller_listener = ServerListener(interface.server(), self.settings.callers)
         await self.caller_listener.start()
@@ -220,7 +221,12 @@
                 min(LOAD_BALANCER_DELAY_S, self.settings_controller.current.grace_s / 2)
             )
             # Idle connections are closed now, the others after their answers.
-            await self.caller_listener.stop(max(0.0, deadline_s - self.serving.clock()))
+            limit_s = max(0.0, deadline_s - self.serving.clock())
+            end = get_running_loop().call_later(
+                max(0.0, limit_s - END_MARGIN_S), self.runner.end_all
+            )
+            await self.caller_listener.stop(limit_s)
+            end.cancel()
         self.log_part.info("Stopped.", open=self.serving.open_requests)
 
     async def on_shutdown(self) -> None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -1,6 +1,6 @@
 """Runs a request: chooses upstreams, makes attempts and retries failed ones."""
 
-from asyncio import sleep, timeout
+from asyncio import Timeout, get_running_loop, sleep, timeout
 from functools import partial
 from http import HTTPStatus
 from math import inf
@@ -66,19 +66,30 @@
         self.sender = sender
         self.metrics = metrics
         self.log = log
+        self.deadlines: set[Timeout] = set()
+
+    def end_all(self) -> None:
+        """End all requests as if their deadlines had passed."""
+        now_s = get_running_loop().time()
+        for deadline in self.deadlines:
+            if not deadline.expired():
+                deadline.reschedule(now_s)
 
     async def run(self, context: RequestContext, writer: ResponseWriter) -> None:
         """Serve a request until it is answered, fails or reaches its deadline."""
         self.serving.retry_window(context.service).count_request(self.serving.clock())
         context.last_event_id = context.request.last_event_id
         end = "caller_left"
+        deadline = timeout(max(0.0, self.log.remaining_s(context)))
+        self.deadlines.add(deadline)
         try:
-            async with timeout(max(0.0, self.log.remaining_s(context))):
+            async with deadline:
                 end = await self._attempt_until_done(context, writer)
         except TimeoutError:
             end = "timeout"
             await self._time_out(context, writer)
         finally:
+            self.deadlines.discard(deadline)
             labels = (
                 kind_label(context.route.kind),
                 length_label(context.request),
