A stop answers on connections that it finds just made

What callers see: a caller that connected as a stopping node closed its listener, and sent a request, was reset; or its connection stayed open and silent until the process ended, 1.1 s later (up to 4.8 s before bodies were read to their end).

Cause: asyncio accepts a connection in one pass of the event loop and sets it up in the next. When the server is closed between them, the set-up fails without a trace, and the socket stays open. Connections that wait in the kernel are reset.

--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -3,7 +3,7 @@
 from asyncio import CancelledError, Event, create_task, run, sleep
 from http.client import HTTPConnection
 from signal import SIGTERM
-from socket import create_server
+from socket import create_connection, create_server, socket
 from threading import Event as ThreadEvent
 from threading import Thread
 from time import monotonic
@@ -43,6 +43,7 @@
 CALL_INTERVAL_S = 0.05
 CALLERS = 3
 NON_LOCAL_HOST = "192.0.2.1"
+ANSWER_TIMEOUT_S = 2.0
 BODY_PART = b"Batch dossier of core 76-12."
 
 
@@ -266,6 +267,50 @@
         return finished, await caller
 
 
+@when(
+    "{count:d} callers connect and send it, and it is stopped {passes:d} passes"
+    " of the event loop later"
+)
+def step_stop_after_connect(context, count, passes):
+    context.answers = run(_stop_after_connect(context.seconds, count, passes))
+
+
+async def _stop_after_connect(seconds: float, count: int, passes: int) -> list[bytes]:
+    async def handle(_: web.Request) -> web.Response:
+        await sleep(seconds)
+        return web.Response(body=b"whole")
+
+    app = web.Application()
+    app.add_routes([web.post("/", handle)])
+    address = Address("127.0.0.1", PORTS.allocate())
+    listener = Listener(app, bind(address).unwrap())
+    await listener.start()
+    # The event loop gets no pass while they connect.
+    callers = [create_connection((address.host, address.port)) for _ in range(count)]
+    for caller in callers:
+        caller.sendall(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+        caller.settimeout(ANSWER_TIMEOUT_S)
+    for _ in range(passes):
+        await sleep(0)
+    assert await listener.stop(ANSWER_TIMEOUT_S)
+    answers = [_receive(caller) for caller in callers]
+    for caller in callers:
+        caller.close()
+    return answers
+
+
+def _receive(caller: socket) -> bytes:
+    try:
+        return caller.recv(65_536)
+    except OSError as error:
+        return repr(error).encode()
+
+
+@then("each of them is answered")
+def step_each_answered(context):
+    assert all(b"200 OK" in answer for answer in context.answers), context.answers
+
+
 @then("the request is {end}")
 def step_request_end(context, end):
     whole = end == "finished"
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -40,6 +40,21 @@
       | in chunks   | 5     | finished    |
       | in chunks   | 0.05  | interrupted |
 
+  # Connections that were accepted in the same pass of the event loop stayed open without
+  # an answer until the process ended.
+  Scenario Outline: A stop answers on connections that it finds just made
+    Given a listener with a request that runs for 0.05 s
+    When <count> callers connect and send it, and it is stopped <passes> passes of the event loop later
+    Then each of them is answered
+
+    Examples:
+      | count | passes |
+      | 3     | 0      |
+      | 3     | 1      |
+      | 3     | 2      |
+      | 3     | 3      |
+      | 3     | 4      |
+
   Scenario Outline: The limit of a stop covers the longest request
     When the longest time_bound of a configuration is <bound> s
     Then a stop waits at least <bound> s, and no library limit is shorter
