--- /dev/null
+++ b/features/caller_connections.feature
@@ -0,0 +1,46 @@
+Feature: Each request that a node has read is answered on its caller's connection
+
+  # The rest of a body that arrived after the node stopped listening was dropped, and the
+  # connection ended without an answer.
+  Scenario Outline: A request whose body arrives while the node stops is answered
+    Given a node on the platform with two workers for each service
+    When the node is stopped, and a client sends <target> with a body <framing> from <start> s to <end> s later
+    Then it gets the worker's own answer within 1 s, and the connection is closed
+    And the node exits with status 0
+
+    Examples:
+      | target       | framing      | start | end |
+      | /order/1     | with length  | 2     | 4   |
+      | /order/1     | in chunks    | 2     | 4   |
+      | /read/1      | with length  | 1.5   | 4   |
+      | /stream/1    | in chunks    | 2.5   | 3.5 |
+      | /order/1     | with length  | 0.5   | 2   |
+
+  # While the answer waited for the caller, the upstream was taken for silent: the request
+  # went to another one, whose answer followed the first on the same connection.
+  Scenario Outline: A caller that reads a large answer slowly gets it once
+    Given a node on the platform with two workers for each service
+    When its workers give large answers, and a client sends <target> and reads after <pause> s
+    Then it gets <answer> of the worker and nothing else
+    And one worker ran the request
+
+    Examples:
+      | target         | pause | answer           |
+      | /read/1        | 0.1   | the whole answer |
+      | /read/1        | 1.2   | the whole answer |
+      | /order/1       | 1.2   | the whole answer |
+      | /stream/1      | 1.8   | the whole stream |
+      | /stream/once/1 | 1.8   | the whole stream |
+
+  # Its connection was closed without an answer.
+  Scenario Outline: A request that outlasts the stop of its node gets an answer
+    Given a node on the platform with two workers for each service
+    When the node is stopped while a client's <target> takes longer than the stop
+    Then the client gets status 504 before the node is killed, and the connection is closed
+    And the node exits with status 0
+
+    Examples:
+      | target    |
+      | /read/1   |
+      | /order/1  |
+      | /stream/1 |
--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -29,6 +29,9 @@
       | POST   | /order//1          | a body          |
       | POST   | /order/../order/2  | a body          |
       | POST   | /stream/1          | a body          |
+      | POST   | /order/1           | a gzip body     |
+      | POST   | /read/1            | a body said to be gzip |
+      | POST   | /order/1           | a body of encoding br |
 
   Scenario Outline: A worker's fault never causes a wrong answer to the client
     Given a node on the platform with two workers for each service
@@ -59,6 +62,20 @@
       | break          | POST   | /stream/once/1 | no whole answer | 1 |
       | stall          | POST   | /stream/1 | a whole stream   | 2    |
 
+  # The fault was noticed only at the deadline, or at the timeout for a silent worker.
+  Scenario Outline: A garbled answer ends the attempt at once
+    Given a node on the platform with two workers for each service
+    When the next request meets the fault garbled, and a client sends <method> <target>
+    Then it gets <answer> after <runs> runs
+    And the client waited at most 0.3 s for it
+
+    Examples:
+      | method | target         | answer          | runs |
+      | GET    | /read/1        | a whole answer  | 2    |
+      | POST   | /order/1       | status 502      | 1    |
+      | POST   | /stream/1      | a whole stream  | 2    |
+      | POST   | /stream/once/1 | no whole answer | 1    |
+
   Scenario: The worker's work ends when the client disconnects
     Given a node on the platform with two workers for each service
     When a client disconnects while its call is silent at the worker
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -1,5 +1,6 @@
 """Steps for the node on the platform, run as real processes."""
 
+from gzip import compress
 from signal import SIGCONT, SIGHUP, SIGSTOP
 from threading import Thread
 from time import monotonic, sleep
@@ -46,8 +47,17 @@
     "headers over the limit": {"X-Long": "x" * 5000},
     "a body over the limit": {},
     "a body": {},
+    "a gzip body": {"Content-Encoding": "gzip"},
+    "a body said to be gzip": {"Content-Encoding": "gzip"},
+    "a body of encoding br": {"Content-Encoding": "br"},
+}
+BODIES = {
+    "a body over the limit": b"x" * 70_000,
+    "a body": BODY,
+    "a gzip body": compress(BODY),
+    "a body said to be gzip": BODY,
+    "a body of encoding br": BODY,
 }
-BODIES = {"a body over the limit": b"x" * 70_000, "a body": BODY}
 
 
 def _start(
@@ -154,7 +164,7 @@
 @then("the worker got method, target and body unchanged, the account and no key")
 def step_unchanged(context):
     (run,) = context.fleet.runs()
-    got = (run["method"], run["target"], run["body"].encode())
+    got = (run["method"], run["target"], run["body"].encode("latin-1"))
     assert got == context.sent, (got, context.sent)
     assert run["account"] == ACCOUNT and run["key"] is None, run
     added = {"User-Agent", "Accept", "Accept-Encoding"} & set(run["names"])
@@ -171,7 +181,9 @@
         worker = services[tried % 2]
         fleet.workers[worker].put_faults(how=fault, count=1)
         runs_before = len(fleet.runs(services))
+        sent_s = monotonic()
         context.answer = send(context.node, *context.sent)
+        context.waited_s = monotonic() - sent_s
         had_fault = fleet.worker_record(worker)["faults_left"] == 0
         fleet.workers[worker].put_faults()
         if had_fault:
@@ -197,6 +209,11 @@
     assert context.run_count == runs, context.run_count
 
 
+@then("the client waited at most {limit:g} s for it")
+def step_waited(context, limit):
+    assert context.waited_s <= limit, context.waited_s
+
+
 @when("a client disconnects while its call is silent at the worker")
 def step_disconnect(context):
     for instance in ("d1", "d2"):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -63,6 +63,14 @@
     claim_answer: Callable[[], None]
     longest_gap_s: float = 0.0
 
+    def begin_write(self) -> None:
+        """Prepare to write a part of the answer, for which only this attempt remains.
+
+        A caller that reads slowly is no silence of the upstream.
+        """
+        self.claim_answer()
+        self.silence_timeout.stop()
+
 
 class AttemptSender:
     """Makes attempts and forwards the answers.
@@ -244,8 +252,7 @@
         if answer.head.status >= MIN_FAILURE_STATUS or attempt.writer.started:
             context.failed_answer = (answer.head, body)
             return Failure(Failed(answer.head.status))
-        attempt.claim_answer()
-        attempt.silence_timeout.stop()
+        attempt.begin_write()
         self._record_success(attempt)
         self._record_first_event(attempt, "Answered.")
         await attempt.writer.reply(answer.head, body)
@@ -268,9 +275,7 @@
             events = splitter.feed(data)
             if not events:
                 continue
-            attempt.claim_answer()
-            # A caller that reads slowly is no silence of the upstream.
-            attempt.silence_timeout.stop()
+            attempt.begin_write()
             now_s = self.serving.clock()
             if last_event_s is None:
                 self._record_first_event(attempt, "First event.")
@@ -286,8 +291,7 @@
             attempt.silence_timeout.restart(event_gap_timeout_s(kind))
         if splitter.buffer:
             return Failure(Lost("the stream ended within an event"))
-        attempt.claim_answer()
-        attempt.silence_timeout.stop()
+        attempt.begin_write()
         self._record_success(attempt)
         self._record_stream_end(attempt)
         if not writer.started:
