State machine of the store's eras

Nodes of one zone run the product's own watch in virtual time. Calls are refused, hang or are late, messages are lost, late or repeated in any order, nodes restart, and the store comes back from older copies up to three times. At each step a replica is exactly the store's state of its era and version, eras never decrease, and no older configuration is confirmed; after all faults every node has and uses the store's rows.

The fleet of the watch now starts the controller of upstreams as well, which removes upstreams after an outage. The machine has a feature of its own: in the process of store_watch, garbage of its fleets is collected while a source file is parsed, which ends in a SystemError of the interpreter (AST constructor recursion depth mismatch).

--- a/features/steps/store_watch_steps.py
+++ b/features/steps/store_watch_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from features.support.era_machine import run_era_machine
 from features.support.virtual_time import VirtualLoop
 from features.support.watch_fleet import DRAIN_S, IN_FORCE_S, WatchFleet
 from lagoonhinge_core.forwarding.missed_changes import MissedChanges
@@ -329,6 +330,11 @@
     assert context.extra_calls <= most, context.extra_calls
 
 
+@then("the state machine of the store's eras holds for {examples:d} examples")
+def step_era_machine(context, examples):
+    run_era_machine(examples)
+
+
 @given(
     "the upstreams are known up to version {upstreams:d}, and the nodes up to version "
     "{nodes:d}"
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -218,6 +218,7 @@
     lateness_s: float = 0.0
     watches: dict[str, StoreWatch] = field(default_factory=dict)
     announcers: dict[str, NodeAnnouncer] = field(default_factory=dict)
+    upstreams: dict[str, UpstreamController] = field(default_factory=dict)
     sent_messages: list[bytes] = field(default_factory=list)
     changed_s: dict[int, float] = field(default_factory=dict)
 
@@ -258,6 +259,8 @@
         )
         self.watches[name] = watch
         self.announcers[name] = announcer
+        self.upstreams[name] = upstreams
+        await upstreams.start()
         await watch.start()
         await announcer.start()
 
@@ -265,6 +268,7 @@
         """Stop a node without notice."""
         await self.watches.pop(name).stop()
         await self.announcers.pop(name).stop()
+        await self.upstreams.pop(name).stop()
 
     def deliver(self, name: str, data: bytes) -> None:
         """Hand a message to a node, if it runs."""
