What an upstream said outlasts its row

Callers: after a return of the store from an older copy, or after an outage that hid its row, an upstream that had told this node that it leaves, or that had asked it for a pause, could get requests again.

Cause: a notice was dropped as soon as its upstream was not listed or was listed with a later start, and a pause likewise. The copy then brings back the row of the same run, without the notice; a notice of a later run also hid the one of the run before.

Ruled out: to drop nothing (names of upstreams that ended would pile up).

Evidence: scenario 'What an upstream said holds although its row is missing for a time', four of six rows failed before (@1.2, @1.3, @1.5, @1.6), none after.

--- a/features/steps/upstream_notices_steps.py
+++ b/features/steps/upstream_notices_steps.py
@@ -1,10 +1,15 @@
 """Steps for what workers say of themselves in their answers."""
 
+from asyncio import sleep
+from dataclasses import replace
+from random import Random
 from time import monotonic
 
-from behave import then, when
+from behave import given, then, when
 
 from features.steps.request_limits_steps import send_requests
+from features.support.notice_fleet import DESK, FakeUpstream, NoticeFleet
+from features.support.virtual_time import VirtualLoop
 from lagoonhinge_platform.names import RETRY_AFTER
 
 
@@ -78,3 +83,38 @@
 def step_last_retry_after(context, least_s, most_s):
     answer, _ = context.answers[-1]
     assert least_s <= float(answer.headers[RETRY_AFTER]) <= most_s, answer
+
+
+@given("a node in virtual time to which an upstream said that it {notice}")
+def step_told(context, notice):
+    context.loop = loop = VirtualLoop()
+    upstreams = {name: FakeUpstream(DESK) for name in ("d0", "d1")}
+    context.virtual_fleet = fleet = NoticeFleet(loop, Random(1), ("n0",), upstreams)
+    loop.run_until_complete(fleet.start_node("n0"))
+    context.node = node = fleet.nodes["n0"]
+    context.upstream = node.serving.directory.by_instance["d0"]
+    if notice == "leaves":
+        node.serving.leaving_notices.record(context.upstream)
+    else:
+        node.serving.pauses.record(context.upstream, 60.0, loop.time())
+
+
+@when("{event}, 2 s pass, and its row of then comes back")
+def step_row_back(context, event):
+    fleet, node, loop = context.virtual_fleet, context.node, context.loop
+    upstream, rows = fleet.upstreams["d0"], fleet.rows()
+    if event == "its row is removed":
+        fleet.upstreams["d0"] = replace(upstream, row=None)
+    if event == "it is listed with a later start":
+        fleet.upstreams["d0"] = replace(upstream, started_ms=2)
+    node.apply(fleet.rows(), True)
+    loop.run_until_complete(sleep(2.0))
+    node.apply(rows, True)
+    assert context.upstream in node.serving.directory.usable(DESK)
+
+
+@then("the node sends it nothing")
+def step_nothing(context):
+    serving = context.node.serving
+    assert context.upstream not in serving.allowed(serving.usable(DESK))
+    context.loop.run_until_complete(context.virtual_fleet.stop_node("n0"))
--- a/features/upstream_notices.feature
+++ b/features/upstream_notices.feature
@@ -47,3 +47,17 @@
     When d1 and d2 answer 503 with Retry-After 4, and 12 requests a second are sent to /read/1 for 3 s
     Then the other requests are refused with 503 and a Retry-After within 0.3 s
     And the last Retry-After is between 0.5 and 2 s
+
+  Scenario Outline: What an upstream said holds although its row is missing for a time
+    Given a node in virtual time to which an upstream said that it <notice>
+    When <event>, 2 s pass, and its row of then comes back
+    Then the node sends it nothing
+
+    Examples:
+      | notice    | event                           |
+      | leaves    | nothing happens                 |
+      | leaves    | its row is removed              |
+      | leaves    | it is listed with a later start |
+      | pauses    | nothing happens                 |
+      | pauses    | its row is removed              |
+      | pauses    | it is listed with a later start |
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/pauses.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/pauses.py
@@ -3,7 +3,6 @@
 Load pattern: an overloaded upstream refuses requests, and retries keep it overloaded.
 """
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamRun
@@ -36,9 +35,12 @@
         self.until_s.pop(run, None)
         return 0.0
 
-    def retain_only(self, listed: Mapping[str, Upstream]) -> None:
-        """Drop the pauses of upstreams that are not listed or have started again."""
-        runs = {upstream.run() for upstream in listed.values()}
+    def drop_ended(self, now_s: float) -> None:
+        """Drop the pauses that have ended.
+
+        Those of upstreams that are not listed stay, since an outage of the store may
+        only have hidden their rows.
+        """
         self.until_s = {
-            run: end_s for run, end_s in self.until_s.items() if run in runs
+            run: end_s for run, end_s in self.until_s.items() if end_s > now_s
         }
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -166,8 +166,9 @@
         self.serving.load.retain_only(listed)
         self.serving.health.retain_only(listed)
         self.serving.request_limits.retain_only(listed)
-        self.serving.leaving_notices.retain_only(listed)
-        self.serving.pauses.retain_only(listed)
+        now_s = self.serving.clock()
+        self.serving.leaving_notices.retain_only(listed, now_s)
+        self.serving.pauses.drop_ended(now_s)
 
 
 class NodeController:
