A shorter pause does not end a longer one

Callers: an upstream that had asked a node for 5 s without requests could get them again from it after a fraction of that.

Cause: each refusal with Retry-After set the end of the pause anew, so the answer to another request that was already on its way could name an earlier end. The users' rule counts from each such answer to the end that it names. Changed: the latest end holds.

Evidence: scenario 'A shorter pause does not end a longer one', row '0: 5, 0.1: 0.2' failed before, the other three rows held; all hold after.

--- a/features/steps/upstream_notices_steps.py
+++ b/features/steps/upstream_notices_steps.py
@@ -10,6 +10,8 @@
 from features.steps.request_limits_steps import send_requests
 from features.support.notice_fleet import DESK, FakeUpstream, NoticeFleet
 from features.support.virtual_time import VirtualLoop
+from lagoonhinge_core.forwarding.pauses import UpstreamPauses
+from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_platform.names import RETRY_AFTER
 
 
@@ -118,3 +120,18 @@
     serving = context.node.serving
     assert context.upstream not in serving.allowed(serving.usable(DESK))
     context.loop.run_until_complete(context.virtual_fleet.stop_node("n0"))
+
+
+@given("an upstream that asks one node for pauses {pauses}")
+def step_pauses(context, pauses):
+    context.pauses = UpstreamPauses()
+    context.upstream = Upstream("d0", DESK, "h", 1, "north", 8)
+    for pause in pauses.split(", "):
+        at_s, _, pause_s = pause.partition(": ")
+        context.pauses.record(context.upstream, float(pause_s), float(at_s))
+
+
+@then("the node sends it nothing for {rest_s:g} s from {at_s:g} s on")
+def step_pause_rest(context, rest_s, at_s):
+    remaining_s = context.pauses.remaining_s(context.upstream, at_s)
+    assert round(remaining_s, 6) == rest_s, remaining_s
--- a/features/upstream_notices.feature
+++ b/features/upstream_notices.feature
@@ -61,3 +61,14 @@
       | pauses    | nothing happens                 |
       | pauses    | its row is removed              |
       | pauses    | it is listed with a later start |
+
+  Scenario Outline: A shorter pause does not end a longer one
+    Given an upstream that asks one node for pauses <pauses>
+    Then the node sends it nothing for <rest> s from 1 s on
+
+    Examples: each pause as time of the answer and Retry-After, in s
+      | pauses         | rest |
+      | 0: 5           | 4    |
+      | 0: 5, 0.1: 0.2 | 4    |
+      | 0: 2, 0.1: 5   | 4.1  |
+      | 0: 0.5         | 0    |
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/pauses.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/pauses.py
@@ -22,7 +22,9 @@
 
     def record(self, upstream: Upstream, pause_s: float, now_s: float) -> None:
         """Record that an upstream wants no requests for a time, in seconds."""
-        self.until_s[upstream.run()] = now_s + min(pause_s, MAX_PAUSE_S)
+        # Answers to concurrent requests may name an earlier end than one before.
+        run, end_s = upstream.run(), now_s + min(pause_s, MAX_PAUSE_S)
+        self.until_s[run] = max(end_s, self.until_s.get(run, end_s))
 
     def remaining_s(self, upstream: Upstream, now_s: float) -> float:
         """Return how long an upstream still takes no requests, in seconds."""
