A prompt is not sent to engines that closed while memory was reserved

Cause: leaving and pauses were checked at the choice, and the reservation of memory lies between it and the request. Changed: after the reservation the sender checks all chosen upstreams (notice, pause, row) once more. An attempt that is withdrawn so is a failure of its own, NotSent: nothing counts as tried, sent, declined or retried, the memory is released, and the next choice leaves the closed upstream out. Ruled out: to report it as declined or as not delivered, which would use the retry budget or count against health.

Evidence: scenario 'An engine that closes while memory is reserved gets no request', all eight rows failed without the check in the sender; none after.

--- a/features/steps/upstream_notices_steps.py
+++ b/features/steps/upstream_notices_steps.py
@@ -8,7 +8,13 @@
 from behave import given, then, when
 
 from features.steps.request_limits_steps import send_requests
-from features.support.notice_fleet import DESK, FakeUpstream, NoticeFleet
+from features.support.notice_fleet import (
+    DESK,
+    LONG_PROMPT,
+    MODELS,
+    FakeUpstream,
+    NoticeFleet,
+)
 from features.support.virtual_time import VirtualLoop
 from lagoonhinge_core.forwarding.pauses import UpstreamPauses
 from lagoonhinge_core.forwarding.upstreams import Upstream
@@ -135,3 +141,57 @@
 def step_pause_rest(context, rest_s, at_s):
     remaining_s = context.pauses.remaining_s(context.upstream, at_s)
     assert round(remaining_s, 6) == rest_s, remaining_s
+
+
+@given(
+    "a node in virtual time before {count:d} engines, on which memory is reserved in "
+    "{reserve_s:g} s"
+)
+def step_engines(context, count, reserve_s):
+    context.loop = loop = VirtualLoop()
+    engines = {f"e{number}": FakeUpstream(MODELS) for number in range(count)}
+    context.virtual_fleet = fleet = NoticeFleet(
+        loop, Random(1), ("n0",), engines, reserve_s
+    )
+    loop.run_until_complete(fleet.start_node("n0"))
+    context.node = fleet.nodes["n0"]
+
+
+@when("{engine} of a long prompt {notice} {after_s:g} s after the choice")
+def step_closes(context, engine, notice, after_s):
+    context.loop.run_until_complete(_close_meanwhile(context, engine, notice, after_s))
+
+
+async def _close_meanwhile(context, engine, notice, after_s) -> None:
+    fleet, node = context.virtual_fleet, context.node
+    serving = node.serving
+    context.request, context.writer = node.start_request(LONG_PROMPT)
+    await sleep(after_s)
+    (answering,) = context.request.tried
+    name = answering if engine == "the answering engine" else node.reserving[0]
+    upstream = serving.directory.by_instance[name]
+    match notice.split():
+        case ["says", *_]:
+            serving.leaving_notices.record(upstream)
+        case ["told", *_]:
+            serving.leaving_notices.merge((upstream.run(),))
+        case ["turns", *_]:
+            serving.pauses.record(upstream, 60.0, fleet.loop.time())
+        case ["is", "draining", *_]:
+            fleet.upstreams[name].row = True
+        case ["is", "no", *_]:
+            fleet.upstreams[name].row = None
+    node.apply(fleet.rows(), True)
+    node.told_leaving.add(upstream.run())
+    await sleep(3.0)
+
+
+@then("the prompt is answered by others after one attempt, and no retry is counted")
+def step_answered_by_others(context):
+    fleet, request = context.virtual_fleet, context.request
+    context.loop.run_until_complete(fleet.stop_node("n0"))
+    assert not fleet.wrong_sends, fleet.wrong_sends
+    assert context.writer.status == 200 and len(fleet.sends) == 1, fleet.sends
+    assert request.attempts == len(request.tried) == 1, request
+    window = context.node.serving.retry_window(MODELS)
+    assert not window.retries, window
--- a/features/upstream_notices.feature
+++ b/features/upstream_notices.feature
@@ -72,3 +72,20 @@
       | 0: 5, 0.1: 0.2 | 4    |
       | 0: 2, 0.1: 5   | 4.1  |
       | 0: 0.5         | 0    |
+
+  # The choice and the request lie up to half a second apart, while memory is reserved.
+  Scenario Outline: An engine that closes while memory is reserved gets no request
+    Given a node in virtual time before 6 engines, on which memory is reserved in 0.3 s
+    When <engine> of a long prompt <notice> 0.1 s after the choice
+    Then the prompt is answered by others after one attempt, and no retry is counted
+
+    Examples:
+      | engine               | notice                              |
+      | the answering engine | says in an answer that it leaves    |
+      | the answering engine | turns another request away          |
+      | the answering engine | is draining by its row              |
+      | the answering engine | told a peer that it leaves          |
+      | the answering engine | is no longer listed                 |
+      | a helper             | says in an answer that it leaves    |
+      | a helper             | turns another request away          |
+      | a helper             | is draining by its row              |
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/attempts.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/attempts.py
@@ -7,6 +7,11 @@
 from lagoonhinge_core.forwarding.routes import Route
 
 
+@dataclass(frozen=True)
+class NotSent:
+    """Nothing was sent, as an upstream stopped taking requests after the choice."""
+
+
 @dataclass(frozen=True)
 class NotDelivered:
     """No byte of the request can have reached the upstream."""
@@ -53,7 +58,7 @@
     status: int
 
 
-AttemptFailure: TypeAlias = NotDelivered | Declined | Lost | Failed
+AttemptFailure: TypeAlias = NotSent | NotDelivered | Declined | Lost | Failed
 
 
 class FailureAction(Enum):
@@ -107,6 +112,10 @@
     has_time = history.remaining_s > MIN_REMAINING_S
     may_retry = has_time and history.within_retry_budget
     match failure:
+        case NotSent():
+            # The next choice leaves the upstream out.
+            should_retry = has_time
+            fallback = FailureAction.FAIL if history.runs else FailureAction.REFUSE
         case NotDelivered():
             # While no upstream has received it, another attempt is not a retry.
             is_undelivered = not history.runs and not history.declined
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -13,6 +13,7 @@
     Failed,
     Lost,
     NotDelivered,
+    NotSent,
 )
 from lagoonhinge_core.forwarding.event_splitter import EventSplitter
 from lagoonhinge_core.forwarding.messages import AttemptOptions, EngineMemory, Helper
@@ -121,6 +122,10 @@
                 choice.reservations
             ):
                 return Failure(Declined(HTTPStatus.SERVICE_UNAVAILABLE.value))
+            if choice.reservations and serving.any_closed(choice.upstreams()):
+                context.attempts -= 1
+                context.tried.discard(instance)
+                return Failure(NotSent())
             context.may_be_running = True
             serving.load.start_request(instance, choice.tokens)
             for prefill in choice.prefills(prompt_number):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -14,6 +14,7 @@
     FailureAction,
     Lost,
     NotDelivered,
+    NotSent,
     RequestHistory,
     decide_after_failure,
 )
@@ -120,7 +121,8 @@
                 return await self._end_failed(
                     context, writer, FailureAction.REFUSE, quarantine_s
                 )
-            if context.runs or context.declined:
+            is_retry = not isinstance(failure, NotSent)
+            if is_retry and (context.runs or context.declined):
                 self.serving.retry_window(context.service).count_retry(
                     self.serving.clock()
                 )
@@ -176,6 +178,8 @@
         now_s = self.serving.clock()
         instance = choice.upstream.instance
         match failure:
+            case NotSent():
+                result = "not_sent"
             case NotDelivered():
                 result = "not_delivered"
                 context.not_delivered += 1
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -161,6 +161,18 @@
         nodes = self._nodes_sharing(upstream)
         return limits.may_send(upstream.instance, nodes, self.clock())
 
+    def any_closed(self, upstreams: Iterable[Upstream]) -> bool:
+        """Return whether upstreams stopped taking requests after they were chosen.
+
+        Their limits are left out, since the choice has counted this request.
+        """
+        return any(
+            self.leaving_notices.is_leaving(upstream)
+            or bool(self.pauses.remaining_s(upstream, self.clock()))
+            or self.directory.by_instance.get(upstream.instance) != upstream
+            for upstream in upstreams
+        )
+
     def record_send(self, upstream: Upstream) -> None:
         """Count a request or a part of one against the limit of its upstream."""
         limits = self.request_limits
