explain shows what closed upstreams and the store's era

Operators: 'lagoonctl explain' of a request that found no upstream did not show that its upstreams had said that they leave, had asked for a pause or had named a limit, nor that the store had come back from an older copy.

Cause: only lines without a request were shown as the state of a node, and only those of upstreams that the request was sent to; notices carry the ID of the request whose answer had them. Changed: the last notice of each kind and upstream is shown (20 a node), for upstreams that the request was sent to, or for all if it found none.

Not shown: what a node only heard from its peers, as this is not logged.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -17,6 +17,7 @@
       | never   | 1     | The deadline passed before it was sent; it did not run.                     |
       | stale   | 1     | Not admitted, status 503: the configuration is stale                        |
       | good    | 3     | Answered after 0.9 s.                                                       |
+      | closed  | 2     | Refused and not run: no upstream had capacity.                              |
       | cut     | 1     | The logs do not show how it ended                                           |
 
   Scenario Outline: The state of a node is shown with the request
@@ -31,6 +32,13 @@
       | full    | hides      | upstream=i-9                                  |
       | broken  | shows      | upstreams: An upstream is leaving. upstream=i-1 |
       | broken  | hides      | version=8                                     |
+      | closed  | shows      | upstreams: An upstream says that it leaves. upstream=i-7 |
+      | closed  | shows      | upstreams: An upstream wants no requests for a time. upstream=i-8 pause_s=4.0 |
+      | closed  | shows      | upstreams: An upstream changed the limit of its requests. upstream=i-8 per_s=0.5 |
+      | closed  | shows      | store: The store came back from an older copy. era=2 |
+      | again   | shows      | upstreams: An upstream says that it leaves. upstream=i-7 |
+      | again   | hides      | upstream=i-8                                  |
+      | good    | hides      | era=2                                         |
 
   Scenario: Lines that were logged late are sorted by the time of their event
     When "lagoonctl explain" is asked for broken
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/request_timeline.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/request_timeline.py
@@ -9,6 +9,17 @@
 # Components whose last messages, however old, describe the current state of a node.
 STATE_PARTS = frozenset(("config", "node", "nodes", "settings"))
 MAX_STATE_MESSAGES = 6  # per node
+MAX_CLOSINGS = 20  # per node
+NO_CAPACITY = "No upstream has capacity; ending the request."
+# Events that close upstreams; an answer to another request may have told them.
+CLOSING_MESSAGES = frozenset(
+    (
+        "An upstream says that it leaves.",
+        "An upstream wants no requests for a time.",
+        "An upstream changed the limit of its requests.",
+    )
+)
+OLDER_COPY = "The store came back from an older copy."
 END_MESSAGES = frozenset(
     (
         "Refused.",
@@ -67,12 +78,20 @@
     """Return the lines of one node that may explain how it handled a request."""
     node, first_s, last_s = own[0].node, own[0].at_s, own[-1].at_s
     upstreams = {line.inputs["upstream"] for line in own if "upstream" in line.inputs}
+    found_none = any(line.message == NO_CAPACITY for line in own)
     latest: dict[tuple[str, str], LogLine] = {}
+    closings: dict[tuple[str, object], LogLine] = {}
     upstream_events: list[LogLine] = []
     for line in lines:
-        if line.node != node or line.request_id != NO_REQUEST or line.at_s > last_s:
+        is_own = line.request_id == own[0].request_id
+        if line.node != node or is_own or line.at_s > last_s:
+            continue
+        if line.message in CLOSING_MESSAGES:
+            if found_none or line.inputs.get("upstream") in upstreams:
+                closings[(line.message, line.inputs.get("upstream"))] = line
+        elif line.request_id != NO_REQUEST:
             continue
-        if line.part in STATE_PARTS:
+        elif line.part in STATE_PARTS or line.message == OLDER_COPY:
             # Keep only the last line of each kind, in the order of the last lines.
             latest.pop((line.part, line.message), None)
             latest[(line.part, line.message)] = line
@@ -80,7 +99,8 @@
             upstream = line.inputs.get("upstream")
             if upstream in upstreams or "zone" in line.inputs:
                 upstream_events.append(line)
-    return [*list(latest.values())[-MAX_STATE_MESSAGES:], *upstream_events]
+    states = list(latest.values())[-MAX_STATE_MESSAGES:]
+    return [*states, *list(closings.values())[-MAX_CLOSINGS:], *upstream_events]
 
 
 def find_cause(own: tuple[LogLine, ...]) -> str:
