--- a/features/steps/upstream_notices_steps.py
+++ b/features/steps/upstream_notices_steps.py
@@ -1,10 +1,25 @@
 """Steps for what workers say of themselves in their answers."""
 
+from asyncio import sleep
+from dataclasses import replace
+from random import Random
 from time import monotonic
 
-from behave import then, when
+from behave import given, then, when
 
 from features.steps.request_limits_steps import send_requests
+from features.support.notice_fleet import (
+    DESK,
+    LONG_PROMPT,
+    MODELS,
+    FakeUpstream,
+    NoticeFleet,
+)
+from features.support.notice_machine import run_notice_machine
+from features.support.virtual_time import VirtualLoop
+from lagoonhinge_core.forwarding.pauses import UpstreamPauses
+from lagoonhinge_core.forwarding.upstreams import Upstream
+from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_platform.names import RETRY_AFTER
 
 
@@ -78,3 +93,122 @@
 def step_last_retry_after(context, least_s, most_s):
     answer, _ = context.answers[-1]
     assert least_s <= float(answer.headers[RETRY_AFTER]) <= most_s, answer
+
+
+@given("a node in virtual time to which an upstream said that it {notice}")
+def step_told(context, notice):
+    context.loop = loop = VirtualLoop()
+    upstreams = {name: FakeUpstream(DESK) for name in ("d0", "d1")}
+    context.virtual_fleet = fleet = NoticeFleet(loop, Random(1), ("n0",), upstreams)
+    loop.run_until_complete(fleet.start_node("n0"))
+    context.node = node = fleet.nodes["n0"]
+    context.upstream = node.serving.directory.by_instance["d0"]
+    if notice == "leaves":
+        node.serving.leaving_notices.record(context.upstream)
+    else:
+        node.serving.pauses.record(context.upstream, 60.0, loop.time())
+
+
+@when("{event}, 2 s pass, and its row of then comes back")
+def step_row_back(context, event):
+    fleet, node, loop = context.virtual_fleet, context.node, context.loop
+    upstream, rows = fleet.upstreams["d0"], fleet.rows()
+    if event == "its row is removed":
+        fleet.upstreams["d0"] = replace(upstream, row=None)
+    if event == "it is listed with a later start":
+        fleet.upstreams["d0"] = replace(upstream, started_ms=2)
+    node.apply(fleet.rows(), True)
+    loop.run_until_complete(sleep(2.0))
+    node.apply(rows, True)
+    assert context.upstream in node.serving.directory.usable(DESK)
+
+
+@then("its metrics count {leaving:d} leaving and {paused:d} paused upstreams")
+def step_notice_metrics(context, leaving, paused):
+    metrics = ForwardingMetrics()
+    metrics.add_gauges(context.node.serving)
+    read = metrics.registry.get_sample_value
+    assert read("lagoonhinge_leaving_upstreams") == leaving
+    assert read("lagoonhinge_paused_upstreams") == paused
+    context.loop.run_until_complete(context.virtual_fleet.stop_node("n0"))
+
+
+@then("the node sends it nothing")
+def step_nothing(context):
+    serving = context.node.serving
+    assert context.upstream not in serving.allowed(serving.usable(DESK))
+    context.loop.run_until_complete(context.virtual_fleet.stop_node("n0"))
+
+
+@given("an upstream that asks one node for pauses {pauses}")
+def step_pauses(context, pauses):
+    context.pauses = UpstreamPauses()
+    context.upstream = Upstream("d0", DESK, "h", 1, "north", 8)
+    for pause in pauses.split(", "):
+        at_s, _, pause_s = pause.partition(": ")
+        context.pauses.record(context.upstream, float(pause_s), float(at_s))
+
+
+@then("the node sends it nothing for {rest_s:g} s from {at_s:g} s on")
+def step_pause_rest(context, rest_s, at_s):
+    remaining_s = context.pauses.remaining_s(context.upstream, at_s)
+    assert round(remaining_s, 6) == rest_s, remaining_s
+
+
+@given(
+    "a node in virtual time before {count:d} engines, on which memory is reserved in "
+    "{reserve_s:g} s"
+)
+def step_engines(context, count, reserve_s):
+    context.loop = loop = VirtualLoop()
+    engines = {f"e{number}": FakeUpstream(MODELS) for number in range(count)}
+    context.virtual_fleet = fleet = NoticeFleet(
+        loop, Random(1), ("n0",), engines, reserve_s
+    )
+    loop.run_until_complete(fleet.start_node("n0"))
+    context.node = fleet.nodes["n0"]
+
+
+@when("{engine} of a long prompt {notice} {after_s:g} s after the choice")
+def step_closes(context, engine, notice, after_s):
+    context.loop.run_until_complete(_close_meanwhile(context, engine, notice, after_s))
+
+
+async def _close_meanwhile(context, engine, notice, after_s) -> None:
+    fleet, node = context.virtual_fleet, context.node
+    serving = node.serving
+    context.request, context.writer = node.start_request(LONG_PROMPT)
+    await sleep(after_s)
+    (answering,) = context.request.tried
+    name = answering if engine == "the answering engine" else node.reserving[0]
+    upstream = serving.directory.by_instance[name]
+    match notice.split():
+        case ["says", *_]:
+            serving.leaving_notices.record(upstream)
+        case ["told", *_]:
+            serving.leaving_notices.merge((upstream.run(),))
+        case ["turns", *_]:
+            serving.pauses.record(upstream, 60.0, fleet.loop.time())
+        case ["is", "draining", *_]:
+            fleet.upstreams[name].row = True
+        case ["is", "no", *_]:
+            fleet.upstreams[name].row = None
+    node.apply(fleet.rows(), True)
+    node.told_leaving.add(upstream.run())
+    await sleep(3.0)
+
+
+@then("the prompt is answered by others after one attempt, and no retry is counted")
+def step_answered_by_others(context):
+    fleet, request = context.virtual_fleet, context.request
+    context.loop.run_until_complete(fleet.stop_node("n0"))
+    assert not fleet.wrong_sends, fleet.wrong_sends
+    assert context.writer.status == 200 and len(fleet.sends) == 1, fleet.sends
+    assert request.attempts == len(request.tried) == 1, request
+    window = context.node.serving.retry_window(MODELS)
+    assert not window.retries, window
+
+
+@then("the state machine of upstreams' notices holds for {examples:d} examples")
+def step_notice_machine(context, examples):
+    run_notice_machine(examples)
--- a/features/upstream_notices.feature
+++ b/features/upstream_notices.feature
@@ -47,3 +47,60 @@
     When d1 and d2 answer 503 with Retry-After 4, and 12 requests a second are sent to /read/1 for 3 s
     Then the other requests are refused with 503 and a Retry-After within 0.3 s
     And the last Retry-After is between 0.5 and 2 s
+
+  Scenario Outline: What an upstream said holds although its row is missing for a time
+    Given a node in virtual time to which an upstream said that it <notice>
+    When <event>, 2 s pass, and its row of then comes back
+    Then the node sends it nothing
+
+    Examples:
+      | notice    | event                           |
+      | leaves    | nothing happens                 |
+      | leaves    | its row is removed              |
+      | leaves    | it is listed with a later start |
+      | pauses    | nothing happens                 |
+      | pauses    | its row is removed              |
+      | pauses    | it is listed with a later start |
+
+  Scenario Outline: A shorter pause does not end a longer one
+    Given an upstream that asks one node for pauses <pauses>
+    Then the node sends it nothing for <rest> s from 1 s on
+
+    Examples: each pause as time of the answer and Retry-After, in s
+      | pauses         | rest |
+      | 0: 5           | 4    |
+      | 0: 5, 0.1: 0.2 | 4    |
+      | 0: 2, 0.1: 5   | 4.1  |
+      | 0: 0.5         | 0    |
+
+  Scenario Outline: The metrics show why upstreams get no requests
+    Given a node in virtual time to which an upstream said that it <notice>
+    When <event>, 2 s pass, and its row of then comes back
+    Then its metrics count <leaving> leaving and <paused> paused upstreams
+
+    Examples:
+      | notice | event              | leaving | paused |
+      | leaves | nothing happens    | 1       | 0      |
+      | leaves | its row is removed | 1       | 0      |
+      | pauses | nothing happens    | 0       | 1      |
+
+  # The choice and the request lie up to half a second apart, while memory is reserved.
+  Scenario Outline: An engine that closes while memory is reserved gets no request
+    Given a node in virtual time before 6 engines, on which memory is reserved in 0.3 s
+    When <engine> of a long prompt <notice> 0.1 s after the choice
+    Then the prompt is answered by others after one attempt, and no retry is counted
+
+    Examples:
+      | engine               | notice                              |
+      | the answering engine | says in an answer that it leaves    |
+      | the answering engine | turns another request away          |
+      | the answering engine | is draining by its row              |
+      | the answering engine | told a peer that it leaves          |
+      | the answering engine | is no longer listed                 |
+      | a helper             | says in an answer that it leaves    |
+      | a helper             | turns another request away          |
+      | a helper             | is draining by its row              |
+
+  @fuzz
+  Scenario: Any answers, rows, messages, requests and restarts of upstreams and nodes
+    Then the state machine of upstreams' notices holds for 60 examples
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/pauses.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/pauses.py
@@ -3,7 +3,6 @@
 Load pattern: an overloaded upstream refuses requests, and retries keep it overloaded.
 """
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamRun
@@ -23,7 +22,9 @@
 
     def record(self, upstream: Upstream, pause_s: float, now_s: float) -> None:
         """Record that an upstream wants no requests for a time, in seconds."""
-        self.until_s[upstream.run()] = now_s + min(pause_s, MAX_PAUSE_S)
+        # Answers to concurrent requests may name an earlier end than one before.
+        run, end_s = upstream.run(), now_s + min(pause_s, MAX_PAUSE_S)
+        self.until_s[run] = max(end_s, self.until_s.get(run, end_s))
 
     def remaining_s(self, upstream: Upstream, now_s: float) -> float:
         """Return how long an upstream still takes no requests, in seconds."""
@@ -36,9 +37,12 @@
         self.until_s.pop(run, None)
         return 0.0
 
-    def retain_only(self, listed: Mapping[str, Upstream]) -> None:
-        """Drop the pauses of upstreams that are not listed or have started again."""
-        runs = {upstream.run() for upstream in listed.values()}
+    def drop_ended(self, now_s: float) -> None:
+        """Drop the pauses that have ended.
+
+        Those of upstreams that are not listed stay, since an outage of the store may
+        only have hidden their rows.
+        """
         self.until_s = {
-            run: end_s for run, end_s in self.until_s.items() if run in runs
+            run: end_s for run, end_s in self.until_s.items() if end_s > now_s
         }
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -12,6 +12,7 @@
     Failed,
     Lost,
     NotDelivered,
+    NotSent,
 )
 from lagoonhinge_core.forwarding.event_splitter import EventSplitter
 from lagoonhinge_core.forwarding.messages import AttemptOptions, EngineMemory, Helper
@@ -133,6 +134,12 @@
                 choice.reservations
             ):
                 return Failure(Declined(HTTPStatus.SERVICE_UNAVAILABLE.value))
+            if choice.reservations and serving.any_closed(choice.upstreams()):
+                context.attempts -= 1
+                context.tried.discard(instance)
+                return Failure(NotSent())
+            if context.runs or context.declined:
+                serving.retry_window(context.service).count_retry(serving.clock())
             context.runs += 1
             serving.load.start_request(instance, choice.tokens)
             for prefill in choice.prefills(prompt_number):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -139,8 +139,6 @@
         attempts: OpenAttempts,
         choice: UpstreamChoice,
     ) -> None:
-        if context.runs or context.declined:
-            self.serving.retry_window(context.service).count_retry(self.serving.clock())
         for upstream in choice.upstreams():
             self.serving.record_send(upstream)
         silence_timeout = SilenceTimeout(
