A second attempt counts as a retry also when the first one just ended

An upstream could get more arrivals than the retry budget allows.

Cause: a retry was counted if the request had a run or a declined attempt. An attempt that ended but is not handled yet is neither, and a silence that is reported at the same moment, as after the node was suspended, started another attempt that was not counted.

Change: every attempt after one that was delivered, or may have been, is a retry.

--- a/features/open_attempts.feature
+++ b/features/open_attempts.feature
@@ -43,3 +43,10 @@
     Given upstreams that do "wait 9" and "wait 9" and "wait 9"
     When a caller sends a call and leaves after 0.7 s
     Then nothing is sent to any upstream any more, after sends to "0 1"
+
+  # The refusal and the timeout are due at the same time when the node runs again.
+  Scenario: An attempt is a retry although the one before is refused at that moment
+    Given upstreams that do "wait 0.8; refuse" and "event 1; end" and "end"
+    When a caller sends a stream, and the node is suspended from 0.5 s to 2 s
+    Then the caller gets "1 end" after sends to "0 1"
+    And 1 retry is counted
--- a/features/steps/open_attempts_steps.py
+++ b/features/steps/open_attempts_steps.py
@@ -228,6 +228,17 @@
         context.writer.parts.append("fault")
 
 
+@when(
+    "a caller sends a {kind:w}, "
+    "and the node is suspended from {from_s:g} s to {to_s:g} s"
+)
+def step_suspended(context, kind, from_s, to_s):
+    task = _start(context, kind)
+    context.loop.run_until_complete(sleep(from_s))
+    context.loop.freeze(to_s - from_s)
+    context.loop.run_until_complete(task)
+
+
 @when("a caller sends a {kind:w} and leaves after {after_s:g} s")
 def step_leave(context, kind, after_s):
     task = _start(context, kind)
@@ -259,3 +270,8 @@
 def step_nothing(context, sends):
     _check_end(context, sends)
     assert not context.writer.parts
+
+
+@then("{count:d} retry is counted")
+def step_retries(context, count):
+    assert len(context.serving.retry_window("s").retries) == count
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -128,7 +128,8 @@
         attempts: OpenAttempts,
         choice: UpstreamChoice,
     ) -> None:
-        if context.runs or context.declined:
+        # An attempt that just ended may be neither a run nor counted as declined yet.
+        if context.attempts > context.not_delivered:
             self.serving.retry_window(context.service).count_retry(self.serving.clock())
         for upstream in choice.upstreams():
             self.serving.record_send(upstream)
