Test: the work of both upstreams ends with their request

Requests with two open attempts that reach their deadline, or whose client leaves, on real nodes: the answer is 504 or a broken stream and never 503, requests that may run once run once, and no worker is at work 0.5 s later.

--- a/features/silent_upstreams.feature
+++ b/features/silent_upstreams.feature
@@ -34,3 +34,30 @@
       | 1.2     | is silent  |
       | 1.2     | is gone    |
       | 30      | answers    |
+
+  Scenario Outline: The work of both upstreams ends with the request
+    Given a node on the platform with two workers for each service
+    When a <kind> with <limit> ms is sent, and both workers are silent <when> it
+    Then the client gets <answer> and <runs> workers ran it
+    And no worker is at work 0.5 s later
+
+    Examples:
+      | kind               | when   | limit | answer     | runs |
+      | call               | before | 1500  | status 504 | 2    |
+      | order              | before | 1500  | status 504 | 1    |
+      | stream             | before | 2500  | status 504 | 2    |
+      | stream             | within | 2500  | no answer  | 2    |
+      | stream to run once | before | 2500  | status 504 | 1    |
+      | stream to run once | within | 2500  | no answer  | 1    |
+
+  Scenario Outline: The work of both upstreams ends when the client leaves
+    Given a node on the platform with two workers for each service
+    When a client leaves a <kind> after <after> s while two workers are silent <when> it
+    Then no worker is at work 0.5 s later
+    And 2 workers ran it
+
+    Examples:
+      | kind   | when   | after |
+      | call   | before | 0.9   |
+      | stream | before | 1.6   |
+      | stream | within | 1.6   |
--- a/features/steps/silent_upstreams_steps.py
+++ b/features/steps/silent_upstreams_steps.py
@@ -1,13 +1,22 @@
 """Steps for workers that are silent for a while and go on."""
 
 from concurrent.futures import ThreadPoolExecutor
+from time import monotonic
 
 from behave import then, when
 
 from features.steps.platform_node_steps import BODY, WHOLE_STREAM
-from features.support.platform_fleet import PlatformFleet, send
+from features.support.platform_fleet import PlatformFleet, client_headers, send
 from features.support.waiting import eventually
 
+REACTION_LIMIT_S = 0.5
+REQUESTS = {
+    "call": ("GET", "/read/1"),
+    "order": ("POST", "/order/1", BODY),
+    "stream": ("POST", "/stream/1", BODY),
+    "stream to run once": ("POST", "/stream/once/1", BODY),
+}
+
 # Faults of the other worker; it gets a request when the first one was silent for 0.4 s.
 OTHER_FAULTS = {
     "answers": {},
@@ -66,3 +75,53 @@
     answer = context.answer
     assert answer is not None and answer.status == 200, answer
     assert answer.body.decode() == "answer of /read/1", answer
+
+
+def _silence_all(fleet: PlatformFleet, when: str) -> None:
+    how = "stall" if when == "within" else "silent"
+    for worker in fleet.workers.values():
+        worker.put_faults(how=how, silence_s=30)
+
+
+@when("a {kind} with {limit_ms:d} ms is sent, and both workers are silent {when:w} it")
+def step_all_silent(context, kind, limit_ms, when):
+    _silence_all(context.fleet, when)
+    headers = client_headers(limit_ms=limit_ms)
+    context.answer = send(context.node, *REQUESTS[kind], headers=headers)
+    context.ended_s = monotonic()
+
+
+@when(
+    "a client leaves a {kind:w} after {after_s:g} s while two workers are silent "
+    "{when:w} it"
+)
+def step_leave(context, kind, after_s, when):
+    _silence_all(context.fleet, when)
+    assert send(context.node, *REQUESTS[kind], timeout_s=after_s) is None
+    context.ended_s = monotonic()
+
+
+@then("no worker is at work 0.5 s later")
+def step_no_work(context):
+    fleet = context.fleet
+
+    def check() -> None:
+        for name in fleet.workers:
+            record = fleet.worker_record(name)
+            assert record["ended"] == len(record["runs"]), (name, record)
+
+    eventually(check)
+    assert monotonic() - context.ended_s < REACTION_LIMIT_S
+
+
+@then("the client gets {answer} and {count:d} workers ran it")
+def step_ended(context, answer, count):
+    found = context.answer
+    status = "no answer" if found is None else f"status {found.status}"
+    assert status == answer, found
+    step_runs(context, count)
+
+
+@then("{count:d} workers ran it")
+def step_runs(context, count):
+    assert len(context.fleet.runs()) == count, context.fleet.runs()
