--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -138,7 +138,8 @@
                 context.attempts -= 1
                 context.tried.discard(instance)
                 return Failure(NotSent())
-            if context.runs or context.declined:
+            # An earlier attempt that just ended may be neither a run nor declined yet.
+            if context.attempts - 1 > context.not_delivered:
                 serving.retry_window(context.service).count_retry(serving.clock())
             context.runs += 1
             serving.load.start_request(instance, choice.tokens)
