--- a/features/steps/open_attempts_steps.py
+++ b/features/steps/open_attempts_steps.py
@@ -68,6 +68,9 @@
     async def whole_body(self):
         return Success(b"body")
 
+    def hold(self, held_bytes):
+        return True
+
     def close(self):
         self.upstreams.open -= 1
 
--- a/features/support/silence_fuzz.py
+++ b/features/support/silence_fuzz.py
@@ -107,6 +107,10 @@
                 case Failure(lost):
                     return Failure(lost)
 
+    def hold(self, held_bytes: int) -> bool:
+        """Return that there is memory."""
+        return True
+
     def close(self) -> None:
         """Record that the attempt ended."""
         self.closed = True
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -14,7 +14,7 @@
     NotDelivered,
     NotSent,
 )
-from lagoonhinge_core.forwarding.event_splitter import EventSplitter
+from lagoonhinge_core.forwarding.event_splitter import MAX_EVENT_BYTES, EventSplitter
 from lagoonhinge_core.forwarding.messages import AttemptOptions, EngineMemory, Helper
 from lagoonhinge_core.forwarding.routes import EventStream
 from lagoonhinge_core.forwarding.timeouts import answer_timeout_s, event_gap_timeout_s
@@ -272,6 +272,8 @@
         context, writer = attempt.context, attempt.writer
         splitter = EventSplitter()
         last_event_s: float | None = None
+        # Forwarded with the next new event, as another attempt may be forwarding.
+        waiting = b""
         while True:
             match await answer.next_data():
                 case Failure(lost):
@@ -281,22 +283,28 @@
             if not data:
                 break
             events = splitter.feed(data)
-            if not events:
-                continue
-            attempt.begin_write()
-            now_s = self.serving.clock()
-            if last_event_s is None:
-                self._record_first_event(attempt, "First event.")
-            else:
-                attempt.longest_gap_s = max(attempt.longest_gap_s, now_s - last_event_s)
-            last_event_s = context.last_event_s = now_s
-            if not writer.started:
-                await writer.start(answer.head)
-            for event in events:
-                if event.event_id is not None:
-                    context.last_event_id = event.event_id
-            await writer.write(b"".join(event.raw for event in events))
-            attempt.silence_timeout.restart(event_gap_timeout_s(kind))
+            waiting += events.raw
+            # Comments and repetitions don't show that the upstream makes progress.
+            if events.ids and events.ids[-1] != context.last_event_id:
+                attempt.begin_write()
+                now_s = self.serving.clock()
+                if last_event_s is None:
+                    self._record_first_event(attempt, "First event.")
+                else:
+                    gap_s = now_s - last_event_s
+                    attempt.longest_gap_s = max(attempt.longest_gap_s, gap_s)
+                last_event_s = context.last_event_s = now_s
+                context.last_event_id = events.ids[-1]
+                if not writer.started:
+                    await writer.start(answer.head)
+                await writer.write(waiting)
+                waiting = b""
+                attempt.silence_timeout.restart(event_gap_timeout_s(kind))
+            held_bytes = len(waiting) + len(splitter.buffer)
+            if held_bytes > MAX_EVENT_BYTES:
+                return Failure(Lost(f"{held_bytes} bytes without a new event"))
+            if not answer.hold(held_bytes):
+                return Failure(Lost(f"too large, {held_bytes} bytes"))
         if splitter.buffer:
             return Failure(Lost("the stream ended within an event"))
         attempt.begin_write()
@@ -304,6 +312,8 @@
         self._record_stream_end(attempt)
         if not writer.started:
             await writer.start(answer.head)
+        if waiting:
+            await writer.write(waiting)
         await writer.finish()
         return Success(None)
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -5,12 +5,10 @@
 request unknown, also of one that must not be retried.
 """
 
-from asyncio import get_running_loop
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import partial
 from http import HTTPStatus
-from typing import Any
+from itertools import count
 
 from aiohttp import (
     ClientConnectorError,
@@ -20,12 +18,11 @@
     ClientSession,
     ConnectionTimeoutError,
 )
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.helpers import _EXC_SENTINEL
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from lagoonhinge_core.forwarding.answer_memory import AnswerMemory
 from lagoonhinge_core.forwarding.attempts import (
     AttemptFailure,
     Declined,
@@ -39,10 +36,15 @@
     HeaderCodec,
 )
 from lagoonhinge_core.forwarding.upstreams import Upstream
-from lagoonhinge_http.session import ConnectionLost, call_timeout, open_session
+from lagoonhinge_http.session import (
+    BoundedHandler,
+    ConnectionLost,
+    call_timeout,
+    open_session,
+)
 
 CONNECT_TIMEOUT_S = 0.15  # fifty round trips between availability zones
-MAX_ANSWER_BYTES = 8 << 20  # twice the largest body that callers may send
+READ_BUFFER_BYTES = 64 << 10  # of an answer whose caller reads slowly
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 # Statuses that by definition mean that the request did not run.
 NOT_RUN_STATUSES = (
@@ -53,16 +55,8 @@
 )
 
 
-class _FaultAwareHandler(ResponseHandler):
-    """Reports resets and malformed bytes amid a body as errors, and at once."""
-
-    def set_exception(
-        self, exc: BaseException, exc_cause: BaseException = _EXC_SENTINEL
-    ) -> None:
-        payload = self._payload
-        if payload is not None and not payload.is_eof() and not payload.exception():
-            payload.set_exception(ClientPayloadError(f"malformed body: {exc}"))
-        super().set_exception(exc, exc_cause)
+class _ResetAwareHandler(BoundedHandler):
+    """Reports a reset as an error, as opposed to an end of the connection."""
 
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
@@ -73,12 +67,7 @@
 
 def open_upstream_session() -> ClientSession:
     """Return a session that uses each connection for one request."""
-    session = open_session(reuse=False)
-    connector = session.connector
-    assert connector is not None
-    factory: Any = partial(_FaultAwareHandler, loop=get_running_loop())
-    connector._factory = factory
-    return session
+    return open_session(reuse=False, handler=_ResetAwareHandler)
 
 
 @dataclass
@@ -88,10 +77,16 @@
     Attributes:
         head: Status and headers.
         response: Response that the body is read from.
+        memory: Memory that all answers share.
+        number: Number of the answer there.
+        held_bytes: Bytes that it holds there.
     """
 
     head: AnswerHead
     response: ClientResponse
+    memory: AnswerMemory
+    number: int
+    held_bytes: int = 0
 
     async def next_data(self) -> Result[bytes, Lost]:
         """Return the next bytes of the body; empty at its end."""
@@ -109,14 +104,22 @@
                     return Success(bytes(body))
                 case Success(data):
                     body += data
-                    if len(body) > MAX_ANSWER_BYTES:
-                        return Failure(Lost(f"over {MAX_ANSWER_BYTES} bytes"))
+                    if not self.hold(len(body)):
+                        return Failure(Lost(f"too large, {len(body)} bytes"))
                 case Failure(lost):
                     return Failure(lost)
 
+    def hold(self, held_bytes: int) -> bool:
+        """Record how much is held, in bytes; return whether there is memory for it."""
+        if held_bytes == self.held_bytes:
+            return True
+        self.held_bytes = held_bytes
+        return self.memory.hold(self.number, held_bytes)
+
     def close(self) -> None:
         """Close the connection, which cancels the upstream's work."""
         self.response.close()
+        self.hold(0)
 
 
 class UpstreamClient:
@@ -137,6 +140,8 @@
         self.session = session
         self.codec = codec
         self.record_head = record_head
+        self.memory = AnswerMemory()
+        self.numbers = count()
 
     async def send(
         self, upstream: Upstream, request: CallerRequest, options: AttemptOptions
@@ -164,6 +169,7 @@
                 data=request.body or None,
                 allow_redirects=False,
                 timeout=call_timeout(None, connect_s=CONNECT_TIMEOUT_S),
+                read_bufsize=READ_BUFFER_BYTES,
             )
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             return Failure(NotDelivered(_describe(error)))
@@ -178,7 +184,7 @@
         if failure is not None:
             response.close()
             return Failure(failure)
-        return Success(UpstreamAnswer(head, response))
+        return Success(UpstreamAnswer(head, response, self.memory, next(self.numbers)))
 
 
 def _describe(error: Exception) -> str:
@@ -193,6 +199,8 @@
 def _find_failure(head: AnswerHead, request: CallerRequest) -> AttemptFailure | None:
     if head.request_id not in (None, request.request_id):
         return Lost("the answer is of another request")
+    if head.status < HTTPStatus.OK:
+        return Lost(f"status {head.status}, which is no answer")
     if head.status == HTTPStatus.MISDIRECTED_REQUEST:
         return Declined(head.status, True, head.failed_address)
     if head.not_run:
