A refusal before 100 Continue closes the connection

What callers see: a caller with Expect: 100-continue that was refused before it was told to send its body, and sent its next request on the connection instead, got 400 for that.

Cause: the node still waited for the body, and took the next request for it.

Change: such a refusal has Connection: close (RFC 9110, section 10.1.1).

Ruled out: refusals (401, 413, 431) of requests whose body arrives later without Expect; the next request on the connection is answered.

Evidence: "A refusal before a caller was told to send its body closes the connection" in caller_connections.feature: rows 1 and 2 failed before (no Connection: close), 3 of 3 pass.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -44,3 +44,15 @@
       | /read/1   |
       | /order/1  |
       | /stream/1 |
+
+  # The next request on the connection was taken for the body.
+  Scenario Outline: A refusal before a caller was told to send its body closes the connection
+    Given a node on the platform with two workers for each service
+    When the head of a POST arrives with Expect <expect> and headers of <size> bytes
+    Then it gets status 431, and the connection is <end> after it
+
+    Examples:
+      | expect       | size | end        |
+      | 100-continue | 5000 | closed     |
+      | 100-Continue | 5000 | closed     |
+      | nothing      | 5000 | kept       |
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -131,3 +131,25 @@
     assert answer.status == status, answer
     assert took_s < BOUNDS["graceS"], took_s
     assert context.caller.read_rest() == b""
+
+
+@when("the head of a POST arrives with Expect {expect} and headers of {size:d} bytes")
+def step_expect(context, expect, size):
+    context.caller = RawCaller(context.node)
+    fields = {"X_Long": "x" * size, "Content_Length": str(len(PIECE))}
+    if expect != "nothing":
+        fields["Expect"] = expect
+    context.caller.send_head("POST", "/order/1", **fields)
+
+
+@then("it gets status {status:d}, and the connection is {end} after it")
+def step_refusal_end(context, status, end):
+    answer = context.caller.read_answer("POST")
+    assert answer is not None and answer.status == status, answer
+    is_closed = answer.headers.get("Connection") == "close"
+    assert is_closed == (end == "closed"), answer
+    if not is_closed:
+        context.caller.send_body([PIECE], False, 0.0)
+        context.caller.send_head("GET", "/read/1")
+        answer = context.caller.read_answer()
+        assert answer is not None and answer.status == 200, answer
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
@@ -74,6 +74,14 @@
         self.should_close = should_close
         self.started = False
         self.response: web.StreamResponse | None = None
+        expectation = http_request.headers.get("Expect", "")
+        self.awaits_continue = expectation.lower() == "100-continue"
+
+    def continue_if_awaited(self) -> None:
+        """Tell the caller to send the body, if it waits for that."""
+        if self.awaits_continue and self.http_request.transport is not None:
+            self.http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.awaits_continue = False
 
     async def start(self, head: AnswerHead) -> None:
         """Write the head of a stream."""
@@ -83,7 +91,7 @@
         )
         response.enable_chunked_encoding()
         self.response = response
-        self._close_if_stopping(response)
+        self._close_if_due(response)
         await response.prepare(self.http_request)
 
     async def write(self, data: bytes) -> None:
@@ -121,12 +129,13 @@
     async def _send(self, response: web.Response) -> None:
         self.started = True
         self.response = response
-        self._close_if_stopping(response)
+        self._close_if_due(response)
         await response.prepare(self.http_request)
         await response.write_eof()
 
-    def _close_if_stopping(self, response: web.StreamResponse) -> None:
-        if self.should_close():
+    def _close_if_due(self, response: web.StreamResponse) -> None:
+        # A caller that was not told to send the body may send another request instead.
+        if self.should_close() or self.awaits_continue:
             response.force_close()
 
 
@@ -189,7 +198,7 @@
         self, http_request: web.BaseRequest, writer: HttpResponseWriter
     ) -> None:
         arrived_s = self.serving.clock()
-        match await self._read_request(http_request):
+        match await self._read_request(http_request, writer):
             case Failure(refusal):
                 await self._refuse(writer, refusal)
                 return
@@ -214,7 +223,7 @@
         await writer.refuse(refusal.status, refusal.retry_after_s)
 
     async def _read_request(
-        self, http_request: web.BaseRequest
+        self, http_request: web.BaseRequest, writer: HttpResponseWriter
     ) -> Result[CallerRequest, Refusal]:
         config = self.serving.board.read(SiteConfigSection).config
         if config is None:
@@ -224,9 +233,7 @@
         if header_bytes > limits.header_bytes:
             reason = f"{header_bytes} bytes of headers"
             return Failure(Refusal(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, reason))
-        if http_request.headers.get("Expect", "").lower() == "100-continue":
-            assert http_request.transport is not None
-            http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        writer.continue_if_awaited()
         body = bytearray()
         async for data in http_request.content.iter_any():
             body += data
