State machine of what upstreams say of themselves

Two nodes with the product's own request path, controller of upstreams and load updates, in virtual time: answers, rows, older copies, losses, late messages, requests in flight and restarts of nodes and upstreams in any order. No request, nor a part of one, reaches a run of which the sending node was told that it leaves or pauses.

--- a/features/steps/upstream_notices_steps.py
+++ b/features/steps/upstream_notices_steps.py
@@ -15,6 +15,7 @@
     FakeUpstream,
     NoticeFleet,
 )
+from features.support.notice_machine import run_notice_machine
 from features.support.virtual_time import VirtualLoop
 from lagoonhinge_core.forwarding.pauses import UpstreamPauses
 from lagoonhinge_core.forwarding.upstreams import Upstream
@@ -195,3 +196,8 @@
     assert request.attempts == len(request.tried) == 1, request
     window = context.node.serving.retry_window(MODELS)
     assert not window.retries, window
+
+
+@then("the state machine of upstreams' notices holds for {examples:d} examples")
+def step_notice_machine(context, examples):
+    run_notice_machine(examples)
--- a/features/support/notice_fleet.py
+++ b/features/support/notice_fleet.py
@@ -64,7 +64,8 @@
         started_ms: Its start.
         row: Whether the row says that it leaves; `None` if there is no row.
         leaving: Whether its answers say that it leaves.
-        pause_s: Time in `Retry-After` of its refusals, in seconds; `None` if it serves.
+        pauses_s: Times in `Retry-After` of its next refusals, in turn, in seconds;
+            empty if it serves.
         delay_s: Time to its answers, in seconds.
     """
 
@@ -72,7 +73,7 @@
     started_ms: int = 1
     row: bool | None = False
     leaving: bool = False
-    pause_s: float | None = None
+    pauses_s: tuple[float, ...] = ()
     delay_s: float = DELAY_S
 
 
@@ -257,7 +258,9 @@
         await sleep(process.delay_s)
         if process.started_ms != upstream.started_ms:
             return Failure(NotDelivered("the process has ended"))
-        is_refusal = process.pause_s is not None
+        is_refusal = bool(process.pauses_s)
+        pause_s = process.pauses_s[0] if is_refusal else None
+        process.pauses_s = (*process.pauses_s[1:], *process.pauses_s[:1])
         head = AnswerHead(
             503 if is_refusal else 200,
             "",
@@ -268,7 +271,7 @@
             "",
             False,
             leaving=process.leaving,
-            retry_after_s=process.pause_s,
+            retry_after_s=pause_s,
         )
         node.notices.record_head(upstream, head)
         node.record_told(upstream.run(), head)
--- a/features/upstream_notices.feature
+++ b/features/upstream_notices.feature
@@ -89,3 +89,7 @@
       | a helper             | says in an answer that it leaves    |
       | a helper             | turns another request away          |
       | a helper             | is draining by its row              |
+
+  @fuzz
+  Scenario: Any answers, rows, messages, requests and restarts of upstreams and nodes
+    Then the state machine of upstreams' notices holds for 60 examples
