Metrics of upstreams that leave or pause, and of the store's era

Operators could see how many upstreams a node knows to be limited, but not how many leave or are paused, nor by which era of the store a node decides; both were only in /state.

--- a/features/steps/store_watch_steps.py
+++ b/features/steps/store_watch_steps.py
@@ -13,6 +13,7 @@
 from lagoonhinge_core.forwarding.site_store import StoreTable, TableRow
 from lagoonhinge_core.forwarding.store_clock import StoreClock
 from lagoonhinge_core.forwarding.store_contact import StoreContact
+from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.peer_messages import (
     PeerMessage,
     StoreCallFailed,
@@ -330,6 +331,21 @@
     assert context.extra_calls <= most, context.extra_calls
 
 
+@when("the store comes back from a copy of now, and {seconds:g} s pass")
+def step_return(context, seconds):
+    fleet = context.zone
+    fleet.store.restore(fleet.store.copy())
+    context.loop.run_until_complete(_pass_time(fleet, seconds))
+
+
+@then("the metrics of every node have the store's era {era:d}")
+def step_era_metric(context, era):
+    for watch in context.zone.watches.values():
+        metrics = ForwardingMetrics()
+        metrics.add_store_gauges(watch)
+        assert metrics.registry.get_sample_value("lagoonhinge_store_era") == era
+
+
 @then("the state machine of the store's eras holds for {examples:d} examples")
 def step_era_machine(context, examples):
     run_era_machine(examples)
--- a/features/steps/upstream_notices_steps.py
+++ b/features/steps/upstream_notices_steps.py
@@ -19,6 +19,7 @@
 from features.support.virtual_time import VirtualLoop
 from lagoonhinge_core.forwarding.pauses import UpstreamPauses
 from lagoonhinge_core.forwarding.upstreams import Upstream
+from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_platform.names import RETRY_AFTER
 
 
@@ -122,6 +123,16 @@
     assert context.upstream in node.serving.directory.usable(DESK)
 
 
+@then("its metrics count {leaving:d} leaving and {paused:d} paused upstreams")
+def step_notice_metrics(context, leaving, paused):
+    metrics = ForwardingMetrics()
+    metrics.add_gauges(context.node.serving)
+    read = metrics.registry.get_sample_value
+    assert read("lagoonhinge_leaving_upstreams") == leaving
+    assert read("lagoonhinge_paused_upstreams") == paused
+    context.loop.run_until_complete(context.virtual_fleet.stop_node("n0"))
+
+
 @then("the node sends it nothing")
 def step_nothing(context):
     serving = context.node.serving
--- a/features/upstream_notices.feature
+++ b/features/upstream_notices.feature
@@ -73,6 +73,17 @@
       | 0: 2, 0.1: 5   | 4.1  |
       | 0: 0.5         | 0    |
 
+  Scenario Outline: The metrics show why upstreams get no requests
+    Given a node in virtual time to which an upstream said that it <notice>
+    When <event>, 2 s pass, and its row of then comes back
+    Then its metrics count <leaving> leaving and <paused> paused upstreams
+
+    Examples:
+      | notice | event              | leaving | paused |
+      | leaves | nothing happens    | 1       | 0      |
+      | leaves | its row is removed | 1       | 0      |
+      | pauses | nothing happens    | 0       | 1      |
+
   # The choice and the request lie up to half a second apart, while memory is reserved.
   Scenario Outline: An engine that closes while memory is reserved gets no request
     Given a node in virtual time before 6 engines, on which memory is reserved in 0.3 s
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -96,6 +96,14 @@
                 "Upstreams that limit their requests.",
                 lambda: len(serving.request_limits.limited()),
             ),
+            "lagoonhinge_leaving_upstreams": (
+                "Listed upstreams that leave, by their rows or answers.",
+                lambda: _count_leaving(serving),
+            ),
+            "lagoonhinge_paused_upstreams": (
+                "Listed upstreams that want no requests of this node for a time.",
+                lambda: _count_paused(serving),
+            ),
             "lagoonhinge_nodes_heard": (
                 "Nodes that share the upstreams, this one included.",
                 lambda: serving.load.count_nodes(now_s()),
@@ -118,6 +126,10 @@
                 "Calls to the store since the start.",
                 lambda: watch.serving.store_calls,
             ),
+            "lagoonhinge_store_era": (
+                "Era of the store; rises with each return from an older copy.",
+                lambda: watch.store_replicas.era,
+            ),
             "lagoonhinge_watches_store": (
                 "Whether this node watches the store for its zone.",
                 lambda: int(watch.role.is_watching),
@@ -133,3 +145,13 @@
 def _config_version(serving: ServingState) -> int:
     config = serving.board.read(SiteConfigSection).config
     return 0 if config is None else config.version
+
+
+def _count_leaving(serving: ServingState) -> int:
+    listed, notices = serving.directory.by_instance.values(), serving.leaving_notices
+    return sum(entry.leaving or notices.is_leaving(entry) for entry in listed)
+
+
+def _count_paused(serving: ServingState) -> int:
+    listed, now_s = serving.directory.by_instance.values(), serving.clock()
+    return sum(serving.pauses.remaining_s(entry, now_s) > 0 for entry in listed)
