Notices that a node hears from its peers are logged

Operators: a node that sent nothing to an upstream because a peer had been told that it leaves had no line that said so, and 'lagoonctl explain' could not show why.

Cause: only the node that got the answer logged it. Changed: a node logs a run that it first heard of from a peer, with the peer, once; explain shows the line.

Evidence: 'What a peer was told of an upstream is logged once' and a new row of 'The state of a node is shown with the request' failed before, hold after.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -33,6 +33,7 @@
       | broken  | shows      | upstreams: An upstream is leaving. upstream=i-1 |
       | broken  | hides      | version=8                                     |
       | closed  | shows      | upstreams: An upstream says that it leaves. upstream=i-7 |
+      | closed  | shows      | upstreams: A peer was told that an upstream leaves. upstream=i-6 |
       | closed  | shows      | upstreams: An upstream wants no requests for a time. upstream=i-8 pause_s=4.0 |
       | closed  | shows      | upstreams: An upstream changed the limit of its requests. upstream=i-8 per_s=0.5 |
       | closed  | shows      | store: The store came back from an older copy. era=2 |
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -40,6 +40,13 @@
     line(9.0, "request", "late", "Out of time.", sends=1),
     line(9.1, "request", "never", "Out of time.", sends=0),
     line(9.2, "request", "cut", "Sent.", upstream="i-1"),
+    line(
+        9.2,
+        "upstreams",
+        "-",
+        "A peer was told that an upstream leaves.",
+        upstream="i-6",
+    ),
     line(9.3, "store", "-", "The store came back from an older copy.", era=2),
     line(9.4, "upstreams", "other", "An upstream says that it leaves.", upstream="i-7"),
     line(
--- a/features/steps/upstream_notices_steps.py
+++ b/features/steps/upstream_notices_steps.py
@@ -2,9 +2,11 @@
 
 from asyncio import sleep
 from dataclasses import replace
+from logging import Handler
 from random import Random
 from time import monotonic
 
+from absl import logging
 from behave import given, then, when
 
 from features.steps.request_limits_steps import send_requests
@@ -123,6 +125,54 @@
     assert context.upstream in node.serving.directory.usable(DESK)
 
 
+class LogRecorder(Handler):
+    """Keeps what is logged."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines: list[str] = []
+
+    def emit(self, record):
+        """Keep a record."""
+        self.lines.append(record.getMessage())
+
+
+@given("two nodes in virtual time, one of which an upstream tells that it leaves")
+def step_two_nodes(context):
+    context.loop = loop = VirtualLoop()
+    upstreams = {name: FakeUpstream(DESK) for name in ("d0", "d1")}
+    names = ("n0", "n1")
+    context.virtual_fleet = fleet = NoticeFleet(loop, Random(1), names, upstreams)
+    for name in names:
+        loop.run_until_complete(fleet.start_node(name))
+    serving = fleet.nodes["n0"].serving
+    serving.leaving_notices.record(serving.directory.by_instance["d0"])
+
+
+@when("{seconds:g} s pass in which the nodes send each other updates")
+def step_updates(context, seconds):
+    context.log = LogRecorder()
+    logger = logging.get_absl_logger()
+    level = logging.get_verbosity()
+    logging.set_verbosity(logging.INFO)
+    logger.addHandler(context.log)
+    try:
+        context.loop.run_until_complete(sleep(seconds))
+    finally:
+        logger.removeHandler(context.log)
+        logging.set_verbosity(level)
+
+
+@then("the log of the other node says once that a peer was told that it leaves")
+def step_logged_once(context):
+    fleet = context.virtual_fleet
+    for name in ("n0", "n1"):
+        context.loop.run_until_complete(fleet.stop_node(name))
+    lines = [line for line in context.log.lines if "leaves" in line]
+    assert len(lines) == 1 and "d0" in lines[0], context.log.lines
+    assert "A peer was told that an upstream leaves." in lines[0], lines
+
+
 @then("its metrics count {leaving:d} leaving and {paused:d} paused upstreams")
 def step_notice_metrics(context, leaving, paused):
     metrics = ForwardingMetrics()
--- a/features/upstream_notices.feature
+++ b/features/upstream_notices.feature
@@ -73,6 +73,11 @@
       | 0: 2, 0.1: 5   | 4.1  |
       | 0: 0.5         | 0    |
 
+  Scenario: What a peer was told of an upstream is logged once
+    Given two nodes in virtual time, one of which an upstream tells that it leaves
+    When 2 s pass in which the nodes send each other updates
+    Then the log of the other node says once that a peer was told that it leaves
+
   Scenario Outline: The metrics show why upstreams get no requests
     Given a node in virtual time to which an upstream said that it <notice>
     When <event>, 2 s pass, and its row of then comes back
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/leaving_notices.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/leaving_notices.py
@@ -44,11 +44,15 @@
             self.has_unsent = True
         return is_first
 
-    def merge(self, runs: Iterable[UpstreamRun]) -> None:
-        """Record notices that peers got or that are in the store."""
+    def merge(self, runs: Iterable[UpstreamRun]) -> tuple[UpstreamRun, ...]:
+        """Record notices that peers got or that are in the store; return new ones."""
+        new_runs: list[UpstreamRun] = []
         for run in runs:
-            latest_ms = self.known.get(run.instance, run.started_ms)
-            self.known[run.instance] = max(latest_ms, run.started_ms)
+            latest_ms = self.known.get(run.instance)
+            if latest_ms is None or run.started_ms > latest_ms:
+                self.known[run.instance] = run.started_ms
+                new_runs.append(run)
+        return tuple(new_runs)
 
     def is_leaving(self, upstream: Upstream) -> bool:
         """Return whether a run of an upstream leaves, or a later one does."""
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/request_timeline.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/request_timeline.py
@@ -15,6 +15,7 @@
 CLOSING_MESSAGES = frozenset(
     (
         "An upstream says that it leaves.",
+        "A peer was told that an upstream leaves.",
         "An upstream wants no requests for a time.",
         "An upstream changed the limit of its requests.",
     )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -17,6 +17,7 @@
     encode_message,
 )
 from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.logs import PartLogger
 
 SEND_INTERVAL_S = 0.05  # about the duration of one engine pass
 # Factor of the idle interval in a cell of one zone; two updates before the timeout.
@@ -43,6 +44,7 @@
         self.nodes: list[NodeEntry] = []
         self.last_sent_s = 0.0
         self.last_sent_work: dict[str, Any] = {}
+        self.log_part = PartLogger("upstreams")
 
     def set_peers(self, nodes: list[NodeEntry]) -> None:
         """Replace the list of other nodes."""
@@ -119,6 +121,11 @@
         self.serving.load.merge(message.load, now_s)
         self.serving.crashes.merge(message.load.crashes, now_s)
         self.serving.request_limits.merge(message.load.limits, now_s)
-        self.serving.leaving_notices.merge(message.load.leaving)
+        for run in self.serving.leaving_notices.merge(message.load.leaving):
+            self.log_part.info(
+                "A peer was told that an upstream leaves.",
+                upstream=run.instance,
+                peer=message.load.node,
+            )
         for instance in message.load.reachable:
             self.serving.health.record_connect(instance)
