Test: servers that send bytes without end (red)

Workers and the store of the stand-ins write heads, framing, bodies and events without end, at full speed or byte by byte, until the caller closes. Checked with a real node: how callers' requests end and when, the peak of the node's resident memory, other requests beside them, and that the connections are closed.

--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -224,8 +224,12 @@
     body: bytes = b"",
     headers: dict[str, str] | None = None,
     timeout_s: float = 10.0,
+    max_bytes: int | None = None,
 ) -> HttpAnswer | None:
-    """Send a client's request unchanged; `None` without a complete answer."""
+    """Send a client's request unchanged; `None` without a complete answer.
+
+    With `max_bytes`, the client leaves after so many bytes of the body.
+    """
     connection = HTTPConnection("127.0.0.1", node.port, timeout=timeout_s)
     connection.putrequest(method, target, skip_host=True, skip_accept_encoding=True)
     sent = {"Host": HOST, **client_headers(), **(headers or {})}
@@ -237,7 +241,9 @@
     try:
         connection.endheaders(body or None)
         answer = connection.getresponse()
-        return HttpAnswer(answer.status, dict(answer.getheaders()), answer.read())
+        return HttpAnswer(
+            answer.status, dict(answer.getheaders()), answer.read(max_bytes)
+        )
     except (HTTPException, OSError):
         return None
     finally:
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -17,6 +17,7 @@
     ROWS_TX_PATH,
     STORE_ERA,
 )
+from stand_ins.endless_answers import ANSWERS, TRICKLE, write_endlessly
 from stand_ins.serving import cut_connection, serve
 
 HANG_DURATION_S = 3600.0
@@ -27,7 +28,8 @@
     """Faults in force.
 
     Attributes:
-        down: How calls fail: `""`, `busy`, `many`, `reset` or `silent`.
+        down: How calls fail: `""`, `busy`, `many`, `reset`, `silent` or the name of
+            an endless answer.
         slow_s: Delay before each answer, in seconds.
         lose_replies: Number of next writes that are applied but whose connection is
             cut instead of answered.
@@ -63,6 +65,8 @@
         oldest_version: Feeds that start after a smaller version are refused.
         era: Number of times that the store came back from an older copy.
         copy: Version, rows and history to come back to.
+        calls: Calls so far.
+        endless: Endless answers that are being written.
     """
 
     rows: dict[tuple[str, str], Change] = field(default_factory=dict)
@@ -74,6 +78,7 @@
     faults: StoreFaults = StoreFaults()
     changed: Event = field(default_factory=Event)
     calls: int = 0
+    endless: int = 0
 
     def write(self, table: str, key: str, value: str | None) -> None:
         """Write or remove a row at the current version."""
@@ -119,6 +124,12 @@
             cut_connection(request)
         case "silent":
             await sleep(HANG_DURATION_S)
+    if faults.down.removeprefix(TRICKLE) in ANSWERS:
+        state.endless += 1
+        try:
+            await write_endlessly(request, faults.down, {})
+        finally:
+            state.endless -= 1
     await sleep(faults.slow_s)
     return await handler(request)
 
@@ -224,7 +235,8 @@
 
 
 async def _calls(request: web.Request) -> web.Response:
-    return _answer(request.app[STATE], calls=request.app[STATE].calls)
+    state = request.app[STATE]
+    return _answer(state, calls=state.calls, endless=state.endless)
 
 
 def store_app() -> web.Application:
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -26,12 +26,14 @@
     RETRY_AFTER,
     TENANT,
 )
+from stand_ins.endless_answers import ANSWERS, TRICKLE, write_endlessly
 from stand_ins.serving import cut_connection, reset_connection, serve
 
 EVENT_COUNT = 5
 EVENT_GAP_S = 0.02
 HANG_DURATION_S = 3600.0
 CRASH_EXIT_STATUS = 70
+ORDER_FAULT = "order "  # before the name of a fault of orders
 
 
 class WorkerFaults(Struct, frozen=True):
@@ -59,12 +61,17 @@
 
 @dataclass
 class WorkerState:
-    """Requests and orders that a worker has received, and its faults."""
+    """Requests and orders that a worker has received, and its faults.
+
+    Attributes:
+        endless: Endless answers that are being written.
+    """
 
     instance: str
     runs: list[dict[str, Any]] = field(default_factory=list)
     arrivals_s: list[float] = field(default_factory=list)
     ended: int = 0
+    endless: int = 0
     reservations: dict[str, int] = field(default_factory=dict)
     orders: list[dict[str, Any]] = field(default_factory=list)
     faults: WorkerFaults = NO_FAULTS
@@ -95,6 +102,8 @@
         if state.faults.retry_after:
             headers[RETRY_AFTER] = state.faults.retry_after
         return web.Response(status=503, headers=headers)
+    if fault in ("503 body", "421 body"):
+        return await _write_endless(request, fault, {NOT_EXECUTED: "1"})
     if fault == "cut":
         cut_connection(request)
         raise ConnectionResetError
@@ -117,6 +126,9 @@
             _exit(CRASH_EXIT_STATUS)
         if fault == "silent":
             await sleep(HANG_DURATION_S)
+        if fault.removeprefix(TRICKLE) in ANSWERS:
+            headers = _response_headers(request, fault)
+            return await _write_endless(request, fault, headers)
         if request.path.startswith("/stream/"):
             return await _stream(request, state, fault)
         return await _call(request, state, fault)
@@ -124,6 +136,18 @@
         state.ended += 1
 
 
+async def _write_endless(
+    request: web.Request, fault: str, headers: dict[str, str]
+) -> web.StreamResponse:
+    state = request.app[STATE]
+    state.endless += 1
+    try:
+        await write_endlessly(request, fault, headers)
+    finally:
+        state.endless -= 1
+    raise AssertionError("an endless answer ended")
+
+
 def _notices(state: WorkerState) -> dict[str, str]:
     """Return what the worker says of itself in all its answers."""
     headers = {REQUEST_LIMIT: state.faults.limit} if state.faults.limit else {}
@@ -198,10 +222,13 @@
     return response
 
 
-async def _order(request: web.Request) -> web.Response:
+async def _order(request: web.Request) -> web.StreamResponse:
     state = request.app[STATE]
     order = json.decode(await request.read())
     state.orders.append(order)
+    if state.faults.how.startswith(ORDER_FAULT):
+        fault = state.faults.how.removeprefix(ORDER_FAULT)
+        return await _write_endless(request, fault, {})
     if state.faults.how == "no memory":
         return web.Response(status=409)
     if order["op"] == "reserve":
@@ -220,6 +247,7 @@
     record = {
         "runs": state.runs,
         "ended": state.ended,
+        "endless": state.endless,
         "tickets": state.reservations,
         "orders": state.orders,
         "arrivals_s": state.arrivals_s,
