An answer whose head or framing has no end is lost at once

Callers of a request that must not run again got 504 at their deadline, and the node parsed the bytes until then, when a worker sent informational heads, a chunk size, a chunk extension or chunks with long extensions without end. With 40 such requests at once, some of them were refused; informational heads from the store had another request refused after 0.9 s.

The HTTP library bounds a line and the number of header lines, but not informational heads and not what surrounds the data of chunks. Ruled out: a time limit for heads, as a slow worker must not end a request that can't be repeated.

Connections now count heads and bytes, and abort an answer with more than 16 heads, or more than 64 KB and 16 times its body. This holds for the store and for orders, too.

endless_answers.feature, before: /order/ 504 with 100 and 103 heads, chunk size, chunk extension and extended chunks; 40 at once {'504', '503'}. After: 502 within 1 s each, and 502 within 3 s for 40 at once; other requests within 0.5 s and 1 s.

--- a/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
@@ -1,29 +1,88 @@
 """The shared HTTP client session, with automatic retries disabled."""
 
+from asyncio import BaseTransport, get_running_loop
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from ssl import create_default_context
+from typing import Any
 
 from aiohttp import (
     ClientConnectorError,
     ClientOSError,
+    ClientPayloadError,
     ClientRequest,
     ClientResponse,
     ClientSession,
     ClientTimeout,
     ServerDisconnectedError,
+    StreamReader,
     TCPConnector,
 )
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
 
 CONNECT_TIMEOUT_S = 2.0
 KEEPALIVE_S = 15.0
 MAX_LINE_BYTES = 1_048_576
+MAX_HEAD_BYTES = 64 << 10  # of an answer, with the informational answers before it
+MAX_HEADS = 16  # of an answer, likewise
+FRAMING_FACTOR = 16  # of the body; chunks of one byte have five bytes of framing each
+# Received at once on one connection, so that a fast sender does not hold up the others.
+READ_BYTES = 4 << 10
 
 
 class ConnectionLost(Exception):
     """The connection ended without a response; bytes may have been sent."""
 
 
+class BoundedHandler(ResponseHandler):
+    """Aborts the connection if an answer's head or framing has no end.
+
+    The HTTP library limits neither the informational answers before an answer nor the
+    sizes, extensions and trailers of chunks.
+    """
+
+    received_bytes = 0
+    heads = 0
+
+    def connection_made(self, transport: BaseTransport) -> None:
+        """Limit the size of reads."""
+        # The size with which asyncio's transports call `recv`.
+        setattr(transport, "max_size", READ_BYTES)
+        super().connection_made(transport)
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the answer to the next request."""
+        self.received_bytes = self.heads = 0
+        super().set_response_params(**params)
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Receive a parsed head."""
+        self.heads += 1
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; none if parsing resumes after a pause."""
+        super().data_received(data)
+        self.received_bytes += len(data)
+        body_bytes = 0 if self._payload is None else self._payload.total_bytes
+        if self.heads > MAX_HEADS:
+            self._abort_answer(f"{self.heads} heads")
+        elif self.received_bytes > MAX_HEAD_BYTES + FRAMING_FACTOR * body_bytes:
+            self._abort_answer(f"{self.received_bytes} bytes with little or no body")
+
+    def _abort_answer(self, reason: str) -> None:
+        error = ClientPayloadError(reason)
+        self.set_exception(error)
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+
 async def _disable_retries(
     request: ClientRequest,
     handler: Callable[[ClientRequest], Awaitable[ClientResponse]],
@@ -40,7 +99,10 @@
 
 
 def open_session(
-    max_connections: int = 0, tls_ca: Path | None = None, reuse: bool = True
+    max_connections: int = 0,
+    tls_ca: Path | None = None,
+    reuse: bool = True,
+    handler: type[BoundedHandler] = BoundedHandler,
 ) -> ClientSession:
     """Return a client session.
 
@@ -49,15 +111,19 @@
             bounds the calls.
         tls_ca: File of CA certificates to trust instead of the system's.
         reuse: Whether to keep idle connections for later calls.
+        handler: Handler of the connections.
     """
     ssl_context = True if tls_ca is None else create_default_context(cafile=tls_ca)
+    connector = TCPConnector(
+        limit=max_connections,
+        force_close=not reuse,
+        keepalive_timeout=KEEPALIVE_S if reuse else None,
+        ssl=ssl_context,
+    )
+    factory: Any = partial(handler, loop=get_running_loop())
+    connector._factory = factory
     return ClientSession(
-        connector=TCPConnector(
-            limit=max_connections,
-            force_close=not reuse,
-            keepalive_timeout=KEEPALIVE_S if reuse else None,
-            ssl=ssl_context,
-        ),
+        connector=connector,
         middlewares=(_disable_retries,),
         read_bufsize=MAX_LINE_BYTES,
         auto_decompress=False,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -5,12 +5,9 @@
 request unknown, also of one that must not be retried.
 """
 
-from asyncio import get_running_loop
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import partial
 from http import HTTPStatus
-from typing import Any
 
 from aiohttp import (
     ClientConnectorError,
@@ -20,7 +17,6 @@
     ClientSession,
     ConnectionTimeoutError,
 )
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 from yarl import URL
@@ -38,7 +34,12 @@
     HeaderCodec,
 )
 from lagoonhinge_core.forwarding.upstreams import Upstream
-from lagoonhinge_http.session import ConnectionLost, call_timeout, open_session
+from lagoonhinge_http.session import (
+    BoundedHandler,
+    ConnectionLost,
+    call_timeout,
+    open_session,
+)
 
 CONNECT_TIMEOUT_S = 0.15  # fifty round trips between availability zones
 MAX_ANSWER_BYTES = 8 << 20  # twice the largest body that callers may send
@@ -52,7 +53,7 @@
 )
 
 
-class _ResetAwareHandler(ResponseHandler):
+class _ResetAwareHandler(BoundedHandler):
     """Reports a reset as an error, as opposed to an end of the connection."""
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -64,12 +65,7 @@
 
 def open_upstream_session() -> ClientSession:
     """Return a session that uses each connection for one request."""
-    session = open_session(reuse=False)
-    connector = session.connector
-    assert connector is not None
-    factory: Any = partial(_ResetAwareHandler, loop=get_running_loop())
-    connector._factory = factory
-    return session
+    return open_session(reuse=False, handler=_ResetAwareHandler)
 
 
 @dataclass
