An error in the framing of a body ends the attempt at once

When the framing of a body broke after its head had arrived, e.g. by a trailer line over the limit, the request waited for its deadline and got 504.

The HTTP library closes the connection and stores the error for the next head, and its parser forgets the body, so that the reader of the body never learns of either.

The error is now also set on the body.

endless_answers.feature, trailer line, before: /order/ and /stream/once/ 504. After: 502 within 1 s.

--- a/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
@@ -69,7 +69,9 @@
         super().data_received(data)
         self.received_bytes += len(data)
         body_bytes = 0 if self._payload is None else self._payload.total_bytes
-        if self.heads > MAX_HEADS:
+        if self.exception() is not None:
+            self._abort_answer(str(self.exception()))
+        elif self.heads > MAX_HEADS:
             self._abort_answer(f"{self.heads} heads")
         elif self.received_bytes > MAX_HEAD_BYTES + FRAMING_FACTOR * body_bytes:
             self._abort_answer(f"{self.received_bytes} bytes with little or no body")
@@ -77,6 +79,7 @@
     def _abort_answer(self, reason: str) -> None:
         error = ClientPayloadError(reason)
         self.set_exception(error)
+        # The library's parser does not report an error to the reader of the body.
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(error)
         if self.transport is not None:
