An upstream's 101 is no answer

A caller got 101 Switching Protocols when a worker sent it, though no request asks for an upgrade; what follows it is no answer. The HTTP library returns 101 as a final status, and the node passed on every stamped status. Other informational heads never get that far.

The attempt is now lost, and repeated where the route allows it.

endless_answers.feature, upgrade, before: 101 for each kind. After: a whole answer for those that may run again, 502 for the others.

--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -180,6 +180,8 @@
 def _find_failure(head: AnswerHead, request: CallerRequest) -> AttemptFailure | None:
     if head.request_id not in (None, request.request_id):
         return Lost("the answer is of another request")
+    if head.status < HTTPStatus.OK:
+        return Lost(f"status {head.status}, which is no answer")
     if head.status == HTTPStatus.MISDIRECTED_REQUEST:
         return Declined(head.status, True, head.failed_address)
     if head.not_run:
