Answers to calls have a largest size

A node read the store's answer for as long as its call lasted, 20 s for a long poll, and that of an engine to an order for 0.5 s: 534 to 1133 MB after 2 s of an endless answer of the store, and 238 to 487 MB for orders. A node of 200 MB would be ended.

Calls read the whole body without a bound.

--- a/packages/lagoonhinge-http/src/lagoonhinge_http/calls.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/calls.py
@@ -4,11 +4,19 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
-from aiohttp import ClientError, ClientSession, ClientTimeout, hdrs
+from aiohttp import (
+    ClientError,
+    ClientPayloadError,
+    ClientSession,
+    ClientTimeout,
+    hdrs,
+)
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_http.session import ConnectionLost
 
+MAX_RESPONSE_BYTES = 64 << 20
+
 CallError: TypeAlias = ConnectionLost | ClientError | TimeoutError
 
 
@@ -36,6 +44,7 @@
     timeout: ClientTimeout,
     body: bytes | None = None,
     headers: dict[str, str] | None = None,
+    max_bytes: int = MAX_RESPONSE_BYTES,
 ) -> Result[HttpResponse, CallError]:
     """Send a request once and read the response.
 
@@ -46,6 +55,7 @@
         timeout: Time limits, from `call_timeout`.
         body: Body of the request, if it has one.
         headers: Headers in addition to those of the HTTP library.
+        max_bytes: Longest body of the response, in bytes.
 
     Returns:
         The response, or the error that ended the call without one.
@@ -55,7 +65,14 @@
             method, url, data=body, headers=headers, timeout=timeout
         ) as response:
             etag = response.headers.get(hdrs.ETAG, "")
-            body = await response.read()
-            return Success(HttpResponse(response.status, body, etag, response.headers))
+            received = bytearray()
+            async for data in response.content.iter_any():
+                received += data
+                if len(received) > max_bytes:
+                    response.close()
+                    return Failure(ClientPayloadError(f"over {max_bytes} bytes"))
+            return Success(
+                HttpResponse(response.status, bytes(received), etag, response.headers)
+            )
     except (ConnectionLost, ClientError, TimeoutError) as error:
         return Failure(error)
