All answers that are read share a bounded memory

Each answer could take 8 MB, and its copies two times more: 40 endless ones at once took a node to 297 to 438 MB.

A smaller bound for each answer was ruled out, as 8 MB is twice what callers may send. The answers that are held now share 32 MB; beyond it, one that holds more than an even part is lost, so that small answers go on. An answer counts until its caller has it.

--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
+from itertools import count
 
 from aiohttp import (
     ClientConnectorError,
@@ -21,6 +22,7 @@
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from lagoonhinge_core.forwarding.answer_memory import AnswerMemory
 from lagoonhinge_core.forwarding.attempts import (
     AttemptFailure,
     Declined,
@@ -42,7 +44,7 @@
 )
 
 CONNECT_TIMEOUT_S = 0.15  # fifty round trips between availability zones
-MAX_ANSWER_BYTES = 8 << 20  # twice the largest body that callers may send
+READ_BUFFER_BYTES = 64 << 10  # of an answer whose caller reads slowly
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 # Statuses that by definition mean that the request did not run.
 NOT_RUN_STATUSES = (
@@ -75,10 +77,16 @@
     Attributes:
         head: Status and headers.
         response: Response that the body is read from.
+        memory: Memory that all answers share.
+        number: Number of the answer there.
+        held_bytes: Bytes that it holds there.
     """
 
     head: AnswerHead
     response: ClientResponse
+    memory: AnswerMemory
+    number: int
+    held_bytes: int = 0
 
     async def next_data(self) -> Result[bytes, Lost]:
         """Return the next bytes of the body; empty at its end."""
@@ -96,14 +104,22 @@
                     return Success(bytes(body))
                 case Success(data):
                     body += data
-                    if len(body) > MAX_ANSWER_BYTES:
-                        return Failure(Lost(f"over {MAX_ANSWER_BYTES} bytes"))
+                    if not self.hold(len(body)):
+                        return Failure(Lost(f"too large, {len(body)} bytes"))
                 case Failure(lost):
                     return Failure(lost)
 
+    def hold(self, held_bytes: int) -> bool:
+        """Record how much is held, in bytes; return whether there is memory for it."""
+        if held_bytes == self.held_bytes:
+            return True
+        self.held_bytes = held_bytes
+        return self.memory.hold(self.number, held_bytes)
+
     def close(self) -> None:
         """Close the connection, which cancels the upstream's work."""
         self.response.close()
+        self.hold(0)
 
 
 class UpstreamClient:
@@ -124,6 +140,8 @@
         self.session = session
         self.codec = codec
         self.record_head = record_head
+        self.memory = AnswerMemory()
+        self.numbers = count()
 
     async def send(
         self, upstream: Upstream, request: CallerRequest, options: AttemptOptions
@@ -151,6 +169,7 @@
                 data=request.body or None,
                 allow_redirects=False,
                 timeout=call_timeout(None, connect_s=CONNECT_TIMEOUT_S),
+                read_bufsize=READ_BUFFER_BYTES,
             )
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             return Failure(NotDelivered(_describe(error)))
@@ -165,7 +184,7 @@
         if failure is not None:
             response.close()
             return Failure(failure)
-        return Success(UpstreamAnswer(head, response))
+        return Success(UpstreamAnswer(head, response, self.memory, next(self.numbers)))
 
 
 def _describe(error: Exception) -> str:
