Streams without new events end

A stream whose bytes never completed an event filled a buffer, which was copied and searched again for each read, until its deadline (504). One of endless comments, events without id or repetitions of one event was passed on until the deadline, and kept the silence timeout from a failover also when it came slowly.

256 KB without a new event, a thousand times the usual one, now end an attempt. Only an event with an id other than the last one restarts the silence timeout and counts as the first event: the ids of a stream increase. Comments are still passed on at once. A pattern for the ids was tried and took three times as long.

Endless events with increasing ids look like a proper stream and go on to the deadline.

The step on split events compares the same ids and bytes as before.

--- a/features/steps/forwarding_decisions_steps.py
+++ b/features/steps/forwarding_decisions_steps.py
@@ -146,19 +146,16 @@
     splitter = EventSplitter()
     text = context.stream_bytes = _events(ENDINGS[ending], count)
     context.events = [
-        event
-        for start in range(0, len(text), size)
-        for event in splitter.feed(text[start : start + size])
+        splitter.feed(text[start : start + size]) for start in range(0, len(text), size)
     ]
     context.rest = splitter.buffer
 
 
 @then("{count:d} complete events with their ids are returned")
 def step_events(context, count):
-    assert [event.event_id for event in context.events] == [
-        str(n) for n in range(1, count + 1)
-    ]
-    assert b"".join(event.raw for event in context.events) == context.stream_bytes
+    ids = [event_id for events in context.events for event_id in events.ids]
+    assert ids == [str(n) for n in range(1, count + 1)]
+    assert b"".join(events.raw for events in context.events) == context.stream_bytes
     assert not context.rest
 
 
@@ -171,7 +168,8 @@
 
 @then("{count:d} complete events are returned and the rest is buffered")
 def step_rest(context, count):
-    assert len(context.events) == count and context.rest.startswith(b"id: 3")
+    assert context.events.raw == _events("\n", count)
+    assert len(context.events.ids) == count and context.rest.startswith(b"id: 3")
 
 
 @given(
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/event_splitter.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/event_splitter.py
@@ -2,53 +2,53 @@
 
 from dataclasses import dataclass
 
+MAX_EVENT_BYTES = 256 << 10  # a thousand times the usual event
 ID_FIELD = b"id:"
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+MAX_END_BYTES = 4
 
 
 @dataclass(frozen=True)
-class StreamEvent:
-    """One complete event.
+class CompleteEvents:
+    """Consecutive complete events.
 
     Attributes:
-        raw: Bytes of the event, with the empty line that ends it.
-        event_id: Value of the `id` field; `None` if there is none.
+        raw: Bytes of the events, with the empty lines that end them.
+        ids: Values of their `id` fields.
     """
 
     raw: bytes
-    event_id: str | None
+    ids: tuple[str, ...]
 
 
-def _event_id(raw: bytes) -> str | None:
-    for line in raw.splitlines():
-        if line.startswith(ID_FIELD):
-            return line[len(ID_FIELD) :].strip().decode("latin-1")
-    return None
+NO_EVENTS = CompleteEvents(b"", ())
 
 
 class EventSplitter:
     """Buffers the bytes of an event until its end has arrived."""
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self.buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
+    def feed(self, data: bytes) -> CompleteEvents:
         """Add bytes, and return the events that they complete."""
-        received = self.buffer + data
-        events: list[StreamEvent] = []
-        start = 0
-        while (end := _end_of_event(received, start)) > 0:
-            raw = received[start:end]
-            events.append(StreamEvent(raw, _event_id(raw)))
-            start = end
-        self.buffer = received[start:]
-        return events
-
-
-def _end_of_event(received: bytes, start: int) -> int:
-    """Return the position after the next empty line, or 0 if there is none."""
-    ends = [
-        index + len(delimiter)
-        for delimiter in (b"\n\n", b"\r\n\r\n")
-        if (index := received.find(delimiter, start)) >= 0
-    ]
-    return min(ends, default=0)
+        # The end of an event may have begun to arrive before.
+        search_from = max(0, len(self.buffer) - MAX_END_BYTES + 1)
+        self.buffer += data
+        end = max(_last_end(self.buffer, text, search_from) for text in EVENT_ENDS)
+        if not end:
+            return NO_EVENTS
+        raw = bytes(self.buffer[:end])
+        del self.buffer[:end]
+        ids = [
+            line[len(ID_FIELD) :].strip().decode("latin-1")
+            for line in raw.splitlines()
+            if line.startswith(ID_FIELD)
+        ]
+        return CompleteEvents(raw, tuple(ids))
+
+
+def _last_end(received: bytearray, text: bytes, start: int) -> int:
+    """Return the position after the last occurrence of a text, or 0 without one."""
+    index = received.rfind(text, start)
+    return index + len(text) if index >= 0 else 0
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -14,7 +14,7 @@
     Lost,
     NotDelivered,
 )
-from lagoonhinge_core.forwarding.event_splitter import EventSplitter
+from lagoonhinge_core.forwarding.event_splitter import MAX_EVENT_BYTES, EventSplitter
 from lagoonhinge_core.forwarding.messages import AttemptOptions, EngineMemory, Helper
 from lagoonhinge_core.forwarding.routes import EventStream
 from lagoonhinge_core.forwarding.timeouts import answer_timeout_s, event_gap_timeout_s
@@ -265,6 +265,7 @@
         context, writer = attempt.context, attempt.writer
         splitter = EventSplitter()
         last_event_s: float | None = None
+        bytes_since_event = 0
         while True:
             match await answer.next_data():
                 case Failure(lost):
@@ -273,22 +274,30 @@
                     pass
             if not data:
                 break
+            bytes_since_event += len(data)
             events = splitter.feed(data)
-            if not events:
-                continue
-            now_s = self.serving.clock()
-            if last_event_s is None:
-                self._record_first_event(attempt, "First event.")
-            else:
-                attempt.longest_gap_s = max(attempt.longest_gap_s, now_s - last_event_s)
-            last_event_s = now_s
-            if not writer.started:
-                await writer.start(answer.head)
-            for event in events:
-                if event.event_id is not None:
-                    context.last_event_id = event.event_id
-            await writer.write(b"".join(event.raw for event in events))
-            attempt.silence_timeout.restart(event_gap_timeout_s(kind))
+            # Comments and repetitions don't show that the upstream makes progress.
+            is_progress = bool(events.ids) and events.ids[-1] != context.last_event_id
+            if is_progress:
+                now_s = self.serving.clock()
+                if last_event_s is None:
+                    self._record_first_event(attempt, "First event.")
+                else:
+                    gap_s = now_s - last_event_s
+                    attempt.longest_gap_s = max(attempt.longest_gap_s, gap_s)
+                last_event_s = now_s
+                bytes_since_event = len(splitter.buffer)
+                context.last_event_id = events.ids[-1]
+            if events.raw:
+                if not writer.started:
+                    await writer.start(answer.head)
+                await writer.write(events.raw)
+            if is_progress:
+                attempt.silence_timeout.restart(event_gap_timeout_s(kind))
+            if bytes_since_event > MAX_EVENT_BYTES:
+                return Failure(Lost(f"{bytes_since_event} bytes without a new event"))
+            if not answer.hold(len(splitter.buffer)):
+                return Failure(Lost(f"too large, {len(splitter.buffer)} bytes"))
         if splitter.buffer:
             return Failure(Lost("the stream ended within an event"))
         self._record_success(attempt)
