--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/event_splitter.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/event_splitter.py
@@ -1,10 +1,9 @@
 """Incremental splitting of an event stream into events."""
 
 from dataclasses import dataclass
-from re import compile as compile_pattern
 
 MAX_EVENT_BYTES = 256 << 10  # a thousand times the usual event
-ID_LINE = compile_pattern(rb"(?:^|[\r\n])id:([^\r\n]*)")
+ID_FIELD = b"id:"
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 MAX_END_BYTES = 4
 
@@ -41,7 +40,11 @@
             return NO_EVENTS
         raw = bytes(self.buffer[:end])
         del self.buffer[:end]
-        ids = [text.strip().decode("latin-1") for text in ID_LINE.findall(raw)]
+        ids = [
+            line[len(ID_FIELD) :].strip().decode("latin-1")
+            for line in raw.splitlines()
+            if line.startswith(ID_FIELD)
+        ]
         return CompleteEvents(raw, tuple(ids))
 
 
