--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
@@ -189,6 +189,13 @@
                 "The caller left.", writer.request_id or "-", error=repr(error)
             )
             writer.abort()
+        except Exception as error:
+            self.log_part.error(
+                "A request ended with an exception.",
+                writer.request_id or "-",
+                error=repr(error),
+            )
+            raise
         finally:
             self.serving.open_requests -= 1
         # After an abort there may be no response, and nothing can be sent.
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -2,8 +2,6 @@
 
 from asyncio import Timeout, get_running_loop, sleep, timeout
 from functools import partial
-from http import HTTPStatus
-from math import inf
 
 from returns.result import Failure, Success
 
@@ -19,7 +17,6 @@
 )
 from lagoonhinge_core.forwarding.prompt_placement import DeadlineUnreachable
 from lagoonhinge_node.forwarding.attempt_sender import AttemptSender
-from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
 from lagoonhinge_node.forwarding.forwarding_metrics import (
     ForwardingMetrics,
     failure_label,
@@ -36,11 +33,14 @@
     RequestLog,
     ResponseWriter,
 )
+from lagoonhinge_node.forwarding.request_ending import (
+    SHORT_RETRY_AFTER_S,
+    RequestEnding,
+)
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.silence_timeout import SilenceTimeout
 from lagoonhinge_node.forwarding.upstream_choice import UpstreamChoice, UpstreamChooser
 
-SHORT_RETRY_AFTER_S = 0.25  # another node or a newly listed upstream may serve it
 CAPACITY_WAIT_SHARE = 0.5  # of the target time; an answer after a longer wait is late
 CAPACITY_POLL_INTERVAL_S = 0.03  # less than an engine pass, which may free capacity
 # Longest predicted wait for a failover, which must not move a request from a silent
@@ -74,6 +74,7 @@
         self.sender = sender
         self.metrics = metrics
         self.log = log
+        self.ending = RequestEnding(serving, metrics, log)
         self.deadlines: set[Timeout] = set()
 
     def end_all(self) -> None:
@@ -95,7 +96,7 @@
                 end = await self._attempt_until_done(context, writer)
         except TimeoutError:
             end = "timeout"
-            await self._time_out(context, writer)
+            await self.ending.time_out(context, writer)
         finally:
             self.deadlines.discard(deadline)
             labels = (
@@ -121,9 +122,13 @@
                     case UpstreamChoice() as choice:
                         self._start_attempt(context, writer, attempts, choice)
                     case None if attempts.is_empty():
-                        return await self._end_without_capacity(context, writer)
+                        return await self.ending.end_without_capacity(
+                            context,
+                            writer,
+                            self.chooser.closed_for_s(context.service, context.tried),
+                        )
                     case DeadlineUnreachable(ready_s) if attempts.is_empty():
-                        return await self._end_unreachable_deadline(
+                        return await self.ending.end_unreachable_deadline(
                             context, writer, ready_s
                         )
                 end = await self._wait_for_retry(context, writer, attempts)
@@ -185,7 +190,7 @@
             may_pass_on = action is FailureAction.PASS_ON and not writer.started
             if attempts.is_empty() or may_pass_on:
                 await attempts.close()
-                return await self._end_failed(
+                return await self.ending.end_failed(
                     context, writer, action, quarantine_s or SHORT_RETRY_AFTER_S
                 )
 
@@ -332,87 +337,3 @@
             if failure.culprit and upstream.address() == failure.culprit:
                 self.serving.health.record_loss(upstream.instance, now_s)
                 context.helper_faults += upstream is not choice.upstream
-
-    async def _end_without_capacity(
-        self, context: RequestContext, writer: ResponseWriter
-    ) -> str:
-        closed_s = self.chooser.closed_for_s(context.service, context.tried)
-        self.log.log_failure(
-            context,
-            "No upstream has capacity; ending the request.",
-            sends=context.attempts,
-            closed_s=closed_s,
-        )
-        if closed_s == inf:
-            closed_s = self.log.remaining_s(context)
-        retry_after_s = max(SHORT_RETRY_AFTER_S, closed_s or 0.0)
-        return await self._end_failed(
-            context, writer, FailureAction.REFUSE, retry_after_s
-        )
-
-    async def _end_unreachable_deadline(
-        self, context: RequestContext, writer: ResponseWriter, ready_s: float
-    ) -> str:
-        remaining_s = self.log.remaining_s(context)
-        self.log.log_failure(
-            context,
-            "No upstream can meet the deadline; ending the request.",
-            ready_s=ready_s,
-            remaining_s=remaining_s,
-        )
-        # A retry before the deadline would fail for the same reason.
-        retry_after_s = max(remaining_s, SHORT_RETRY_AFTER_S)
-        return await self._end_failed(
-            context, writer, FailureAction.REFUSE, retry_after_s
-        )
-
-    async def _end_failed(
-        self,
-        context: RequestContext,
-        writer: ResponseWriter,
-        action: FailureAction,
-        retry_after_s: float = SHORT_RETRY_AFTER_S,
-    ) -> str:
-        took_s = self.log.took_s(context)
-        if writer.started:
-            self._abort(context, writer)
-            return "broke_off"
-        if context.failed_answer is not None:
-            head, body = context.failed_answer
-            self.log.log_failure(context, "Passed on a failure.", status=head.status)
-            await writer.reply(head, body)
-            return "failure_passed_on"
-        if action is FailureAction.REFUSE and not context.runs:
-            self.log.log_failure(context, "Refused, not run.", took_s=took_s)
-            await writer.refuse(HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s)
-            return "refused"
-        self.log.log_failure(context, "Failed.", took_s=took_s, runs=context.runs)
-        await writer.refuse(HTTPStatus.BAD_GATEWAY, None)
-        return "failed"
-
-    def _abort(self, context: RequestContext, writer: ResponseWriter) -> None:
-        """Interrupt a stream, and record why."""
-        config = self.serving.board.read(SiteConfigSection).config
-        self.log.log_failure(
-            context,
-            "Broke off.",
-            took_s=self.log.took_s(context),
-            runs=context.runs,
-            cause=repr(context.last_failure),
-            silent_s=self.log.silent_s(context),
-            config_version=None if config is None else config.version,
-        )
-        self.metrics.interrupted.labels(failure_label(context.last_failure)).inc()
-        writer.abort()
-
-    async def _time_out(self, context: RequestContext, writer: ResponseWriter) -> None:
-        took_s = self.log.took_s(context)
-        self.log.log_failure(
-            context, "Out of time.", took_s=took_s, sends=context.attempts
-        )
-        if writer.started:
-            writer.abort()
-        elif context.runs:
-            await writer.refuse(HTTPStatus.GATEWAY_TIMEOUT, None)
-        else:
-            await writer.refuse(HTTPStatus.SERVICE_UNAVAILABLE, SHORT_RETRY_AFTER_S)
