Large streams of the stand-in have more and smaller events

Five events of 1.5 MB are above the bound for one event (256 KB), which came with the bounds of answers, so two rows of "A caller that reads a large answer slowly gets it once" failed. Forty events of 187 KB have the same 7.5 MB.

--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -11,7 +11,11 @@
 from features.support.platform_fleet import BOUNDS, config
 from features.support.raw_callers import RawCaller
 from features.support.waiting import eventually
-from stand_ins.platform_worker import EVENT_COUNT, LARGE_BODY, LARGE_EVENT_DATA
+from stand_ins.platform_worker import (
+    LARGE_BODY,
+    LARGE_EVENT_COUNT,
+    LARGE_EVENT_DATA,
+)
 
 LONG_S = 20.0  # longer than the whole stop
 PIECES = 10
@@ -77,7 +81,7 @@
 def step_large_answer(context, answer):
     expected = LARGE_BODY
     if answer == "the whole stream":
-        events = range(1, EVENT_COUNT + 1)
+        events = range(1, LARGE_EVENT_COUNT + 1)
         expected = b"".join(
             b"id: %d\ndata: %s\n\n" % (n, LARGE_EVENT_DATA) for n in events
         )
