Features allocate ports in ranges that do not overlap

A scenario of silent_upstreams failed once: a stand-in could not bind 127.0.0.1:13158. Cause: each feature had a range of 100 ports and went on into those of the next features, which run at the same time; between the check that a port is free and its use by a process lies the start of that process. Features with 28 to 75 scenarios of 9 ports each overlapped. Now each has 600 and starts again at the first.

Known red: a row of endless_answers that failed once in the same run, beside load.

--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -22,6 +22,7 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 60.0
 PORT_VARIABLE = "LAGOONHINGE_TEST_PORTS"
+PORTS_PER_FEATURE = 600  # as in tools.run_features, so that ranges never overlap
 FIRST_PORT = 12_000  # below the ephemeral port range of the kernel
 SITE = "perth"
 # Value of `Popen` for a process group of its own. When the shell that started the tests
@@ -60,19 +61,21 @@
     """Allocates free ports; the process of each feature has its own range."""
 
     def __init__(self):
-        self.last_port = int(environ.get(PORT_VARIABLE, FIRST_PORT))
+        self.first_port = int(environ.get(PORT_VARIABLE, FIRST_PORT))
+        self.allocated = 0
 
     def allocate(self) -> int:
-        """Return the next port that can be bound."""
+        """Return the next port that can be bound; the range starts again at its end."""
         while True:
-            self.last_port += 1
+            port = self.first_port + self.allocated % PORTS_PER_FEATURE
+            self.allocated += 1
             with socket(AF_INET, SOCK_STREAM) as probe:
                 probe.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
                 try:
-                    probe.bind(("127.0.0.1", self.last_port))
+                    probe.bind(("127.0.0.1", port))
                 except OSError:
                     continue
-            return self.last_port
+            return port
 
 
 PORTS = PortRange()
