One place for the ports of tests

The runner of features repeated the first port, the size of a range and the name of the variable, which must agree with those that a feature's process uses. It imports them now.

--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -22,7 +22,7 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 60.0
 PORT_VARIABLE = "LAGOONHINGE_TEST_PORTS"
-PORTS_PER_FEATURE = 600  # as in tools.run_features, so that ranges never overlap
+PORTS_PER_FEATURE = 600
 FIRST_PORT = 12_000  # below the ephemeral port range of the kernel
 SITE = "perth"
 # Value of `Popen` for a process group of its own. When the shell that started the tests
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -12,13 +12,12 @@
 
 from msgspec import json
 
+from features.support.fleet import FIRST_PORT, PORT_VARIABLE, PORTS_PER_FEATURE
+
 ROOT = Path(__file__).parents[1]
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-FIRST_PORT = 12_000
-PORTS_PER_FEATURE = 600
 PORT_SLOTS = 30
 MAX_CONCURRENT_FEATURES = 4
-PORT_VARIABLE = "LAGOONHINGE_TEST_PORTS"
 
 
 @dataclass(frozen=True)
