--- a/features/steps/attempt_memory_steps.py
+++ b/features/steps/attempt_memory_steps.py
@@ -1,23 +1,19 @@
 """Steps for memory reservations of an attempt, in virtual time."""
 
 from asyncio import sleep
-from random import Random
 
 from behave import given, then, when
 from returns.result import Success
 
+from features.support.serving import build_serving_state
 from features.support.virtual_time import VirtualLoop
-from lagoonhinge_core.blackboard import Blackboard
-from lagoonhinge_core.forwarding.freshness import Freshness, FreshnessLimits
 from lagoonhinge_core.forwarding.prompt_placement import MemoryReservation
-from lagoonhinge_core.forwarding.retry_window import RetryBound
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_node.forwarding.attempt_memory import AttemptMemory
 from lagoonhinge_node.forwarding.reachability import (
     PROBE_INTERVAL_S,
     ReachabilityController,
 )
-from lagoonhinge_node.forwarding.serving_state import ServingState
 
 TOKENS = 1000
 FAILURE_INTERVAL_S = 2.0
@@ -41,15 +37,7 @@
 @given("memory is reserved on two engines for a prompt that a third one answers")
 def step_reserved(context):
     context.loop = loop = VirtualLoop()
-    context.serving = serving = ServingState(
-        Blackboard(),
-        Freshness(FreshnessLimits(2.6, 4.5)),
-        RetryBound(10.0, 0.2, 100.0),
-        Random(1),
-        loop.time,
-        "n0",
-        "north",
-    )
+    context.serving = serving = build_serving_state(loop.time)
     engines = [Upstream(f"e{n}", "models", f"h{n}", 1, "north", 8) for n in range(3)]
     serving.directory.update(engines, ())
     context.memory = FakeMemory()
--- a/features/steps/forwarding_decisions_steps.py
+++ b/features/steps/forwarding_decisions_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from lagoonhinge_core.blackboard import Blackboard
+from features.support.serving import build_serving_state
 from lagoonhinge_core.forwarding.attempts import (
     Declined,
     Failed,
@@ -192,15 +192,7 @@
 
 
 def _serving_state(node: str, zone: str) -> ServingState:
-    return ServingState(
-        Blackboard(),
-        Freshness(FreshnessLimits(2.6, 4.5)),
-        RetryBound(10.0, 0.2, 100.0),
-        Random(1),
-        lambda: NOW_S,
-        node,
-        zone,
-    )
+    return build_serving_state(lambda: NOW_S, node, zone)
 
 
 def _upstream(name: str, zone: str) -> Upstream:
--- a/features/steps/open_attempts_steps.py
+++ b/features/steps/open_attempts_steps.py
@@ -1,18 +1,15 @@
 """Steps for requests with several open attempts, in virtual time."""
 
 from asyncio import CancelledError, sleep
-from random import Random
 
 from behave import given, then, when
 from returns.result import Failure, Success
 
+from features.support.serving import build_serving_state
 from features.support.virtual_time import VirtualLoop
-from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.forwarding.attempts import Declined, Lost
-from lagoonhinge_core.forwarding.freshness import Freshness, FreshnessLimits
 from lagoonhinge_core.forwarding.messages import AnswerHead, CallerRequest
 from lagoonhinge_core.forwarding.prompt_placement import MemoryReservation
-from lagoonhinge_core.forwarding.retry_window import RetryBound
 from lagoonhinge_core.forwarding.routes import (
     AtMostOnce,
     EventStream,
@@ -26,7 +23,6 @@
 from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.request_context import RequestContext, RequestLog
 from lagoonhinge_node.forwarding.request_runner import RequestRunner
-from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.upstream_choice import UpstreamChoice
 
 KINDS = {
@@ -195,17 +191,8 @@
 def step_upstreams(context, first, second, third):
     context.loop = loop = VirtualLoop()
     context.upstreams = upstreams = FakeUpstreams([first, second, third])
-    board = Blackboard()
-    board.writer(SiteConfigSection(), "config")
-    context.serving = serving = ServingState(
-        board,
-        Freshness(FreshnessLimits(2.6, 4.5)),
-        RetryBound(10.0, 0.2, 100.0),
-        Random(1),
-        loop.time,
-        "n0",
-        "north",
-    )
+    context.serving = serving = build_serving_state(loop.time)
+    serving.board.writer(SiteConfigSection(), "config")
     serving.directory.update(upstreams.entries, ())
     metrics, log = ForwardingMetrics(), RequestLog(serving)
     sender = AttemptSender(serving, upstreams, upstreams, metrics, log)
--- a/features/support/notice_fleet.py
+++ b/features/support/notice_fleet.py
@@ -8,11 +8,10 @@
 from msgspec import json
 from returns.result import Failure, Result, Success
 
+from features.support.serving import build_serving_state
 from features.support.virtual_time import VirtualLoop
-from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.forwarding.attempts import AttemptFailure, Declined, NotDelivered
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
-from lagoonhinge_core.forwarding.freshness import Freshness, FreshnessLimits
 from lagoonhinge_core.forwarding.messages import (
     AnswerHead,
     AttemptOptions,
@@ -20,7 +19,6 @@
     PromptSize,
 )
 from lagoonhinge_core.forwarding.pauses import MAX_PAUSE_S
-from lagoonhinge_core.forwarding.retry_window import RetryBound
 from lagoonhinge_core.forwarding.routes import (
     Idempotent,
     Route,
@@ -41,7 +39,6 @@
 from lagoonhinge_node.forwarding.peer_messages import decode_message
 from lagoonhinge_node.forwarding.request_context import RequestContext, RequestLog
 from lagoonhinge_node.forwarding.request_runner import RequestRunner
-from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.site_controllers import UpstreamController
 from lagoonhinge_node.forwarding.upstream_choice import UpstreamChooser
 from lagoonhinge_node.forwarding.upstream_notices import UpstreamNotices
@@ -123,15 +120,7 @@
 
     def __post_init__(self) -> None:
         loop = self.fleet.loop
-        self.serving = serving = ServingState(
-            Blackboard(),
-            Freshness(FreshnessLimits(2.6, 4.5)),
-            RetryBound(10.0, 0.2, 100.0),
-            Random(1),
-            loop.time,
-            self.name,
-            ZONE,
-        )
+        self.serving = serving = build_serving_state(loop.time, self.name, ZONE)
         services = {
             DESK: ServiceProfile(DESK, 8),
             MODELS: ServiceProfile(MODELS, 8, ENGINE),
--- a/features/support/silence_fuzz.py
+++ b/features/support/silence_fuzz.py
@@ -2,15 +2,13 @@
 
 from asyncio import all_tasks, sleep
 from dataclasses import dataclass, field
-from random import Random
 
 from hypothesis import strategies as st
 from returns.result import Failure, Result, Success
 
+from features.support.serving import build_serving_state
 from features.support.virtual_time import VirtualLoop
-from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.forwarding.attempts import Declined, Lost, NotDelivered
-from lagoonhinge_core.forwarding.freshness import Freshness, FreshnessLimits
 from lagoonhinge_core.forwarding.messages import AnswerHead, CallerRequest
 from lagoonhinge_core.forwarding.retry_window import RetryBound
 from lagoonhinge_core.forwarding.routes import (
@@ -27,7 +25,6 @@
 from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.request_context import RequestContext, RequestLog
 from lagoonhinge_node.forwarding.request_runner import RequestRunner
-from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.upstream_choice import UpstreamChooser
 
 EVENTS = 4
@@ -204,15 +201,7 @@
         write_s: Time for which the caller delays each part, in seconds.
     """
     loop = VirtualLoop()
-    serving = ServingState(
-        Blackboard(),
-        Freshness(FreshnessLimits(2.6, 4.5)),
-        RetryBound(10.0, 0.0, retry_extra),
-        Random(1),
-        loop.time,
-        "n0",
-        "north",
-    )
+    serving = build_serving_state(loop.time, retries=RetryBound(10.0, 0.0, retry_extra))
     serving.board.writer(SiteConfigSection(), "test")
     names = [f"u{number}" for number in range(UPSTREAMS)]
     serving.directory.update(
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -8,10 +8,8 @@
 from msgspec import json
 from returns.result import Failure, Result, Success
 
+from features.support.serving import build_serving_state
 from features.support.virtual_time import VirtualLoop
-from lagoonhinge_core.blackboard import Blackboard
-from lagoonhinge_core.forwarding.freshness import Freshness, FreshnessLimits
-from lagoonhinge_core.forwarding.retry_window import RetryBound
 from lagoonhinge_core.forwarding.routes import RouteTable
 from lagoonhinge_core.forwarding.site_config import CallerLimits, SiteConfig
 from lagoonhinge_core.forwarding.site_store import (
@@ -27,7 +25,6 @@
 from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
 from lagoonhinge_node.forwarding.node_announcer import NodeAnnouncer
 from lagoonhinge_node.forwarding.peer_messages import decode_message
-from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.site_controllers import (
     ConfigController,
     NodeController,
@@ -232,14 +229,8 @@
 
     async def start_node(self, name: str) -> None:
         """Start a node."""
-        serving = ServingState(
-            Blackboard(),
-            Freshness(FreshnessLimits(2.6, 4.5)),
-            RetryBound(10.0, 0.2, 100.0),
-            Random(self.random.random()),
-            self.loop.time,
-            name,
-            ZONE,
+        serving = build_serving_state(
+            self.loop.time, name, ZONE, seed=self.random.random()
         )
         entry = NodeEntry(name, name, 1, ZONE)
         rows = FakeRows()
