Logs name the prompt parts of requests suspected of crashing an upstream

Cause: the lines of crashes named digests of whole requests. Requests that share a part of their prompt could not be told from unrelated ones, and the evidence that an upstream had ended was not shown. Change: the adapter decodes the ids of the parts that prompts share; a line for each attempt that broke off names them, and whether an event had arrived; the line of a crash names its evidence; a gauge counts recorded crashes. Decisions are the same as before.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -79,6 +79,10 @@
       | Lagoonhinge-Deadline-Ms: soon       | reads no limit         |
       | Lagoonhinge-Token-Counts: 4960,100  | reads 4960 prompt tokens |
       | Lagoonhinge-Token-Counts: many      | reads no size          |
+      | Lagoonhinge-Prompt-Prefix: 5c1e:800,91bd:410,e440:250 | reads the shared parts 5c1e 91bd |
+      | Lagoonhinge-Prompt-Prefix: 5C1E:8, 91bd:4,5c1e:2,e4:2 | reads the shared parts 5c1e 91bd |
+      | Lagoonhinge-Prompt-Prefix: 5c1e:800 | reads no shared parts  |
+      | Lagoonhinge-Prompt-Prefix: ,:,      | reads no shared parts  |
       | Authorization: bearer abc           | reads the key abc      |
       | Authorization: Basic abc            | reads no key           |
       | Connection: keep-alive, X-Hop       | drops X-Hop            |
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -186,6 +186,11 @@
             assert request.size.prompt_tokens == int(tokens), request
         case ["reads", "no", "size"]:
             assert request.size is None, request
+        case ["reads", "the", "shared", "parts", *parts]:
+            assert request.shared_parts == tuple(parts), request
+            assert names.PROMPT_PARTS in kept, request
+        case ["reads", "no", "shared", "parts"]:
+            assert request.shared_parts == (), request
         case ["reads", "the", "key", key]:
             assert request.key == key and names.AUTHORIZATION not in kept, request
         case ["reads", "no", "key"]:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
@@ -46,6 +46,7 @@
         size: Size of the prompt; `None` for other requests.
         last_event_id: Id of the event after which the answer resumes; `None` for a
             complete answer.
+        shared_parts: Ids of the parts of the prompt that other prompts may share.
     """
 
     request_id: str
@@ -58,6 +59,7 @@
     time_limit_s: float | None
     size: PromptSize | None
     last_event_id: str | None
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -122,6 +122,10 @@
                 "Upstreams that could not be reached.",
                 lambda: len(serving.health.unreachable()),
             ),
+            "lagoonhinge_recorded_crashes": (
+                "Recent crashes of upstreams, counted for each possible cause.",
+                lambda: len(serving.crashes.confirmed),
+            ),
             "lagoonhinge_limited_upstreams": (
                 "Upstreams that limit their requests.",
                 lambda: len(serving.request_limits.limited()),
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
@@ -87,7 +87,7 @@
             connecting = open_connection(upstream.host, upstream.port)
             _, writer = await wait_for(connecting, PROBE_TIMEOUT_S)
         except (OSError, TimeoutError):
-            self.serving.record_exit(upstream.instance)
+            self.serving.record_exit(upstream.instance, "no connection")
             return
         writer.close()
         self.serving.crashes.clear_instance(upstream.instance)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -261,6 +261,14 @@
                 self._record_decline_fault(context, choice, failure)
             case Lost():
                 self.serving.crashes.add_suspect(context.digest, instance, now_s)
+                self.log.log_failure(
+                    context,
+                    "A request is suspected of crashing an upstream.",
+                    upstream=instance,
+                    digest=context.digest,
+                    parts=context.request.shared_parts,
+                    events=context.last_event_s is not None,
+                )
                 self.serving.health.record_loss(instance, now_s)
             case Failed():
                 self.serving.health.record_answer(instance, True, now_s)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -198,18 +198,24 @@
 
     def record_connect_failure(self, upstream: Upstream) -> None:
         """Record a failed connection, which a crash or a partition may have caused."""
-        self.record_exit(upstream.instance)
+        self.record_exit(upstream.instance, "no connection")
         self.health.record_connect_failure(upstream.instance, self.clock())
         self.partitions.record_failure(upstream.zone, upstream.instance)
         self.eject_partitioned_zone(upstream.zone)
 
-    def record_exit(self, instance: str) -> None:
-        """Record that an upstream ended; a request that it ran may be the cause."""
+    def record_exit(self, instance: str, evidence: str) -> None:
+        """Record that an upstream ended; a request that it ran may be the cause.
+
+        Args:
+            instance: The upstream.
+            evidence: What shows that it ended, for the log.
+        """
         for crash in self.crashes.confirm_crashes(instance, self.clock()):
             self.log_part.warning(
                 "A request may have crashed an upstream.",
                 upstream=instance,
                 digest=crash.request,
+                evidence=evidence,
             )
 
     def eject_partitioned_zone(self, zone: str) -> None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -112,7 +112,7 @@
                 "An upstream did not reappear after the outage; removed it.",
                 upstream=instance,
             )
-            self.serving.record_exit(instance)
+            self.serving.record_exit(instance, "missing after an outage")
         if due:
             self.serving.directory.update((), due)
             self._post()
@@ -144,7 +144,7 @@
             removed = set()
         for instance in removed:
             self.log_part.info("An upstream is no longer listed.", upstream=instance)
-            self.serving.record_exit(instance)
+            self.serving.record_exit(instance, "no longer listed")
         self.serving.directory.update(update.changed, removed)
         self._post()
 
