Test: prompts with a part that crashes workers (red)

Real nodes and workers; a worker exits when it begins to answer a prompt with one part, and another is started in its place. No two prompts are alike.

--- /dev/null
+++ b/features/steps/crashing_parts_steps.py
@@ -0,0 +1,163 @@
+"""Steps about parts of prompts that crash upstreams."""
+
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from threading import Event, Thread
+from time import monotonic, sleep
+
+from behave import given, then, when
+
+from features.steps.platform_node_steps import start_fleet
+from features.support.platform_fleet import PlatformFleet, send
+from lagoonhinge_platform.names import ATTEMPT_ID, PROMPT_PARTS
+
+BAD_PART = "bad0"
+PROMPTS_PER_S = 9
+BAD_PROMPT_EVERY = 3  # prompts
+SENDERS = 16
+STABLE_S = 3.0
+CRASHES_TO_STABLE = 5
+EXIT_POLL_S = 0.02
+RESTART_S = 1.0  # until another worker is started in place of one that crashed
+
+
+@dataclass(frozen=True)
+class SentPrompt:
+    """A prompt that a client sent.
+
+    Attributes:
+        sent_s: When, in seconds of the steady clock.
+        is_bad: Whether it has the part that crashes workers.
+        status: Status of the answer; `None` without a complete answer.
+    """
+
+    sent_s: float
+    is_bad: bool
+    status: int | None
+
+
+@given("{nodes:d} nodes on the platform with {workers:d} workers for models")
+def step_nodes_and_workers(context, nodes, workers):
+    start_fleet(context, {f"m{number}": "models" for number in range(workers)})
+    for _ in range(nodes - 1):
+        context.fleet.start_platform_node()
+    for node in context.fleet.nodes:
+        context.fleet.wait_ready(node)
+
+
+class CrashRecorder:
+    """Records when workers crash, and starts others in their place.
+
+    Args:
+        fleet: The fleet of the scenario.
+    """
+
+    def __init__(self, fleet: PlatformFleet):
+        self.fleet = fleet
+        self.exits_s: list[float] = []
+        self.running = set(fleet.workers)
+        self.restarts_s: dict[str, float] = {}  # by the worker that crashed
+        self.starting: set[str] = set()
+
+    def run(self, stopped: Event) -> None:
+        """Run until stopped."""
+        while not stopped.wait(EXIT_POLL_S):
+            for name in tuple(self.running):
+                self._record_exit(name)
+            for name, at_s in tuple(self.restarts_s.items()):
+                if monotonic() >= at_s:
+                    self._start_in_place_of(name)
+            for name in tuple(self.starting):
+                self._list_if_started(name)
+
+    def _record_exit(self, name: str) -> None:
+        if self.fleet.workers[name].popen.poll() is not None:
+            self.running.remove(name)
+            self.exits_s.append(monotonic())
+            self.restarts_s[name] = monotonic() + RESTART_S
+
+    def _start_in_place_of(self, name: str) -> None:
+        del self.restarts_s[name]
+        self.fleet.drop_row("servers", name)
+        self.fleet.start_worker(f"{name}+")
+        self.starting.add(f"{name}+")
+
+    def _list_if_started(self, name: str) -> None:
+        try:
+            self.fleet.workers[name].put_faults(crashing_part=BAD_PART)
+        except OSError:
+            return
+        self.starting.remove(name)
+        self.fleet.list_worker(name, "models")
+        self.running.add(name)
+
+
+def _prompt_parts(number: int, is_bad: bool, place: str) -> str:
+    """Return the parts of a prompt; all prompts share the part `base`."""
+    first, later = "base", f"topic{number % 3}"
+    if is_bad and place == "first":
+        first = BAD_PART
+    if is_bad and place == "later":
+        later = BAD_PART
+    return f"{first}:40,{later}:800,own{number}:250"
+
+
+@when(
+    "sound prompts and ones with a {place} part that crashes workers are sent for "
+    "{duration:d} s"
+)
+def step_send_prompts(context, place, duration):
+    fleet = context.fleet
+    for worker in fleet.workers.values():
+        worker.put_faults(crashing_part=BAD_PART)
+    context.recorder = CrashRecorder(fleet)
+    stopped = Event()
+    thread = Thread(target=context.recorder.run, args=(stopped,))
+    thread.start()
+    started_s = monotonic()
+
+    def send_one(number: int) -> SentPrompt:
+        sleep(max(0.0, started_s + number / PROMPTS_PER_S - monotonic()))
+        sent_s, is_bad = monotonic(), number % BAD_PROMPT_EVERY == 0
+        answer = send(
+            fleet.nodes[number % len(fleet.nodes)],
+            "POST",
+            f"/stream/{number}",
+            f"prompt {number}".encode(),
+            {
+                ATTEMPT_ID: f"attempt-{number}",
+                PROMPT_PARTS: _prompt_parts(number, is_bad, place),
+            },
+        )
+        return SentPrompt(sent_s, is_bad, None if answer is None else answer.status)
+
+    with ThreadPoolExecutor(SENDERS) as pool:
+        context.sent = list(pool.map(send_one, range(duration * PROMPTS_PER_S)))
+    stopped.set()
+    thread.join()
+
+
+def _stable_s(context) -> float:
+    """Return when crashes have to stop; without a fifth crash, the last counts."""
+    return context.recorder.exits_s[:CRASHES_TO_STABLE][-1] + STABLE_S
+
+
+@then("from 3 s after the fifth crash on, at most {most:d} workers crash")
+def step_crashes_stop(context, most):
+    from_s = _stable_s(context)
+    exits_s = context.recorder.exits_s
+    late = [at_s for at_s in exits_s if at_s > from_s]
+    assert len(late) <= most, (len(late), len(exits_s))
+
+
+@then("from 6 s after it on, every sound prompt is answered")
+def step_sound_answered(context):
+    from_s = _stable_s(context) + STABLE_S
+    sound = [
+        prompt
+        for prompt in context.sent
+        if prompt.sent_s > from_s and not prompt.is_bad
+    ]
+    assert sound
+    others = [prompt for prompt in sound if prompt.status != 200]
+    assert not others, (len(others), len(sound), others[:3])
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -60,7 +60,7 @@
 }
 
 
-def _start(
+def start_fleet(
     context,
     workers: dict[str, str],
     with_config: bool = True,
@@ -87,7 +87,7 @@
 def start_nodes(context, count: int) -> None:
     """Start nodes with two workers for each service, and wait until all are ready."""
     workers = {"d1": "desk", "d2": "desk", "m1": "models", "m2": "models"}
-    _start(context, workers)
+    start_fleet(context, workers)
     for _ in range(count - 1):
         context.fleet.start_platform_node()
     for node in context.fleet.nodes:
@@ -102,19 +102,19 @@
 @given("a node on the platform that started before the store answered")
 def step_late_store(context):
     workers = {"d1": "desk", "d2": "desk", "m1": "models", "m2": "models"}
-    _start(context, workers, store_pause_s=STORE_PAUSE_S)
+    start_fleet(context, workers, store_pause_s=STORE_PAUSE_S)
     context.fleet.wait_ready(context.node)
 
 
 @given("a node on the platform with four workers for models")
 def step_four_workers(context):
-    _start(context, {f"m{number}": "models" for number in range(4)})
+    start_fleet(context, {f"m{number}": "models" for number in range(4)})
     context.fleet.wait_ready(context.node)
 
 
 @given("a node on the platform whose store has no configuration")
 def step_no_config(context):
-    _start(context, {"d1": "desk"}, with_config=False)
+    start_fleet(context, {"d1": "desk"}, with_config=False)
     context.fleet.wait_listening(context.node)
 
 
@@ -564,7 +564,7 @@
 
 @given("a node on the platform with a log pipe that is not read")
 def step_unread_log(context):
-    _start(context, {"d1": "desk"}, unread_log=True)
+    start_fleet(context, {"d1": "desk"}, unread_log=True)
     eventually(lambda: _assert_serves(context))
 
 
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -21,6 +21,7 @@
     LEAVING,
     NOT_EXECUTED,
     ORDER_PATH,
+    PROMPT_PARTS,
     REQUEST_LIMIT,
     RESPONSE_STAMP,
     RETRY_AFTER,
@@ -53,6 +54,8 @@
         limit: Limit named in all answers, as it is sent; empty for none.
         leaving: Whether all answers say that the worker leaves.
         retry_after: `Retry-After` of refusals, as it is sent; empty for none.
+        crashing_part: Part of a prompt that crashes the worker when it begins to write
+            the answer; empty for none.
     """
 
     how: str = ""
@@ -62,6 +65,7 @@
     limit: str = ""
     leaving: bool = False
     retry_after: str = ""
+    crashing_part: str = ""
 
 
 NO_FAULTS = WorkerFaults()
@@ -238,6 +242,9 @@
     response = web.StreamResponse(headers=headers)
     response.content_type = "text/event-stream"
     await response.prepare(request)
+    if _crashes(request, state):
+        await sleep(state.faults.pause_s)
+        _exit(CRASH_EXIT_STATUS)
     first_number = int(request.headers.get(LAST_EVENT_ID, "0")) + 1
     count = LARGE_EVENT_COUNT if fault == "large" else EVENT_COUNT
     for number in range(first_number, count + 1):
@@ -260,6 +267,11 @@
     return response
 
 
+def _crashes(request: web.Request, state: WorkerState) -> bool:
+    parts = request.headers.get(PROMPT_PARTS, "").split(",")
+    return state.faults.crashing_part in {part.partition(":")[0] for part in parts}
+
+
 async def _order(request: web.Request) -> web.StreamResponse:
     state = request.app[STATE]
     order = json.decode(await request.read())
