A part of prompts that crashes upstreams is quarantined

What callers saw: requests with one part in their prompts ended engine after engine, and took the sound streams on them along; 31 reached engines later than 3 s after the fifth crash. Cause: a crash counted for the whole request only. Requests that share the part but differ elsewhere each began at zero, and each may end two engines. Ruled out: reports that come too late (no node refused anything, and no digest had three engines). Change: a crash counts for the request and for each part that prompts share. Answers contradict crashes, and nodes tell each other so. The cause is what is in the crashes of three upstreams apart in time; where several things are, a request must have all of them to be refused. Crashes have messages of their own, and those behind a quarantine go to some nodes each second, so that nodes that start later know them.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -18,8 +18,8 @@
       | bad fails on 1, 1 ended, bad fails on 2, 2 ended, peer reports crash 3                     | refused |
       | peer reports crash 1, peer reports crash 2, peer reports crash 3                           | refused |
       | peer reports crash 1, peer reports crash 2, bad is answered, peer reports crash 3          | served  |
-      | bad fails on 1, 1 ended, bad fails on 2, 2 ended, bad fails on 3, 3 ended, 59 s pass       | refused |
-      | bad fails on 1, 1 ended, bad fails on 2, 2 ended, bad fails on 3, 3 ended, 61 s pass       | served  |
+      | bad fails on 1, 1 ended, bad fails on 2, 2 ended, bad fails on 3, 3 ended, 599 s pass      | refused |
+      | bad fails on 1, 1 ended, bad fails on 2, 2 ended, bad fails on 3, 3 ended, 601 s pass      | served  |
       | good fails on 1, bad fails on 1, 1 ended, bad fails on 2, 2 ended, bad fails on 3, 3 ended | refused |
 
   Scenario Outline: A request is retried until its attempts failed on three upstreams
@@ -34,6 +34,64 @@
       | bad fails on 1, 1 ended, bad fails on 1, bad fails on 1 | may     |
       | good fails on 1, good fails on 2, good fails on 3       | may     |
 
+  # A request is written DIGEST+PART+PART, with the shared parts of its prompt.
+  Scenario Outline: Which part of prompts is found to crash upstreams
+    Given the crash tracker of a node
+    When these events come: <events>
+    Then <refused> are refused, and <served> are served
+
+    Examples: the part is in all crashes
+      | events                                                                                             | refused    | served       |
+      | a+p+x crashes 1, 1 s pass, b+p+y crashes 2, 1 s pass, c+p+z crashes 3, 1 s pass                    | d+p, d+w+p | d+x, d+y+z   |
+      | a+p+x crashes 1, 1 s pass, b+p+y crashes 2, 1 s pass                                               | none       | d+p          |
+      | a+p crashes 1, 1 s pass, b+p crashes 1, 1 s pass, c+p crashes 1, 1 s pass                          | none       | d+p          |
+      | a+p crashes 1, 1 s pass, b+p crashes 2, 1 s pass, c+p crashes 3, 0.5 s pass                        | none       | d+p          |
+      | peer reports a+p on 1 5 s ago, peer reports b+p on 2 4 s ago, peer reports c+p on 3 3 s ago        | d+p        | d+x          |
+      | a+p crashes 1, 1 s pass, b+p crashes 2, 1 s pass, c+p crashes 3, 597 s pass                        | d+p        | d+x          |
+      | a+p crashes 1, 1 s pass, b+p crashes 2, 1 s pass, c+p crashes 3, 601 s pass                        | none       | d+p          |
+
+    Examples: the sound prompts beside it are not the cause
+      | events                                                                                             | refused    | served       |
+      | a+p+x crashes 1, 1 s pass, b+p+x crashes 2, 1 s pass, c+p+x crashes 3, 1 s pass                    | d+p+x      | d+p, d+x     |
+      | a+p+x crashes 1, 1 s pass, b+p+x crashes 2, 1 s pass, c+p+x crashes 3, 1 s pass, s+x is answered   | d+p, d+p+x | d+x          |
+      | a+p+x crashes 1, 1 s pass, b+p+x crashes 2, 1 s pass, c+p+x crashes 3, 1 s pass, d+p crashes 4, 1 s pass | d+p  | d+x          |
+      | s+x fails on 1, a+p crashes 1, 1 s pass, s+x fails on 2, b+p crashes 2, 1 s pass, s+x fails on 3, c+p crashes 3, 1 s pass, d+p crashes 4, 1 s pass | e+p | s+x, d+x |
+      | a+p crashes 1, 1 s pass, b+p crashes 2, 1 s pass, d+p is answered, c+p crashes 3, 1 s pass         | none       | d+p          |
+      | a+p crashes 1, 1 s pass, b+p crashes 2, 1 s pass, c+p crashes 3, 1 s pass, d+p is answered         | none       | d+p          |
+      | a+p crashes 1, 1 s pass, b+p crashes 2, 1 s pass, c+p crashes 3, peer answered d+p 0.5 s ago, 1 s pass | none   | d+p          |
+      | a+p crashes 1, 1 s pass, b+p crashes 2, 1 s pass, c+p crashes 3, peer answered d+p 3 s ago, 1 s pass | d+p      | d+x          |
+      | d+p is answered, peer reports a+p on 1 5 s ago, peer reports b+p on 2 4 s ago, peer reports c+p on 3 3 s ago | none | d+p      |
+
+    Examples: many upstreams end at once for another reason
+      | events                                                                                             | refused    | served       |
+      | a+p crashes 1, a+p crashes 2, b+p crashes 3, b+p crashes 4, 2 s pass                               | none       | d+p          |
+      | a+p crashes 1, b+p crashes 2, 9 s pass, a+p crashes 3, b+p crashes 4, 2 s pass                     | none       | d+p          |
+      | a+p crashes 1, b+p crashes 2, 1 s pass, c+p crashes 3, 1 s pass, d+p crashes 4, 1 s pass           | e+p        | d+x          |
+      | a+p crashes 1, b+x crashes 2, c+y crashes 3, 1 s pass, d+p crashes 4, 1 s pass, e+p crashes 5, 1 s pass | none  | f+p, f+x     |
+
+    Examples: two parts crash upstreams
+      | events                                                                                             | refused    | served       |
+      | a+p crashes 1, 1 s pass, b+q crashes 2, 1 s pass, c+p crashes 3, 1 s pass, d+q crashes 4, 1 s pass, e+p crashes 5, 1 s pass, f+q crashes 6, 1 s pass | g+p, g+q | g+x |
+
+  Scenario Outline: Peers are told of answers that contradict their crashes
+    Given the crash tracker of a node
+    When these events come: <events>
+    Then <count> answers are sent to peers
+
+    Examples:
+      | events                                                                           | count |
+      | a+p crashes 1, 1 s pass, d+p is answered                                         | 1     |
+      | d+p is answered, a+p crashes 1                                                   | 0     |
+      | d+p is answered, peer reports a+p on 1 0.3 s ago                                 | 1     |
+      | a+p crashes 1, 1 s pass, d+p is answered, 2 s pass                               | 0     |
+      | d+p is answered, peer reports a+p on 1 0.3 s ago, peer answered d+p 0 s ago      | 1     |
+      | d+p is answered, peer reports a+p on 1 0.3 s ago, 0.1 s pass, peer answered e+p 0 s ago | 0 |
+
+  Scenario: A node that starts learns of the quarantines from its peers
+    Given the crash tracker of a node
+    When these events come: a+p crashes 1, 1 s pass, b+p+x crashes 2, 1 s pass, c+p crashes 3, 9 s pass
+    Then a node that hears the evidence refuses d+p and serves d+x
+
   Scenario: A crash is sent to peers for a second
     Given the crash tracker of a node
     When these events come: bad fails on 1, 1 ended
--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -11,3 +11,34 @@
       | nodes | workers | place |
       | 1     | 12      | first |
       | 3     | 12      | later |
+
+  Scenario Outline: The nodes of a fleet find the part in each other's crashes
+    Given a fleet of <nodes> nodes and <engines> engines, of whose messages <loss> of 100 are lost
+    When <sound> sound and <bad> bad prompts a second come for 40 s, <event>, with 3 seeds
+    Then later than 3 s after the fifth crash at most 3 bad prompts reach engines
+    And no sound prompt is refused later than 6 s after it
+
+    Examples:
+      | nodes | engines | loss | sound | bad | event                                |
+      | 1     | 16      | 0    | 20    | 3   | nothing else happens                 |
+      | 9     | 23      | 0    | 20    | 3   | nothing else happens                 |
+      | 9     | 23      | 5    | 20    | 1   | nothing else happens                 |
+      | 9     | 23      | 5    | 20    | 20  | nothing else happens                 |
+      | 9     | 23      | 5    | 2     | 3   | nothing else happens                 |
+      | 9     | 23      | 5    | 20    | 3   | half of the nodes restart at 15 s    |
+      | 9     | 23      | 5    | 20    | 3   | a third of the engines ends each 5 s |
+      | 64    | 120     | 5    | 60    | 5   | nothing else happens                 |
+      | 64    | 120     | 5    | 60    | 5   | half of the nodes restart at 15 s    |
+
+  Scenario Outline: Upstreams that end for another reason quarantine nothing
+    Given a fleet of <nodes> nodes and <engines> engines, of whose messages <loss> of 100 are lost
+    When <sound> sound and 0 bad prompts a second come for 40 s, <event>, with 3 seeds
+    Then no sound prompt is refused
+
+    Examples:
+      | nodes | engines | loss | sound | event                                |
+      | 9     | 23      | 5    | 20    | a third of the engines ends each 5 s |
+      | 9     | 23      | 5    | 1     | a third of the engines ends each 5 s |
+      | 9     | 23      | 5    | 20    | all of the engines ends each 5 s     |
+      | 9     | 23      | 5    | 40    | a tenth of the engines ends each 1 s |
+      | 64    | 120     | 5    | 60    | all of the engines ends each 5 s     |
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -4,10 +4,32 @@
 
 from behave import given, then, when
 
-from lagoonhinge_core.forwarding.crashes import Crash, CrashTracker, digest_request
+from lagoonhinge_core.forwarding.crash_causes import (
+    PART_PREFIX,
+    PossibleCauses,
+    digest_request,
+)
+from lagoonhinge_core.forwarding.crashes import (
+    AnswerReport,
+    Crash,
+    CrashReport,
+    CrashTracker,
+)
 from lagoonhinge_core.forwarding.messages import CallerRequest
 
 
+def _causes(request: str) -> PossibleCauses:
+    """Return the causes in a request that is written `DIGEST+PART+PART`."""
+    digest, *parts = request.split("+")
+    return PossibleCauses(digest, tuple(PART_PREFIX + part for part in parts))
+
+
+def _all_reported(age_s: float, request: str, instance: str) -> tuple[CrashReport, ...]:
+    return tuple(
+        CrashReport(Crash(cause, instance), age_s) for cause in _causes(request).all()
+    )
+
+
 @given("the crash tracker of a node")
 def step_tracker(context):
     context.tracker = CrashTracker()
@@ -20,7 +42,10 @@
     for event in events.split(", "):
         match event.split():
             case [request, "fails", "on", instance]:
-                tracker.add_suspect(request, instance, context.now_s)
+                tracker.add_suspect(_causes(request), instance, context.now_s)
+            case [request, "crashes", instance]:
+                tracker.add_suspect(_causes(request), instance, context.now_s)
+                tracker.confirm_crashes(instance, context.now_s)
             case [instance, "ended"]:
                 tracker.confirm_crashes(instance, context.now_s)
             case [instance, "running"]:
@@ -28,43 +53,79 @@
             case [seconds, "s", "pass"]:
                 context.now_s += float(seconds)
             case ["peer", "reports", "crash", instance]:
-                tracker.merge((Crash("bad", instance),), context.now_s)
+                tracker.merge(_all_reported(0.0, "bad", instance), (), context.now_s)
+            case ["peer", "reports", request, "on", instance, age_s, "s", "ago"]:
+                reports = _all_reported(float(age_s), request, instance)
+                tracker.merge(reports, (), context.now_s)
+            case ["peer", "answered", request, age_s, "s", "ago"]:
+                answers = [
+                    AnswerReport(cause, float(age_s))
+                    for cause in _causes(request).all()
+                ]
+                tracker.merge((), answers, context.now_s)
             case [request, "is", "answered"]:
-                tracker.clear_request(request)
+                tracker.record_answer(_causes(request).all(), context.now_s)
             case _:
                 raise AssertionError(event)
 
 
 @then('the request "{request}" is {result}')
 def step_result(context, request, result):
-    remaining_s = context.tracker.remaining_quarantine_s(request, context.now_s)
+    remaining_s = _remaining_s(context, request)
     assert (remaining_s > 0) == (result == "refused"), remaining_s
-    assert not context.tracker.remaining_quarantine_s("good", context.now_s)
+    assert not _remaining_s(context, "good")
+
+
+def _remaining_s(context, request: str) -> float:
+    tracker, now_s = context.tracker, context.now_s
+    return tracker.remaining_quarantine_s(_causes(request), now_s)
+
+
+@then("{refused} are refused, and {served} are served")
+def step_refused_and_served(context, refused, served):
+    for requests, is_refused in ((refused, True), (served, False)):
+        for request in () if requests == "none" else requests.split(", "):
+            remaining_s = _remaining_s(context, request)
+            assert (remaining_s > 0) == is_refused, (request, remaining_s)
+
+
+@then("{count:d} answers are sent to peers")
+def step_answers_sent(context, count):
+    reports = context.tracker.answer_reports(context.now_s)
+    assert len(reports) == count, reports
+
+
+@then("a node that hears the evidence refuses {refused} and serves {served}")
+def step_evidence(context, refused, served):
+    evidence = context.tracker.evidence(context.now_s)
+    context.tracker = CrashTracker()
+    context.tracker.merge(evidence, (), context.now_s)
+    step_refused_and_served(context, refused, served)
 
 
 @then('"bad" {may} be retried')
 def step_may_retry(context, may):
-    assert context.tracker.may_retry("bad", context.now_s) == (may == "may")
+    assert context.tracker.may_retry(_causes("bad"), context.now_s) == (may == "may")
 
 
 @then("{count:d} crashes are sent to peers")
 def step_gossip(context, count):
-    assert len(context.tracker.crashes_to_gossip(context.now_s)) == count
+    assert len(context.tracker.crash_reports(context.now_s)) == count
 
 
 @when("{count:d} requests crash an upstream each, and then bad crashes {crashes:d}")
 def step_many_crashes(context, count, crashes):
     for number in range(count):
-        context.tracker.add_suspect(f"request {number}", "0", context.now_s)
+        context.tracker.add_suspect(_causes(f"r{number}"), "0", context.now_s)
         context.tracker.confirm_crashes("0", context.now_s)
     for number in range(1, crashes + 1):
-        context.tracker.add_suspect("bad", str(number), context.now_s)
+        context.tracker.add_suspect(_causes("bad"), str(number), context.now_s)
         context.tracker.confirm_crashes(str(number), context.now_s)
 
 
 @then("the tracker holds at most {max_held:d} crashes and gossips at most {max_sent:d}")
 def step_bounded(context, max_held, max_sent):
-    assert len(context.tracker.crashes_to_gossip(context.now_s)) <= max_sent
+    assert len(context.tracker.crash_reports(context.now_s)) <= max_sent
     assert len(context.tracker.confirmed) <= max_held, len(context.tracker.confirmed)
 
 
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -2,12 +2,14 @@
 
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from random import Random
 from threading import Event, Thread
 from time import monotonic, sleep
 
 from behave import given, then, when
 
 from features.steps.platform_node_steps import start_fleet
+from features.support.crash_fleet import CrashFleet
 from features.support.platform_fleet import PlatformFleet, send
 from lagoonhinge_platform.names import ATTEMPT_ID, PROMPT_PARTS
 
@@ -161,3 +163,61 @@
     assert sound
     others = [prompt for prompt in sound if prompt.status != 200]
     assert not others, (len(others), len(sound), others[:3])
+
+
+SHARES = {"a tenth": 0.1, "a third": 1 / 3, "half": 0.5, "all": 1.0}
+
+
+@given(
+    "a fleet of {nodes:d} nodes and {engines:d} engines, of whose messages {loss:d} of "
+    "100 are lost"
+)
+def step_fleet(context, nodes, engines, loss):
+    context.size = (nodes, engines, loss / 100)
+
+
+@when(
+    "{sound:d} sound and {bad:d} bad prompts a second come for {duration:d} s, "
+    "{event}, with {seeds:d} seeds"
+)
+def step_fleet_runs(context, sound, bad, duration, event, seeds):
+    nodes, engines, loss = context.size
+    context.restarted_s = []
+    context.fleets = []
+    for seed in range(seeds):
+        fleet = CrashFleet(nodes, engines, sound, bad, loss, Random(seed))
+        context.fleets.append(fleet)
+        match event.split(" of the "):
+            case ["nothing else happens"]:
+                fleet.run(duration)
+            case [share, restart] if restart.startswith("nodes restart at"):
+                at_s = float(restart.split()[-2])
+                fleet.run(at_s)
+                fleet.restart_nodes(SHARES[share])
+                context.restarted_s = [fleet.now_s]
+                fleet.run(duration - at_s)
+            case [share, ends] if ends.startswith("engines ends each"):
+                each_s = float(ends.split()[-2])
+                while fleet.now_s < duration:
+                    fleet.run(each_s)
+                    fleet.end_engines(SHARES[share])
+            case _:
+                raise AssertionError(event)
+
+
+@then("later than 3 s after the fifth crash at most {most:d} bad prompts reach engines")
+def step_fleet_late(context, most):
+    late = [fleet.late_sends(context.restarted_s) for fleet in context.fleets]
+    assert max(late) <= most, (late, [len(f.crashes_s) for f in context.fleets])
+
+
+@then("no sound prompt is refused later than 6 s after it")
+def step_fleet_sound(context):
+    shares = [f.refused_share(f.stable_s() + STABLE_S) for f in context.fleets]
+    assert max(shares) == 0, shares
+
+
+@then("no sound prompt is refused")
+def step_fleet_all_sound(context):
+    shares = [fleet.refused_share(0.0) for fleet in context.fleets]
+    assert max(shares) == 0, shares
--- /dev/null
+++ b/features/support/crash_fleet.py
@@ -0,0 +1,222 @@
+"""Nodes before engines that one part of prompts crashes, in steps of virtual time."""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+from lagoonhinge_core.forwarding.crash_causes import PART_PREFIX, PossibleCauses
+from lagoonhinge_core.forwarding.crashes import (
+    AnswerReport,
+    CrashReport,
+    CrashTracker,
+)
+
+STEP_S = 0.02
+MESSAGE_DELAY_S = 0.02
+SEND_INTERVAL_S = 0.3
+EVIDENCE_INTERVAL_S = 1.0
+EVIDENCE_RECEIVERS = 3
+DETECTION_S = 0.4  # until a node finds that an upstream ended
+ANSWER_S = 0.5
+BEGIN_S = 0.1  # until an answer begins
+RESTART_S = 4.0
+MAX_ATTEMPTS = 2
+STABLE_S = 3.0
+CRASHES_TO_STABLE = 5
+BAD_PART = "bad"
+BASE_PART = "base"
+TOPICS = 12  # parts that some sound prompts share
+
+
+@dataclass
+class Request:
+    """A request of a client.
+
+    Attributes:
+        node: The node that serves it.
+        causes: What in it may crash an upstream.
+        is_bad: Whether it crashes its upstream.
+        attempts: Its attempts so far.
+    """
+
+    node: str
+    causes: PossibleCauses
+    is_bad: bool
+    attempts: int = 0
+
+
+@dataclass
+class Engine:
+    """An engine.
+
+    Attributes:
+        name: Name of its present run.
+        open: The requests that it runs, and when each ends, in seconds.
+        down_until_s: Until when it is down, in seconds.
+    """
+
+    name: str
+    open: list[tuple[float, Request]] = field(default_factory=list)
+    down_until_s: float = 0.0
+
+
+@dataclass
+class CrashFleet:
+    """The nodes and engines.
+
+    Attributes:
+        nodes: Number of nodes.
+        engines: Number of engines.
+        sound_per_s: Sound prompts a second.
+        bad_per_s: Prompts a second with the part that crashes engines.
+        loss: Share of lost messages.
+        random: Random numbers.
+    """
+
+    nodes: int
+    engines: int
+    sound_per_s: float
+    bad_per_s: float
+    loss: float
+    random: Random
+    now_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.trackers = {f"n{n}": CrashTracker() for n in range(self.nodes)}
+        self.upstreams = [Engine(f"e{n}") for n in range(self.engines)]
+        self.messages: deque[
+            tuple[float, str, tuple[CrashReport, ...], tuple[AnswerReport, ...]]
+        ] = deque()
+        # When each node finds that an upstream ended.
+        self.detections: deque[tuple[float, str, str]] = deque()
+        self.numbers = iter(range(10**9))
+        self.crashes_s: list[float] = []  # that the part caused
+        self.bad_sent_s: list[float] = []
+        self.sound_s: list[tuple[float, bool]] = []  # and whether it was refused
+
+    def run(self, duration_s: float) -> None:
+        """Pass time."""
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s:
+            self.now_s += STEP_S
+            self._deliver()
+            for engine in self.upstreams:
+                self._run_engine(engine)
+            for is_bad, rate in ((False, self.sound_per_s), (True, self.bad_per_s)):
+                if self.random.random() < rate * STEP_S:
+                    self._receive(self._new_request(is_bad))
+            for name, tracker in self.trackers.items():
+                self._gossip(name, tracker)
+
+    def end_engines(self, share: float) -> None:
+        """End a share of the engines at the same moment."""
+        for engine in self.upstreams[: round(share * self.engines)]:
+            if engine.down_until_s <= self.now_s:
+                self._crash(engine)
+
+    def restart_nodes(self, share: float) -> None:
+        """Restart a share of the nodes; they forget all that they know."""
+        for name in list(self.trackers)[: round(share * self.nodes)]:
+            self.trackers[name] = CrashTracker()
+
+    def _new_request(self, is_bad: bool) -> Request:
+        number = next(self.numbers)
+        topic = f"topic{self.random.randrange(TOPICS)}"
+        parts = [BASE_PART, BAD_PART, topic] if is_bad else [BASE_PART, topic]
+        causes = PossibleCauses(f"{number}", tuple(PART_PREFIX + p for p in parts))
+        return Request(self.random.choice(list(self.trackers)), causes, is_bad)
+
+    def _receive(self, request: Request) -> None:
+        tracker = self.trackers[request.node]
+        is_refused = bool(tracker.remaining_quarantine_s(request.causes, self.now_s))
+        if not request.is_bad:
+            self.sound_s.append((self.now_s, is_refused))
+        if not is_refused:
+            self._send(request)
+
+    def _send(self, request: Request) -> None:
+        live = [e for e in self.upstreams if e.down_until_s <= self.now_s]
+        if not live:
+            return
+        request.attempts += 1
+        duration_s = BEGIN_S if request.is_bad else ANSWER_S
+        if request.is_bad:
+            self.bad_sent_s.append(self.now_s)
+        engine = self.random.choice(live)
+        engine.open.append((self.now_s + duration_s, request))
+
+    def _run_engine(self, engine: Engine) -> None:
+        due = [request for at_s, request in engine.open if at_s <= self.now_s]
+        if any(request.is_bad for request in due):
+            self.crashes_s.append(self.now_s)
+            self._crash(engine)
+            return
+        engine.open = [entry for entry in engine.open if entry[0] > self.now_s]
+        for request in due:
+            tracker = self.trackers[request.node]
+            tracker.record_answer(request.causes.all(), self.now_s)
+
+    def _crash(self, engine: Engine) -> None:
+        broken, engine.open = [request for _, request in engine.open], []
+        ended, engine.name = engine.name, f"e{next(self.numbers)}"
+        engine.down_until_s = self.now_s + RESTART_S
+        for request in broken:
+            tracker = self.trackers[request.node]
+            tracker.add_suspect(request.causes, ended, self.now_s)
+            due_s = self.now_s + DETECTION_S * self.random.random()
+            self.detections.append((due_s, request.node, ended))
+            may_retry = tracker.may_retry(request.causes, self.now_s)
+            if may_retry and request.attempts < MAX_ATTEMPTS:
+                self._send(request)
+
+    def _deliver(self) -> None:
+        for entry in [entry for entry in self.detections if entry[0] <= self.now_s]:
+            self.detections.remove(entry)
+            self.trackers[entry[1]].confirm_crashes(entry[2], self.now_s)
+        while self.messages and self.messages[0][0] <= self.now_s:
+            _, name, crashes, answers = self.messages.popleft()
+            self.trackers[name].merge(crashes, answers, self.now_s)
+
+    def _gossip(self, name: str, tracker: CrashTracker) -> None:
+        others = [other for other in self.trackers if other != name]
+        if self._is_due(SEND_INTERVAL_S) and tracker.has_reports():
+            crashes = tracker.crash_reports(self.now_s)
+            self._post(others, crashes, tracker.answer_reports(self.now_s))
+        if self._is_due(EVIDENCE_INTERVAL_S) and not tracker.is_empty():
+            count = min(EVIDENCE_RECEIVERS, len(others))
+            evidence = tracker.evidence(self.now_s)
+            self._post(self.random.sample(others, count), evidence, ())
+
+    def _is_due(self, interval_s: float) -> bool:
+        return self.random.random() < STEP_S / interval_s
+
+    def _post(
+        self,
+        receivers: list[str],
+        crashes: tuple[CrashReport, ...],
+        answers: tuple[AnswerReport, ...],
+    ) -> None:
+        due_s = self.now_s + MESSAGE_DELAY_S
+        self.messages += [
+            (due_s, name, crashes, answers)
+            for name in receivers
+            if self.random.random() >= self.loss
+        ]
+
+    def stable_s(self) -> float:
+        """Return from when prompts with the part may reach no more engines."""
+        return self.crashes_s[:CRASHES_TO_STABLE][-1] + STABLE_S
+
+    def late_sends(self, restarts_s: Sequence[float]) -> int:
+        """Return how many of them did, not counting times after restarts of nodes."""
+        return sum(
+            at_s > self.stable_s()
+            and not any(start_s <= at_s < start_s + STABLE_S for start_s in restarts_s)
+            for at_s in self.bad_sent_s
+        )
+
+    def refused_share(self, from_s: float) -> float:
+        """Return the share of sound prompts that were refused from a time on."""
+        results = [is_refused for at_s, is_refused in self.sound_s if at_s >= from_s]
+        return sum(results) / max(1, len(results))
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -235,7 +235,7 @@
         entry = NodeEntry(name, name, 1, ZONE)
         rows = FakeRows()
         upstreams = UpstreamController(serving, rows)
-        nodes = NodeController(serving, rows, entry, lambda _: None)
+        nodes = NodeController(serving, rows, entry, ())
         client = StoreClient(self.store, name)
         announcer = NodeAnnouncer(serving, client, nodes)
         watch = StoreWatch(
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
@@ -1,26 +1,34 @@
 """Quarantine of requests that crash the upstreams that run them.
 
 An attempt that breaks off makes its request suspected of crashing the upstream. If that
-upstream is then found to have ended, the crash is confirmed. A request with confirmed
-crashes of several upstreams, and no successful answer to an identical request
-meanwhile, is refused for a while, for all callers and at every node.
+upstream is then found to have ended, the crash is confirmed, and counts for everything
+in the request that may have caused it. A request that has a cause of several crashes is
+refused for a while, for all callers and at every node.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from hashlib import blake2b
+from typing import TypeVar
 
-from lagoonhinge_core.forwarding.messages import CallerRequest
+from lagoonhinge_core.forwarding.crash_causes import (
+    CRASHES_TO_QUARANTINE,
+    PossibleCauses,
+    find_causes,
+)
 
-CRASHES_TO_QUARANTINE = 3  # a harmless request rarely has so many within QUARANTINE_S
-QUARANTINE_S = 60.0  # longer than callers keep retrying
+# Documents that prompts share are in use for hours; an answer ends a quarantine sooner.
+QUARANTINE_S = 600.0
 # Detecting that an upstream ended takes less: its row expires after some seconds, and a
 # connection is refused sooner.
 SUSPECT_TTL_S = 6.0
 GOSSIP_DURATION_S = 1.0  # crashes are sent repeatedly, as datagrams may be lost
-DIGEST_BYTES = 12
 # Entries of each kind; a network partition breaks off some tens of attempts per node.
 MAX_ENTRIES = 1000
-MAX_GOSSIPED = 100  # crashes per message, so that it fits into a datagram
+MAX_GOSSIPED = 100  # of each kind in a message, so that it fits into a datagram
+CAUSES_MAX_AGE_S = 0.1  # until causes are found again, as crashes settle
+
+
+Key = TypeVar("Key")
 
 
 @dataclass(frozen=True)
@@ -28,22 +36,38 @@
     """An upstream that ended while it ran a request.
 
     Attributes:
-        request: Digest of the request.
+        cause: A possible cause in the request.
         instance: The upstream.
     """
 
-    request: str
+    cause: str
     instance: str
 
 
-def digest_request(request: CallerRequest, account: str | None) -> str:
-    """Return a digest of a request's content and account, the same on all nodes."""
-    digest = blake2b(digest_size=DIGEST_BYTES)
-    for text in (request.method, request.host, request.target, account or ""):
-        digest.update(text.encode())
-        digest.update(b"\0")
-    digest.update(request.body)
-    return digest.hexdigest()
+@dataclass(frozen=True)
+class CrashReport:
+    """A crash that a node tells its peers.
+
+    Attributes:
+        crash: The crash.
+        age_s: Time since the upstream ended, in seconds.
+    """
+
+    crash: Crash
+    age_s: float
+
+
+@dataclass(frozen=True)
+class AnswerReport:
+    """An answer to a request, which tells peers what did not cause earlier crashes.
+
+    Attributes:
+        cause: What the request had in it.
+        age_s: Time since the answer, in seconds.
+    """
+
+    cause: str
+    age_s: float
 
 
 @dataclass
@@ -52,25 +76,36 @@
 
     Attributes:
         suspected: Time at which the attempt broke off.
-        confirmed: Time at which each crash was recorded.
+        confirmed: Likewise, of crashes that are not contradicted by a later answer.
         gossiped: Crashes that this node detected and still sends to its peers, with
             the time of detection.
+        answered: Time of the last answer to a request with each possible cause.
+        gossiped_answers: Possible causes whose answers contradict crashes that peers
+            may know, with the time since which they are sent.
+        causes: Causes found in the confirmed crashes, and when, in seconds.
     """
 
     suspected: dict[Crash, float] = field(default_factory=dict)
     confirmed: dict[Crash, float] = field(default_factory=dict)
     gossiped: dict[Crash, float] = field(default_factory=dict)
+    answered: dict[str, float] = field(default_factory=dict)
+    gossiped_answers: dict[str, float] = field(default_factory=dict)
+    causes: tuple[frozenset[str], ...] = ()
+    causes_found_s: float = float("-inf")
 
     def is_empty(self) -> bool:
         """Return whether there are no suspected or confirmed crashes."""
         return not self.suspected and not self.confirmed
 
-    def add_suspect(self, request: str, instance: str, now_s: float) -> None:
+    def has_reports(self) -> bool:
+        """Return whether there is something to send to all peers."""
+        return bool(self.gossiped or self.gossiped_answers)
+
+    def add_suspect(self, causes: PossibleCauses, instance: str, now_s: float) -> None:
         """Record an attempt that broke off while its upstream ran it."""
         self._expire(now_s)
-        crash = Crash(request, instance)
-        self.suspected.pop(crash, None)
-        self.suspected[crash] = now_s
+        for cause in causes.all():
+            _put_last(self.suspected, Crash(cause, instance), now_s)
 
     def confirm_crashes(self, instance: str, now_s: float) -> tuple[Crash, ...]:
         """Confirm the suspected crashes of an upstream that has ended.
@@ -79,13 +114,15 @@
             The crashes confirmed by this call.
         """
         self._expire(now_s)
+        ended = [crash for crash in self.suspected if crash.instance == instance]
+        times_s = {crash: self.suspected.pop(crash) for crash in ended}
         confirmed = tuple(
-            crash for crash in self.suspected if crash.instance == instance
+            crash for crash in ended if not self._is_contradicted(crash, times_s[crash])
         )
         for crash in confirmed:
-            for entries in (self.suspected, self.confirmed, self.gossiped):
-                entries.pop(crash, None)
-            self.confirmed[crash] = self.gossiped[crash] = now_s
+            _put_last(self.confirmed, crash, times_s[crash])
+            _put_last(self.gossiped, crash, now_s)
+        self._forget_causes()
         return confirmed
 
     def suspected_instances(self, now_s: float) -> frozenset[str]:
@@ -98,50 +135,144 @@
         for crash in [crash for crash in self.suspected if crash.instance == instance]:
             del self.suspected[crash]
 
-    def merge(self, crashes: tuple[Crash, ...], now_s: float) -> None:
-        """Add crashes that a peer detected."""
-        for crash in crashes:
-            self.confirmed.setdefault(crash, now_s)
+    def merge(
+        self,
+        crashes: Iterable[CrashReport],
+        answers: Iterable[AnswerReport],
+        now_s: float,
+    ) -> None:
+        """Add what a peer reports."""
+        for answer in answers:
+            self._record_answer_of_peer(answer.cause, now_s - answer.age_s)
+        for report in crashes:
+            crash, at_s = report.crash, now_s - report.age_s
+            if not self._is_contradicted(crash, at_s):
+                self.confirmed.setdefault(crash, at_s)
+            elif crash.cause not in self.gossiped_answers:
+                self.gossiped_answers[crash.cause] = now_s
         self._expire(now_s)
+        self._forget_causes()
 
-    def crashes_to_gossip(self, now_s: float) -> tuple[Crash, ...]:
+    def crash_reports(self, now_s: float) -> tuple[CrashReport, ...]:
         """Return the crashes to send to peers."""
         self._expire(now_s)
-        return tuple(self.gossiped)[-MAX_GOSSIPED:]
+        return tuple(
+            CrashReport(crash, now_s - self.confirmed[crash])
+            for crash in tuple(self.gossiped)[-MAX_GOSSIPED:]
+            if crash in self.confirmed
+        )
 
-    def clear_request(self, request: str) -> None:
-        """Drop all crashes of a request that was answered successfully."""
-        for entries in (self.suspected, self.confirmed, self.gossiped):
-            for crash in [crash for crash in entries if crash.request == request]:
-                del entries[crash]
+    def answer_reports(self, now_s: float) -> tuple[AnswerReport, ...]:
+        """Return the answers to send to peers."""
+        self._expire(now_s)
+        return tuple(
+            AnswerReport(cause, now_s - self.answered[cause])
+            for cause in tuple(self.gossiped_answers)[-MAX_GOSSIPED:]
+            if cause in self.answered
+        )
 
-    def remaining_quarantine_s(self, request: str, now_s: float) -> float:
+    def evidence(self, now_s: float) -> tuple[CrashReport, ...]:
+        """Return the crashes behind the quarantines, for nodes that missed them."""
+        found = frozenset[str]().union(*self._find_causes(now_s))
+        return tuple(
+            CrashReport(crash, now_s - at_s)
+            for crash, at_s in self.confirmed.items()
+            if crash.cause in found
+        )[-MAX_GOSSIPED:]
+
+    def record_answer(self, causes: Iterable[str], now_s: float) -> None:
+        """Record a successful answer, which contradicts all earlier crashes."""
+        for cause in causes:
+            _put_last(self.answered, cause, now_s)
+            if self._drop_contradicted(cause):
+                _put_last(self.gossiped_answers, cause, now_s)
+        if len(self.answered) > MAX_ENTRIES:
+            self._expire(now_s)
+
+    def remaining_quarantine_s(self, causes: PossibleCauses, now_s: float) -> float:
         """Return the rest of a request's quarantine, in seconds; 0 if there is none."""
-        self._expire(now_s)
-        times = [
-            at_s for crash, at_s in self.confirmed.items() if crash.request == request
-        ]
-        if len(times) < CRASHES_TO_QUARANTINE:
-            return 0.0
-        return max(times) + QUARANTINE_S - now_s
-
-    def may_retry(self, request: str, now_s: float) -> bool:
+        present = causes.all()
+        newest_s = max(
+            (
+                self.confirmed[crash]
+                for cause in self._find_causes(now_s)
+                if cause <= present
+                for crash in self.confirmed
+                if crash.cause in cause
+            ),
+            default=float("-inf"),
+        )
+        return max(0.0, newest_s + QUARANTINE_S - now_s)
+
+    def may_retry(self, causes: PossibleCauses, now_s: float) -> bool:
         """Return whether a request may be retried after an attempt that broke off."""
-        self._expire(now_s)
+        if self.remaining_quarantine_s(causes, now_s):
+            return False
         crashes = {*self.suspected, *self.confirmed}
-        return (
-            sum(crash.request == request for crash in crashes) < CRASHES_TO_QUARANTINE
-        )
+        count = sum(crash.cause == causes.digest for crash in crashes)
+        return count < CRASHES_TO_QUARANTINE
+
+    def quarantined(self, now_s: float) -> tuple[frozenset[str], ...]:
+        """Return the causes whose requests are refused."""
+        return self._find_causes(now_s)
+
+    def _find_causes(self, now_s: float) -> tuple[frozenset[str], ...]:
+        self._expire(now_s)
+        if now_s - self.causes_found_s >= CAUSES_MAX_AGE_S:
+            crashes_s: dict[str, dict[str, float]] = {}
+            for crash, at_s in self.confirmed.items():
+                crashes_s.setdefault(crash.cause, {})[crash.instance] = at_s
+            self.causes = find_causes(crashes_s, now_s)
+            self.causes_found_s = now_s
+        return self.causes
+
+    def _forget_causes(self) -> None:
+        self.causes_found_s = float("-inf")
+
+    def _is_contradicted(self, crash: Crash, at_s: float) -> bool:
+        return self.answered.get(crash.cause, float("-inf")) >= at_s
+
+    def _drop_contradicted(self, cause: str) -> bool:
+        """Drop the crashes before the last answer; return whether one was confirmed."""
+        answered_s = self.answered[cause]
+        had_confirmed = False
+        for entries in (self.suspected, self.confirmed):
+            for crash in [
+                crash
+                for crash, at_s in entries.items()
+                if crash.cause == cause and at_s <= answered_s
+            ]:
+                del entries[crash]
+                had_confirmed |= entries is self.confirmed
+        if had_confirmed:
+            self._forget_causes()
+        return had_confirmed
+
+    def _record_answer_of_peer(self, cause: str, answered_s: float) -> None:
+        if answered_s <= self.answered.get(cause, float("-inf")):
+            return
+        _put_last(self.answered, cause, answered_s)
+        self._drop_contradicted(cause)
+        # The peer has told all nodes.
+        self.gossiped_answers.pop(cause, None)
 
     def _expire(self, now_s: float) -> None:
-        for entries, lifetime_s in (
-            (self.suspected, SUSPECT_TTL_S),
-            (self.confirmed, QUARANTINE_S),
-            (self.gossiped, GOSSIP_DURATION_S),
-        ):
-            # Entries are ordered by time, oldest first.
-            while entries:
-                oldest, at_s = next(iter(entries.items()))
-                if now_s - at_s <= lifetime_s and len(entries) <= MAX_ENTRIES:
-                    break
-                del entries[oldest]
+        _drop_old(self.suspected, now_s - SUSPECT_TTL_S)
+        _drop_old(self.confirmed, now_s - QUARANTINE_S)
+        _drop_old(self.gossiped, now_s - GOSSIP_DURATION_S)
+        _drop_old(self.answered, now_s - QUARANTINE_S)
+        _drop_old(self.gossiped_answers, now_s - GOSSIP_DURATION_S)
+
+
+def _put_last(entries: dict[Key, float], key: Key, at_s: float) -> None:
+    entries.pop(key, None)
+    entries[key] = at_s
+
+
+def _drop_old(entries: dict[Key, float], oldest_s: float) -> None:
+    """Drop entries before a time, and the oldest of too many."""
+    while entries:
+        oldest, at_s = next(iter(entries.items()))
+        if at_s >= oldest_s and len(entries) <= MAX_ENTRIES:
+            break
+        del entries[oldest]
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -8,7 +8,6 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field, replace
 
-from lagoonhinge_core.forwarding.crashes import Crash
 from lagoonhinge_core.forwarding.request_limits import StatedLimit
 from lagoonhinge_core.forwarding.upstreams import UpstreamRun
 
@@ -84,7 +83,6 @@
         readings: Prefills assigned since the last update.
         read: Numbers of the prompts whose prefill finished or was cancelled since.
         open_work: Its open requests by upstream.
-        crashes: Crashes of upstreams that it detected recently.
         reachable: Upstreams that its probes reached again.
         limits: Limits that upstreams named to it, or withdrew.
         leaving: Upstreams that told it that they leave.
@@ -94,7 +92,6 @@
     readings: tuple[Prefill, ...]
     read: tuple[int, ...]
     open_work: dict[str, OpenWork]
-    crashes: tuple[Crash, ...] = ()
     reachable: tuple[str, ...] = ()
     limits: tuple[StatedLimit, ...] = ()
     leaving: tuple[UpstreamRun, ...] = ()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -14,6 +14,7 @@
     NotDelivered,
     NotSent,
 )
+from lagoonhinge_core.forwarding.crash_causes import part_causes
 from lagoonhinge_core.forwarding.event_splitter import MAX_EVENT_BYTES, EventSplitter
 from lagoonhinge_core.forwarding.messages import AttemptOptions, EngineMemory, Helper
 from lagoonhinge_core.forwarding.routes import EventStream
@@ -318,10 +319,13 @@
         return Success(None)
 
     def _record_success(self, attempt: Attempt) -> None:
-        instance = attempt.choice.upstream.instance
-        self.serving.health.record_answer(instance, False, self.serving.clock())
-        if not self.serving.crashes.is_empty():
-            self.serving.crashes.clear_request(attempt.context.digest)
+        instance, now_s = attempt.choice.upstream.instance, self.serving.clock()
+        self.serving.health.record_answer(instance, False, now_s)
+        crashes, context = self.serving.crashes, attempt.context
+        # Without crashes, as usual, no digest is computed.
+        if not crashes.is_empty():
+            crashes.record_answer((context.crash_causes.digest,), now_s)
+        crashes.record_answer(part_causes(context.request), now_s)
 
     def _record_first_event(self, attempt: Attempt, message: str) -> None:
         """Record the end of the prefill and the time to the first event."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -126,6 +126,10 @@
                 "Recent crashes of upstreams, counted for each possible cause.",
                 lambda: len(serving.crashes.confirmed),
             ),
+            "lagoonhinge_quarantines": (
+                "Causes of crashes whose requests are refused.",
+                lambda: len(serving.crashes.quarantined(now_s())),
+            ),
             "lagoonhinge_limited_upstreams": (
                 "Upstreams that limit their requests.",
                 lambda: len(serving.request_limits.limited()),
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
@@ -21,6 +21,7 @@
 from lagoonhinge_node.forwarding.attempt_sender import AttemptSender
 from lagoonhinge_node.forwarding.caller_interface import CallerInterface
 from lagoonhinge_node.forwarding.cell_exchange import CellExchange
+from lagoonhinge_node.forwarding.crash_exchange import CrashExchange
 from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.load_exchange import LoadExchange
 from lagoonhinge_node.forwarding.node_announcer import NodeAnnouncer
@@ -138,10 +139,14 @@
         store = self.adapters.open_store(self._register_session(open_session()))
         socket = PeerSocket(settings.entry)
         exchange = LoadExchange(self.serving, socket)
+        crashes = CrashExchange(self.serving, socket)
         decoder = self.adapters.decoder
         upstreams = UpstreamController(self.serving, decoder)
         nodes = NodeController(
-            self.serving, decoder, settings.entry, exchange.set_peers
+            self.serving,
+            decoder,
+            settings.entry,
+            (exchange.set_peers, crashes.set_peers),
         )
         self.watch = watch = StoreWatch(
             self.serving,
@@ -154,7 +159,12 @@
             nodes,
         )
         cells = CellExchange(self.serving, socket, watch)
-        socket.handlers += [exchange.receive, watch.receive, cells.receive]
+        socket.handlers += [
+            exchange.receive,
+            crashes.receive,
+            watch.receive,
+            cells.receive,
+        ]
         self.settings_controller = SettingsController(
             self.serving, self.adapters.read_settings, settings.live
         )
@@ -164,6 +174,7 @@
             NodeAnnouncer(self.serving, store, nodes),
             upstreams,
             exchange,
+            crashes,
             cells,
             ReachabilityController(self.serving),
             self.settings_controller,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -61,8 +61,7 @@
     def _receivers(self) -> list[tuple[str, int]]:
         """Return the addresses of the nodes that need this node's updates.
 
-        These are the nodes of its cell and of cells whose upstreams it uses. All nodes
-        must know of crashes.
+        These are the nodes of its cell and of cells whose upstreams it uses.
         """
         upstreams = self.serving.directory.by_instance
         used = {
@@ -71,12 +70,7 @@
             if instance in upstreams
         }
         zones = self.serving.cell | used
-        is_for_all = bool(self.serving.crashes.gossiped)
-        return [
-            node.peer_address()
-            for node in self.nodes
-            if is_for_all or node.zone in zones
-        ]
+        return [node.peer_address() for node in self.nodes if node.zone in zones]
 
     @Service.timer(SEND_INTERVAL_S)
     async def send_update(self) -> None:
@@ -86,7 +80,6 @@
         has_changes = (
             load.unsent_prefills
             or load.unsent_finished
-            or self.serving.crashes.gossiped
             or self.serving.unsent_reachable
             or self.serving.request_limits.has_unsent
             or self.serving.leaving_notices.has_unsent
@@ -104,7 +97,6 @@
             update,
             readings=update.readings[-MAX_PREFILLS:],
             read=update.read[-MAX_PREFILLS:],
-            crashes=self.serving.crashes.crashes_to_gossip(now_s),
             reachable=tuple(reachable),
             limits=self.serving.request_limits.own_statements(now_s)[-MAX_NOTICES:],
             leaving=tuple(self.serving.leaving_notices.own)[-MAX_NOTICES:],
@@ -119,7 +111,6 @@
             return
         now_s = self.serving.clock()
         self.serving.load.merge(message.load, now_s)
-        self.serving.crashes.merge(message.load.crashes, now_s)
         self.serving.request_limits.merge(message.load.limits, now_s)
         for run in self.serving.leaving_notices.merge(message.load.leaving):
             self.log_part.info(
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
@@ -98,6 +98,9 @@
             "limits_per_s": serving.request_limits.limited(),
             "health": to_builtins(serving.health.records),
             "crashes": to_builtins(list(serving.crashes.confirmed)),
+            "quarantined": [
+                sorted(cause) for cause in serving.crashes.quarantined(now_s)
+            ],
             "nodes": to_builtins(serving.board.read(NodeListSection).nodes),
             "peers_heard_s": {
                 name: round(now_s - peer.received_s, 3)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/peer_messages.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/peer_messages.py
@@ -10,6 +10,7 @@
 from mode import Service
 from msgspec import DecodeError, ValidationError, msgpack
 
+from lagoonhinge_core.forwarding.crashes import AnswerReport, CrashReport
 from lagoonhinge_core.forwarding.load_tracker import CellSummary, LoadUpdate
 from lagoonhinge_core.forwarding.site_store import NodeEntry
 from lagoonhinge_core.forwarding.table_replica import TableUpdate
@@ -50,6 +51,19 @@
     node: str
 
 
+@dataclass(frozen=True)
+class CrashUpdate:
+    """What a node knows of requests that crash upstreams.
+
+    Attributes:
+        crashes: Crashes of upstreams.
+        answers: Answers that contradict crashes.
+    """
+
+    crashes: tuple[CrashReport, ...]
+    answers: tuple[AnswerReport, ...] = ()
+
+
 @dataclass(frozen=True)
 class PeerMessage:
     """One datagram; one of the parts is set."""
@@ -58,6 +72,7 @@
     store: StoreUpdate | None = None
     call_failed: StoreCallFailed | None = None
     cell: CellSummary | None = None
+    crashes: CrashUpdate | None = None
 
 
 _ENCODER = msgpack.Encoder()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_context.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_context.py
@@ -5,7 +5,12 @@
 from typing import Protocol
 
 from lagoonhinge_core.forwarding.attempts import AttemptFailure
-from lagoonhinge_core.forwarding.crashes import CrashTracker, digest_request
+from lagoonhinge_core.forwarding.crash_causes import (
+    PossibleCauses,
+    digest_request,
+    part_causes,
+)
+from lagoonhinge_core.forwarding.crashes import CrashTracker
 from lagoonhinge_core.forwarding.messages import AnswerHead, CallerRequest
 from lagoonhinge_core.forwarding.routes import Route
 from lagoonhinge_node.forwarding.serving_state import ServingState
@@ -84,16 +89,17 @@
     deferred_lines: list["DeferredLine"] = field(default_factory=list)
 
     @cached_property
-    def digest(self) -> str:
-        """Return the digest of the request's content and client account."""
-        return digest_request(self.request, self.account)
+    def crash_causes(self) -> PossibleCauses:
+        """Return what in the request may crash an upstream."""
+        digest = digest_request(self.request, self.account)
+        return PossibleCauses(digest, part_causes(self.request))
 
     def quarantine_s(self, crashes: CrashTracker, now_s: float) -> float:
         """Return the rest of the request's quarantine, in seconds; 0 if none."""
         # Without crashes, as usual, no digest is computed.
         if crashes.is_empty():
             return 0.0
-        return crashes.remaining_quarantine_s(self.digest, now_s)
+        return crashes.remaining_quarantine_s(self.crash_causes, now_s)
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -260,15 +260,7 @@
                 context.declined += 1
                 self._record_decline_fault(context, choice, failure)
             case Lost():
-                self.serving.crashes.add_suspect(context.digest, instance, now_s)
-                self.log.log_failure(
-                    context,
-                    "A request is suspected of crashing an upstream.",
-                    upstream=instance,
-                    digest=context.digest,
-                    parts=context.request.shared_parts,
-                    events=context.last_event_s is not None,
-                )
+                self.serving.crashes.add_suspect(context.crash_causes, instance, now_s)
                 self.serving.health.record_loss(instance, now_s)
             case Failed():
                 self.serving.health.record_answer(instance, True, now_s)
@@ -286,6 +278,7 @@
             declined=context.declined,
             may_repeat=history.within_retry_budget,
             remaining_s=history.remaining_s,
+            parts=context.request.shared_parts,
             verdict=action.value,
         )
         return action
@@ -328,7 +321,7 @@
         crashes = self.serving.crashes
         if crashes.is_empty() or not context.runs:
             return False
-        return not crashes.may_retry(context.digest, self.serving.clock())
+        return not crashes.may_retry(context.crash_causes, self.serving.clock())
 
     def _count_attempt(self, choice: UpstreamChoice, result: str) -> None:
         is_same_zone = "yes" if choice.upstream.zone == self.serving.zone else "no"
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -214,7 +214,7 @@
             self.log_part.warning(
                 "A request may have crashed an upstream.",
                 upstream=instance,
-                digest=crash.request,
+                cause=crash.cause,
                 evidence=evidence,
             )
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -1,7 +1,7 @@
 """Controllers that apply the rows of the platform's store to the blackboard."""
 
 from asyncio import Event
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from mode import Service
 from returns.result import Failure, Success
@@ -178,7 +178,7 @@
         serving: State shared by all requests.
         decoder: Translation of the store's rows.
         own_entry: This node's entry.
-        on_change: Called with the other nodes after each update.
+        on_change: Each is called with the other nodes after each update.
     """
 
     def __init__(
@@ -186,12 +186,12 @@
         serving: ServingState,
         decoder: RowDecoder,
         own_entry: NodeEntry,
-        on_change: Callable[[list[NodeEntry]], None],
+        on_change: Iterable[Callable[[list[NodeEntry]], None]],
     ):
         self.serving = serving
         self.decoder = decoder
         self.own_entry = own_entry
-        self.on_change = on_change
+        self.on_change = tuple(on_change)
         # Set when all entries were read and this node's is not among them.
         self.announcement_due = Event()
         self.writer = serving.board.writer(NodeListSection(), "node controller")
@@ -216,7 +216,9 @@
         update_cell(self.serving)
         if is_complete and not self.is_announced():
             self.announcement_due.set()
-        self.on_change([n for n in nodes.values() if n.name != self.own_entry.name])
+        peers = [n for n in nodes.values() if n.name != self.own_entry.name]
+        for notify in self.on_change:
+            notify(peers)
 
     def is_announced(self) -> bool:
         """Return whether the list has this node's entry as it is now."""
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -268,8 +268,9 @@
 
 
 def _crashes(request: web.Request, state: WorkerState) -> bool:
-    parts = request.headers.get(PROMPT_PARTS, "").split(",")
-    return state.faults.crashing_part in {part.partition(":")[0] for part in parts}
+    entries = request.headers.get(PROMPT_PARTS, "").split(",")
+    parts = {entry.partition(":")[0] for entry in entries if entry}
+    return state.faults.crashing_part in parts
 
 
 async def _order(request: web.Request) -> web.StreamResponse:
