--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -70,6 +70,7 @@
         self.leaving_notices = LeavingNotices()
         self.pauses = UpstreamPauses()
         self.partitions = PartitionTracker()
+        self.is_cut_off = False  # whether this node reaches no upstream
         # Upstreams that a probe reached again, to be told to the cell.
         self.unsent_reachable: list[str] = []
         # Upstreams that answer prompts for which this node holds memory, and how many.
@@ -202,6 +203,20 @@
         self.health.record_connect_failure(upstream.instance, self.clock())
         self.partitions.record_failure(upstream.zone, upstream.instance)
         self.eject_partitioned_zone(upstream.zone)
+        self.update_cut_off()
+
+    def update_cut_off(self) -> None:
+        """Determine anew whether this node reaches no upstream."""
+        listed = Counter(entry.zone for entry in self.directory.by_instance.values())
+        is_cut_off = self.partitions.is_cut_off(listed)
+        if is_cut_off == self.is_cut_off:
+            return
+        self.is_cut_off = is_cut_off
+        if is_cut_off:
+            failures = {zone: self.partitions.count_failures(zone) for zone in listed}
+            self.log_part.warning("No upstream can be reached.", failures=failures)
+        else:
+            self.log_part.info("Upstreams can be reached again.")
 
     def record_exit(self, instance: str, evidence: str) -> None:
         """Record that an upstream ended; a request that it ran may be the cause.
@@ -251,6 +266,8 @@
                 zone=upstream.zone,
                 upstream=upstream.instance,
             )
+        if self.is_cut_off:
+            self.update_cut_off()
 
     def ejected(self, upstreams: Collection[Upstream]) -> frozenset[str]:
         """Return which of a service's upstreams to avoid."""
