--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -147,11 +147,14 @@
         }
         return "".join(f"{key}={value}\n" for key, value in fields.items())
 
-    def start_platform_node(self, unread_log: bool = False) -> Process:
+    def start_platform_node(
+        self, unread_log: bool = False, **changes: str
+    ) -> PlatformNode:
         """Start one node with a settings file.
 
         Args:
             unread_log: Whether its log goes to a pipe that is not read.
+            **changes: Changes of its settings.
         """
         name = f"front-{len(self.nodes)}"
         port, ready, control, peers = (PORTS.allocate() for _ in range(4))
@@ -164,6 +167,7 @@
                     "listen.ready": f"127.0.0.1:{ready}",
                     "listen.control": f"127.0.0.1:{control}",
                     "portRange": f"{peers},{peers + 1}",
+                    **changes,
                 },
             )
         )
