Another node serves the requests of a node that reaches no upstream

Cause: a node's only way to an upstream was its own link. Its peers reached all of them. Ruled out: time lost on connections that hang (where connections were refused at once, no request was served either). Leaving the rotation is no way out: where most nodes of a zone are cut off, the platform uses all of them, and open connections stay. Change: a node that reaches no upstream of any zone tells its peers, and lets one that does serve each request, on the port that peers already know. The peer does all that it does for callers of its own; it declines at once if it is cut off too, and never passes the request on. Runs before the cut count against the route's limit, and a request that the peer may have run is never said to be not run.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -86,6 +86,7 @@
         reachable: Upstreams that its probes reached again.
         limits: Limits that upstreams named to it, or withdrew.
         leaving: Upstreams that told it that they leave.
+        is_cut_off: Whether it reaches no upstream.
     """
 
     node: str
@@ -95,14 +96,22 @@
     reachable: tuple[str, ...] = ()
     limits: tuple[StatedLimit, ...] = ()
     leaving: tuple[UpstreamRun, ...] = ()
+    is_cut_off: bool = False
 
 
 @dataclass(frozen=True)
 class PeerLoad:
-    """Open requests of a peer by upstream, and when they were received, in seconds."""
+    """Last update of a peer.
+
+    Attributes:
+        received_s: When it was received, in seconds.
+        open_work: Open requests of the peer by upstream.
+        is_cut_off: Whether the peer reaches no upstream.
+    """
 
     received_s: float
     open_work: dict[str, OpenWork]
+    is_cut_off: bool = False
 
 
 @dataclass(frozen=True)
@@ -250,7 +259,7 @@
         for number in update.read:
             self._finish_prefill((update.node, number), tuple(self.queues))
         self._count_peer(update.node, -1)
-        self.peers[update.node] = PeerLoad(now_s, update.open_work)
+        self.peers[update.node] = PeerLoad(now_s, update.open_work, update.is_cut_off)
         self._count_peer(update.node, 1)
 
     def merge_summary(self, summary: CellSummary, now_s: float) -> None:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/messages.py
@@ -96,6 +96,20 @@
     last_event_id: str | None = None
 
 
+@dataclass(frozen=True)
+class RelayOptions:
+    """Values of a request that another node serves.
+
+    Attributes:
+        time_limit_s: Time until the request's deadline, in seconds.
+        last_event_id: Id of the event after which the answer resumes; `None` for a
+            complete answer.
+    """
+
+    time_limit_s: float
+    last_event_id: str | None = None
+
+
 @dataclass(frozen=True)
 class NoLimit:
     """An answer of an upstream that does not limit its requests."""
@@ -171,6 +185,11 @@
     ) -> list[tuple[str, str]]:
         """Return the headers of one attempt."""
 
+    def relay_headers(
+        self, request: CallerRequest, options: RelayOptions
+    ) -> list[tuple[str, str]]:
+        """Return the headers with which another node gets a caller's request."""
+
     def read_answer(self, status: int, reason: str, headers: RawHeaders) -> AnswerHead:
         """Return the head of an upstream's answer."""
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/zone_partitions.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/zone_partitions.py
@@ -91,10 +91,13 @@
             upstreams: Listed upstreams of each zone.
         """
         return bool(upstreams) and all(
-            self.count_failures(zone) >= min(UNREACHABLE_THRESHOLD, listed)
-            for zone, listed in upstreams.items()
+            self.is_unreachable(zone, listed) for zone, listed in upstreams.items()
         )
 
+    def is_unreachable(self, zone: str, listed: int) -> bool:
+        """Return whether upstreams of a zone can't be reached, of so many listed."""
+        return self.count_failures(zone) >= min(UNREACHABLE_THRESHOLD, listed)
+
     def count_failures(self, zone: str) -> int:
         """Return how many upstreams of a zone could not be reached since one was."""
         return len(self.failures.get(zone, ()))
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -16,9 +16,16 @@
 )
 from lagoonhinge_core.forwarding.crash_causes import part_causes
 from lagoonhinge_core.forwarding.event_splitter import MAX_EVENT_BYTES, EventSplitter
-from lagoonhinge_core.forwarding.messages import AttemptOptions, EngineMemory, Helper
+from lagoonhinge_core.forwarding.messages import (
+    AttemptOptions,
+    EngineMemory,
+    Helper,
+    RelayOptions,
+)
 from lagoonhinge_core.forwarding.routes import EventStream
+from lagoonhinge_core.forwarding.site_store import NodeEntry
 from lagoonhinge_core.forwarding.timeouts import answer_timeout_s, event_gap_timeout_s
+from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_node.forwarding.attempt_memory import AttemptMemory
 from lagoonhinge_node.forwarding.forwarding_metrics import (
     ForwardingMetrics,
@@ -176,6 +183,44 @@
             attempt_memory.release()
         return result
 
+    async def relay(
+        self, context: RequestContext, node: NodeEntry, writer: ResponseWriter
+    ) -> Result[None, AttemptFailure]:
+        """Let another node serve a request, and forward its answer.
+
+        Args:
+            context: The request.
+            node: The node.
+            writer: Writes the answer to the caller.
+
+        Returns:
+            Success once the answer is forwarded, else the failure.
+        """
+        options = RelayOptions(self.log.remaining_s(context), context.last_event_id)
+        earlier_runs = context.runs
+        context.runs += 1
+        match await self.client.relay(node, context.request, options, earlier_runs):
+            case Failure(failure):
+                if isinstance(failure, NotDelivered | Declined):
+                    context.runs = earlier_runs
+                return Failure(failure)
+            case Success(answer):
+                pass
+        # The node itself watches the upstreams for silence.
+        attempt = Attempt(
+            context,
+            UpstreamChoice(_as_upstream(node, context.service)),
+            self.serving.load.next_prompt_number(),
+            writer,
+            SilenceTimeout(lambda _: False, lambda _: None),
+            lambda: None,
+        )
+        try:
+            return await self._forward(attempt, answer)
+        finally:
+            attempt.silence_timeout.stop()
+            answer.close()
+
     def _reservation_id(self, prompt_number: int) -> str:
         return f"{self.serving.load.node}.{prompt_number}"
 
@@ -239,15 +284,21 @@
                     answer = received
                     self.serving.record_contact(choice.upstream)
             assert answer is not None
-            is_success = answer.head.status < MIN_REDIRECT_STATUS
-            if isinstance(context.route.kind, EventStream) and is_success:
-                return await self._forward_stream(attempt, answer, context.route.kind)
-            return await self._forward_whole(attempt, answer)
+            return await self._forward(attempt, answer)
         finally:
             attempt.silence_timeout.stop()
             if answer is not None:
                 answer.close()
 
+    async def _forward(
+        self, attempt: Attempt, answer: UpstreamAnswer
+    ) -> Result[None, AttemptFailure]:
+        kind = attempt.context.route.kind
+        is_success = answer.head.status < MIN_REDIRECT_STATUS
+        if isinstance(kind, EventStream) and is_success:
+            return await self._forward_stream(attempt, answer, kind)
+        return await self._forward_whole(attempt, answer)
+
     async def _forward_whole(
         self, attempt: Attempt, answer: UpstreamAnswer
     ) -> Result[None, AttemptFailure]:
@@ -348,3 +399,8 @@
             longest_pause_s=gap_s,
         )
         self.metrics.longest_gap.labels(length_label(context.request)).observe(gap_s)
+
+
+def _as_upstream(node: NodeEntry, service: str) -> Upstream:
+    """Return a node in the place of the upstream that answers."""
+    return Upstream(f"node {node.name}", service, node.host, node.port, node.zone, 0)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
@@ -1,8 +1,8 @@
 """HTTP interface for callers: reads requests, admits or refuses them, and answers."""
 
 from asyncio import sleep, timeout
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 from aiohttp import web
@@ -24,6 +24,7 @@
 from lagoonhinge_node.forwarding.request_context import RequestContext
 from lagoonhinge_node.forwarding.request_runner import RequestRunner
 from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.upstream_client import RELAYED_RUNS
 from lagoonhinge_node.logs import PartLogger
 
 # A node that can't confirm its configuration may be able to after this time.
@@ -164,9 +165,15 @@
 
     def server(self) -> web.Server:
         """Return the server for the callers' listener."""
+        return self._server(self.handle)
+
+    def _server(
+        self,
+        handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> web.Server:
         max_line_bytes = 64 << 10  # the handler checks the configured limit
         return web.Server(
-            self.handle,
+            handle,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
@@ -176,14 +183,30 @@
             max_headers=MAX_HEADERS,
         )
 
+    def relay_server(self) -> web.Server:
+        """Return the server for requests of nodes that reach no upstream."""
+        return self._server(self.handle_relayed)
+
     async def handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
+        return await self._handle(http_request, None)
+
+    async def handle_relayed(self, http_request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request of a node that reaches no upstream."""
+        runs = http_request.headers.get(RELAYED_RUNS, "")
+        if not runs.isdecimal() or self.serving.is_cut_off:
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        return await self._handle(http_request, int(runs))
+
+    async def _handle(
+        self, http_request: web.BaseRequest, relayed_runs: int | None
+    ) -> web.StreamResponse:
         self.serving.open_requests += 1
         writer = HttpResponseWriter(
             http_request, self.codec, lambda: self.serving.is_stopping
         )
         try:
-            await self._serve(http_request, writer)
+            await self._serve(http_request, writer, relayed_runs)
         except ConnectionError as error:
             self.log_part.info(
                 "The caller left.", writer.request_id or "-", error=repr(error)
@@ -202,7 +225,10 @@
         return writer.response or web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
 
     async def _serve(
-        self, http_request: web.BaseRequest, writer: HttpResponseWriter
+        self,
+        http_request: web.BaseRequest,
+        writer: HttpResponseWriter,
+        relayed_runs: int | None,
     ) -> None:
         arrived_s = self.serving.clock()
         match await self._read_request(http_request, writer):
@@ -216,6 +242,10 @@
             case Failure(refusal):
                 await self._refuse(writer, refusal)
             case Success(context):
+                if relayed_runs is not None:
+                    context.is_relayed = True
+                    context.runs = context.attempts = relayed_runs
+                    context.request = _without_relayed_runs(request)
                 await self.runner.run(context, writer)
 
     async def _refuse(self, writer: HttpResponseWriter, refusal: Refusal) -> None:
@@ -329,6 +359,13 @@
     return Success((route, None))
 
 
+def _without_relayed_runs(request: CallerRequest) -> CallerRequest:
+    """Return a relayed request as its caller sent it."""
+    name = RELAYED_RUNS.lower().encode()
+    headers = tuple(pair for pair in request.headers if pair[0].lower() != name)
+    return replace(request, headers=headers)
+
+
 def _refuse_stale(reason: str) -> Failure[Refusal]:
     return Failure(Refusal(HTTPStatus.SERVICE_UNAVAILABLE, reason, STALE_RETRY_AFTER_S))
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -82,6 +82,11 @@
             "Streams that were interrupted, by the failure of the last attempt.",
             ("failure",),
         )
+        self.relays = self.counter(
+            "lagoonhinge_relays",
+            "Requests that other nodes were asked to serve, by result.",
+            ("result",),
+        )
         self.refusals = self.counter(
             "lagoonhinge_refusals",
             "Requests that were not admitted, by status.",
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
@@ -1,6 +1,6 @@
 """Root service of a forwarding node: its components, start and graceful stop."""
 
-from asyncio import get_running_loop, sleep
+from asyncio import gather, get_running_loop, sleep
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -120,6 +120,8 @@
         self.log_part = PartLogger("node")
         self.metrics = ForwardingMetrics()
         self.caller_listener: ServerListener | None = None
+        # On the port for datagrams of other nodes.
+        self.relay_listener: ServerListener | None = None
         self.readiness_listener: ServerListener | None = None
         self.operator_listener: ServerListener | None = None
         self.sessions: list[ClientSession] = []
@@ -204,6 +206,11 @@
         )
         self.caller_listener = ServerListener(interface.server(), self.settings.callers)
         await self.caller_listener.start()
+        self.relay_listener = ServerListener(
+            interface.relay_server(),
+            Address(self.settings.entry.host, self.settings.entry.port),
+        )
+        await self.relay_listener.start()
         readiness_server = web.Server(self._handle_readiness_check, access_log=None)
         self.readiness_listener = ServerListener(
             readiness_server, self.settings.readiness
@@ -227,7 +234,7 @@
         )
         self.serving.is_stopping = True
         self.log_part.info("Stopping.", open=self.serving.open_requests)
-        if self.caller_listener is not None:
+        if self.caller_listener is not None and self.relay_listener is not None:
             await sleep(
                 min(LOAD_BALANCER_DELAY_S, self.settings_controller.current.grace_s / 2)
             )
@@ -236,7 +243,9 @@
             end = get_running_loop().call_later(
                 max(0.0, limit_s - END_MARGIN_S), self.runner.end_all
             )
-            await self.caller_listener.stop(limit_s)
+            await gather(
+                self.caller_listener.stop(limit_s), self.relay_listener.stop(limit_s)
+            )
             end.cancel()
         self.log_part.info("Stopped.", open=self.serving.open_requests)
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
@@ -37,8 +37,12 @@
         listed = self.serving.directory.by_instance
         for zone in {upstream.zone for upstream in listed.values()}:
             self.serving.eject_partitioned_zone(zone)
-        instances = self.due_instances()
-        await gather(*(self._probe(listed[instance]) for instance in instances))
+        checks = self._cut_off_checks()
+        instances = self.due_instances() - checks
+        await gather(
+            *(self._probe(listed[instance]) for instance in instances),
+            *(self._check_cut_off(listed[instance]) for instance in checks),
+        )
 
     def due_instances(self) -> set[str]:
         """Return the upstreams to probe now."""
@@ -71,24 +75,39 @@
         ]
 
     def _in_partitioned_zones(self) -> list[str]:
-        instances: list[str] = []
-        for zone in self.serving.partitions.partitioned:
-            listed = [
-                upstream.instance
-                for upstream in self.serving.directory.by_instance.values()
-                if upstream.zone == zone
-            ]
-            count = min(PROBES_PER_ZONE, len(listed))
-            instances += self.serving.random.sample(listed, count)
-        return instances
-
-    async def _probe(self, upstream: Upstream) -> None:
+        zones = self.serving.partitions.partitioned
+        return [instance for zone in zones for instance in self._sample(zone)]
+
+    def _cut_off_checks(self) -> set[str]:
+        """Return upstreams of all zones to probe if this node may be cut off."""
+        if not self.serving.may_be_cut_off():
+            return set()
+        listed = self.serving.directory.by_instance.values()
+        zones = sorted({upstream.zone for upstream in listed})
+        return {instance for zone in zones for instance in self._sample(zone)}
+
+    def _sample(self, zone: str) -> list[str]:
+        """Return a few upstreams of a zone."""
+        listed = [
+            upstream.instance
+            for upstream in self.serving.directory.by_instance.values()
+            if upstream.zone == zone
+        ]
+        count = min(PROBES_PER_ZONE, len(listed))
+        return self.serving.random.sample(listed, count)
+
+    async def _check_cut_off(self, upstream: Upstream) -> None:
+        if not await self._probe(upstream):
+            self.serving.record_probe_failure(upstream)
+
+    async def _probe(self, upstream: Upstream) -> bool:
+        """Probe an upstream; return whether it was reached."""
         try:
             connecting = open_connection(upstream.host, upstream.port)
             _, writer = await wait_for(connecting, PROBE_TIMEOUT_S)
         except (OSError, TimeoutError):
             self.serving.record_exit(upstream.instance, "no connection")
-            return
+            return False
         writer.close()
         self.serving.crashes.clear_instance(upstream.instance)
         self.serving.record_contact(upstream)
@@ -97,3 +116,4 @@
             self.log_part.info(
                 "An upstream is reachable again.", upstream=upstream.instance
             )
+        return True
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_context.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_context.py
@@ -68,6 +68,8 @@
         last_failure: Failure of the last attempt that failed.
         last_event_s: When the last event was forwarded, in seconds of the node's clock.
         deferred_lines: Log lines above the rate limit, written only on failure.
+        is_relayed: Whether another node, which reaches no upstream, sent it.
+        asked_nodes: Nodes that were asked to serve it.
     """
 
     request: CallerRequest
@@ -87,6 +89,8 @@
     last_failure: AttemptFailure | None = None
     last_event_s: float | None = None
     deferred_lines: list["DeferredLine"] = field(default_factory=list)
+    is_relayed: bool = False
+    asked_nodes: set[str] = field(default_factory=set)
 
     @cached_property
     def crash_causes(self) -> PossibleCauses:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -37,6 +37,7 @@
     SHORT_RETRY_AFTER_S,
     RequestEnding,
 )
+from lagoonhinge_node.forwarding.request_relay import RequestRelay
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.silence_timeout import SilenceTimeout
 from lagoonhinge_node.forwarding.upstream_choice import UpstreamChoice, UpstreamChooser
@@ -75,6 +76,7 @@
         self.metrics = metrics
         self.log = log
         self.ending = RequestEnding(serving, metrics, log)
+        self.relay = RequestRelay(serving, sender, self.ending, metrics, log)
         self.deadlines: set[Timeout] = set()
 
     def end_all(self) -> None:
@@ -86,7 +88,9 @@
 
     async def run(self, context: RequestContext, writer: ResponseWriter) -> None:
         """Serve a request until it is answered, fails or reaches its deadline."""
-        self.serving.retry_window(context.service).count_request(self.serving.clock())
+        if not context.is_relayed:
+            window = self.serving.retry_window(context.service)
+            window.count_request(self.serving.clock())
         context.last_event_id = context.request.last_event_id
         end = "caller_left"
         deadline = timeout(max(0.0, self.log.remaining_s(context)))
@@ -113,6 +117,10 @@
         attempts = OpenAttempts(partial(self._record_superseded, context))
         try:
             while True:
+                if attempts.is_empty():
+                    end = await self.relay.relay(context, writer)
+                    if end is not None:
+                        return end
                 # While an attempt is open, its upstream may still answer.
                 match (
                     await self._wait_for_choice(context)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -20,6 +20,7 @@
     update_interval_factor,
 )
 from lagoonhinge_core.forwarding.pauses import UpstreamPauses
+from lagoonhinge_core.forwarding.relays import RelayNode
 from lagoonhinge_core.forwarding.request_limits import RequestLimits
 from lagoonhinge_core.forwarding.retry_window import RetryBound, RetryWindow
 from lagoonhinge_core.forwarding.store_contact import StoreContact
@@ -205,9 +206,38 @@
         self.eject_partitioned_zone(upstream.zone)
         self.update_cut_off()
 
+    def record_probe_failure(self, upstream: Upstream) -> None:
+        """Record a failed check whether this node reaches any upstream."""
+        self.partitions.record_failure(upstream.zone, upstream.instance)
+        self.update_cut_off()
+
+    def may_be_cut_off(self) -> bool:
+        """Return whether to check whether this node reaches any upstream."""
+        return self.is_cut_off or self.partitions.is_unreachable(
+            self.zone, self._listed_by_zone()[self.zone]
+        )
+
+    def _listed_by_zone(self) -> Counter[str]:
+        return Counter(entry.zone for entry in self.directory.by_instance.values())
+
+    def relay_nodes(self) -> tuple[RelayNode, ...]:
+        """Return the other nodes, which may serve requests of this one."""
+        self.load.live_peers(self.clock())
+        peers = self.load.peers
+        return tuple(
+            RelayNode(
+                name,
+                zone,
+                name in peers,
+                name in peers and peers[name].is_cut_off,
+            )
+            for name, zone in self.zone_of_node.items()
+            if name != self.load.node
+        )
+
     def update_cut_off(self) -> None:
         """Determine anew whether this node reaches no upstream."""
-        listed = Counter(entry.zone for entry in self.directory.by_instance.values())
+        listed = self._listed_by_zone()
         is_cut_off = self.partitions.is_cut_off(listed)
         if is_cut_off == self.is_cut_off:
             return
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -34,7 +34,9 @@
     AttemptOptions,
     CallerRequest,
     HeaderCodec,
+    RelayOptions,
 )
+from lagoonhinge_core.forwarding.site_store import NodeEntry
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_http.session import (
     BoundedHandler,
@@ -46,6 +48,8 @@
 CONNECT_TIMEOUT_S = 0.15  # fifty round trips between availability zones
 READ_BUFFER_BYTES = 64 << 10  # of an answer whose caller reads slowly
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+# Header between nodes: upstreams that may have run the request before.
+RELAYED_RUNS = "X-Lagoonhinge-Relayed-Runs"
 # Statuses that by definition mean that the request did not run.
 NOT_RUN_STATUSES = (
     HTTPStatus.REQUEST_TIMEOUT,
@@ -152,19 +156,52 @@
         that means that the request did not run counts only if the upstream also states
         it in a header.
         """
+        headers = self.codec.request_headers(request, options)
+        match await self._request(upstream.host, upstream.port, request, headers):
+            case Failure(failure):
+                return Failure(failure)
+            case Success(answer):
+                head = answer.head
+        if _is_of_intended_upstream(head, request):
+            self.record_head(upstream, head)
+        return _unless_failed(answer, _find_failure(head, request))
+
+    async def relay(
+        self, node: NodeEntry, request: CallerRequest, options: RelayOptions, runs: int
+    ) -> Result[UpstreamAnswer, AttemptFailure]:
+        """Let another node serve a request; return its answer when the head arrived.
+
+        Args:
+            node: The node.
+            request: The request.
+            options: Values that replace the caller's.
+            runs: Upstreams that may have run it before.
+        """
+        headers = self.codec.relay_headers(request, options)
+        headers.append((RELAYED_RUNS, str(runs)))
+        match await self._request(node.host, node.port, request, headers):
+            case Failure(failure):
+                return Failure(failure)
+            case Success(answer):
+                return _unless_failed(answer, _find_relay_failure(answer.head, request))
+        raise AssertionError("not a result")
+
+    async def _request(
+        self,
+        host: str,
+        port: int,
+        request: CallerRequest,
+        headers: list[tuple[str, str]],
+    ) -> Result[UpstreamAnswer, AttemptFailure]:
         # Passed as a path, so that the target stays unchanged, even an empty query.
         url = URL.build(
-            scheme="http",
-            host=upstream.host,
-            port=upstream.port,
-            path=request.target,
-            encoded=True,
+            scheme="http", host=host, port=port, path=request.target, encoded=True
         )
         try:
             response = await self.session.request(
                 request.method,
                 url,
-                headers=CIMultiDict(self.codec.request_headers(request, options)),
+                headers=CIMultiDict(headers),
                 skip_auto_headers=AUTOMATIC_HEADERS,
                 data=request.body or None,
                 allow_redirects=False,
@@ -178,15 +215,18 @@
         head = self.codec.read_answer(
             response.status, response.reason or "", response.raw_headers
         )
-        if _is_of_intended_upstream(head, request):
-            self.record_head(upstream, head)
-        failure = _find_failure(head, request)
-        if failure is not None:
-            response.close()
-            return Failure(failure)
         return Success(UpstreamAnswer(head, response, self.memory, next(self.numbers)))
 
 
+def _unless_failed(
+    answer: UpstreamAnswer, failure: AttemptFailure | None
+) -> Result[UpstreamAnswer, AttemptFailure]:
+    if failure is None:
+        return Success(answer)
+    answer.close()
+    return Failure(failure)
+
+
 def _describe(error: Exception) -> str:
     return f"{type(error).__name__}: {error}"
 
@@ -196,6 +236,22 @@
     return is_own and head.status != HTTPStatus.MISDIRECTED_REQUEST
 
 
+def _find_relay_failure(
+    head: AnswerHead, request: CallerRequest
+) -> AttemptFailure | None:
+    """Return why a node's answer is not an upstream's."""
+    if head.request_id not in (None, request.request_id):
+        return Lost("the answer is of another request")
+    if head.stamped:
+        return None
+    if HTTPStatus.BAD_REQUEST <= head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        # Its configuration is not this node's.
+        return Declined(head.status)
+    if head.status in NOT_RUN_STATUSES:
+        return Declined(head.status)
+    return Lost(f"the node that served it answered {head.status}")
+
+
 def _find_failure(head: AnswerHead, request: CallerRequest) -> AttemptFailure | None:
     if head.request_id not in (None, request.request_id):
         return Lost("the answer is of another request")
