A node counts as cut off from single services, by failures in a row

Cause: evidence was kept for each zone over all services, and an upstream that was reached cleared its own zone only. Change: failures count for each service since any of its upstreams was reached; peers are told the services.

--- a/features/cut_off_nodes.feature
+++ b/features/cut_off_nodes.feature
@@ -66,16 +66,20 @@
       | a    | a1, a2-, a3-, b1?      | a1 b1       |
       | a    | a1, a2, a3-, b1?       | a1 a2       |
 
-  Scenario Outline: When a node counts as cut off from all upstreams
-    Given upstreams a1, a2, a3 in zone a and b1 in zone b
+  Scenario Outline: When a node counts as cut off from the upstreams of a service
+    Given upstreams a1, a2, a3 in zone a and b1 in zone b, and m1 of another service
     When these events come at a node of zone a: <events>
     Then it <is> cut off
 
     Examples:
       | events                                 | is     |
       | a1 fails, a2 fails, b1 fails           | is     |
+      | a1 fails, a2 fails, b1 fails, m1 is reached | is     |
+      | m1 fails, a1 fails, a2 fails           | is not |
       | a1 fails, a1 fails, b1 fails           | is not |
       | a1 fails, a2 fails                     | is not |
       | a1 fails, b1 fails, a3 is reached, a2 fails | is not |
+      | a1 fails, a2 fails, b1 is reached, b1 fails | is not |
       | a1 fails, a2 fails, b1 fails, a3 is reached | is not |
-      | a1 fails, a2 fails, b1 fails, b1 is reached, b1 fails | is |
+      | a1 fails, a2 fails, b1 fails, b1 is reached, b1 fails | is not |
+      | a1 fails, a2 fails, b1 fails, b1 is reached, a1 fails, a3 fails, b1 fails | is |
--- a/features/steps/cut_off_nodes_steps.py
+++ b/features/steps/cut_off_nodes_steps.py
@@ -42,7 +42,7 @@
 def _find_out_cut_off(node) -> None:
     """Send a request, from whose failures a node learns that it is cut off."""
     send(node, "GET", "/read/0")
-    assert _state(node)["cut_off"]
+    assert "desk" in _state(node)["cut_off"]
 
 
 def _state(node) -> dict:
@@ -241,12 +241,12 @@
     assert context.asked == names, context.asked
 
 
-@given("upstreams a1, a2, a3 in zone a and b1 in zone b")
+@given("upstreams a1, a2, a3 in zone a and b1 in zone b, and m1 of another service")
 def step_upstreams(context):
     context.serving = serving = build_serving_state(lambda: 100.0, zone="a")
     upstreams = [
-        Upstream(name, "desk", "127.0.0.1", 1, name[0], 8)
-        for name in ("a1", "a2", "a3", "b1")
+        Upstream(name, "models" if name == "m1" else "desk", "127.0.0.1", 1, name[0], 8)
+        for name in ("a1", "a2", "a3", "b1", "m1")
     ]
     serving.directory.update(upstreams, ())
 
@@ -265,4 +265,5 @@
 
 @then("it {result} cut off")
 def step_is_cut_off(context, result):
-    assert context.serving.is_cut_off == (result == "is")
+    cut_off = context.serving.reach.cut_off
+    assert ("desk" in cut_off) == (result == "is"), cut_off
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -86,7 +86,7 @@
         reachable: Upstreams that its probes reached again.
         limits: Limits that upstreams named to it, or withdrew.
         leaving: Upstreams that told it that they leave.
-        is_cut_off: Whether it reaches no upstream.
+        cut_off: Services of which it reaches no upstream.
     """
 
     node: str
@@ -96,7 +96,7 @@
     reachable: tuple[str, ...] = ()
     limits: tuple[StatedLimit, ...] = ()
     leaving: tuple[UpstreamRun, ...] = ()
-    is_cut_off: bool = False
+    cut_off: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -106,12 +106,12 @@
     Attributes:
         received_s: When it was received, in seconds.
         open_work: Open requests of the peer by upstream.
-        is_cut_off: Whether the peer reaches no upstream.
+        cut_off: Services of which the peer reaches no upstream.
     """
 
     received_s: float
     open_work: dict[str, OpenWork]
-    is_cut_off: bool = False
+    cut_off: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -259,7 +259,7 @@
         for number in update.read:
             self._finish_prefill((update.node, number), tuple(self.queues))
         self._count_peer(update.node, -1)
-        self.peers[update.node] = PeerLoad(now_s, update.open_work, update.is_cut_off)
+        self.peers[update.node] = PeerLoad(now_s, update.open_work, update.cut_off)
         self._count_peer(update.node, 1)
 
     def merge_summary(self, summary: CellSummary, now_s: float) -> None:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/zone_partitions.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/zone_partitions.py
@@ -4,7 +4,7 @@
 other zone.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 # Upstreams in a row that can't be reached, at which a zone counts as partitioned.
@@ -84,20 +84,6 @@
         self.partitioned.discard(zone)
         return was_partitioned
 
-    def is_cut_off(self, upstreams: Mapping[str, int]) -> bool:
-        """Return whether no zone's upstreams can be reached from this node.
-
-        Args:
-            upstreams: Listed upstreams of each zone.
-        """
-        return bool(upstreams) and all(
-            self.is_unreachable(zone, listed) for zone, listed in upstreams.items()
-        )
-
-    def is_unreachable(self, zone: str, listed: int) -> bool:
-        """Return whether upstreams of a zone can't be reached, of so many listed."""
-        return self.count_failures(zone) >= min(UNREACHABLE_THRESHOLD, listed)
-
     def count_failures(self, zone: str) -> int:
         """Return how many upstreams of a zone could not be reached since one was."""
         return len(self.failures.get(zone, ()))
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
@@ -54,6 +54,11 @@
     retry_after_s: float | None = None
 
 
+NO_UPSTREAM_EITHER = Refusal(
+    HTTPStatus.SERVICE_UNAVAILABLE, "relayed, and no upstream can be reached"
+)
+
+
 class HttpResponseWriter:
     """Writes the answer to one HTTP request.
 
@@ -194,7 +199,7 @@
     async def handle_relayed(self, http_request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of a node that reaches no upstream."""
         runs = http_request.headers.get(RELAYED_RUNS, "")
-        if not runs.isdecimal() or self.serving.is_cut_off:
+        if not runs.isdecimal():
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         return await self._handle(http_request, int(runs))
 
@@ -243,6 +248,9 @@
                 await self._refuse(writer, refusal)
             case Success(context):
                 if relayed_runs is not None:
+                    if context.service in self.serving.reach.cut_off:
+                        await self._refuse(writer, NO_UPSTREAM_EITHER)
+                        return
                     context.is_relayed = True
                     context.runs = context.attempts = relayed_runs
                     context.request = _without_relayed_runs(request)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -135,9 +135,9 @@
                 "Causes of crashes whose requests are refused.",
                 lambda: len(serving.crashes.quarantined(now_s())),
             ),
-            "lagoonhinge_cut_off": (
-                "Whether this node reaches no upstream.",
-                lambda: int(serving.is_cut_off),
+            "lagoonhinge_cut_off_services": (
+                "Services of which this node reaches no upstream.",
+                lambda: len(serving.reach.cut_off),
             ),
             "lagoonhinge_limited_upstreams": (
                 "Upstreams that limit their requests.",
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -44,7 +44,7 @@
         self.nodes: list[NodeEntry] = []
         self.last_sent_s = 0.0
         self.last_sent_work: dict[str, Any] = {}
-        self.last_sent_cut_off = False
+        self.last_sent_cut_off = frozenset[str]()
         self.log_part = PartLogger("upstreams")
 
     def set_peers(self, nodes: list[NodeEntry]) -> None:
@@ -84,7 +84,7 @@
             or self.serving.unsent_reachable
             or self.serving.request_limits.has_unsent
             or self.serving.leaving_notices.has_unsent
-            or self.serving.is_cut_off != self.last_sent_cut_off
+            or self.serving.reach.cut_off != self.last_sent_cut_off
         )
         is_unchanged = not has_changes and load.own_work == self.last_sent_work
         interval_s = self._idle_interval_s() if is_unchanged else SEND_INTERVAL_S
@@ -94,7 +94,7 @@
         receivers = self._receivers()
         update = load.take_update()
         self.last_sent_s, self.last_sent_work = now_s, dict(load.own_work)
-        self.last_sent_cut_off = self.serving.is_cut_off
+        self.last_sent_cut_off = self.serving.reach.cut_off
         reachable, self.serving.unsent_reachable = self.serving.unsent_reachable, []
         update = replace(
             update,
@@ -103,7 +103,7 @@
             reachable=tuple(reachable),
             limits=self.serving.request_limits.own_statements(now_s)[-MAX_NOTICES:],
             leaving=tuple(self.serving.leaving_notices.own)[-MAX_NOTICES:],
-            is_cut_off=self.serving.is_cut_off,
+            cut_off=self.serving.reach.cut_off,
         )
         self.serving.request_limits.has_unsent = False
         self.serving.leaving_notices.has_unsent = False
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
@@ -97,7 +97,7 @@
             },
             "limits_per_s": serving.request_limits.limited(),
             "health": to_builtins(serving.health.records),
-            "cut_off": serving.is_cut_off,
+            "cut_off": sorted(serving.reach.cut_off),
             "crashes": to_builtins(list(serving.crashes.confirmed)),
             "quarantined": [
                 sorted(cause) for cause in serving.crashes.quarantined(now_s)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
@@ -5,6 +5,7 @@
 """
 
 from asyncio import gather, open_connection, wait_for
+from collections.abc import Iterable
 
 from mode import Service
 
@@ -75,30 +76,28 @@
         ]
 
     def _in_partitioned_zones(self) -> list[str]:
+        listed = self.serving.directory.by_instance.values()
         zones = self.serving.partitions.partitioned
-        return [instance for zone in zones for instance in self._sample(zone)]
+        return [name for zone in zones for name in self._sample(zone, listed)]
 
     def _cut_off_checks(self) -> set[str]:
-        """Return upstreams of all zones to probe if this node may be cut off."""
-        if not self.serving.may_be_cut_off():
-            return set()
-        listed = self.serving.directory.by_instance.values()
-        zones = sorted({upstream.zone for upstream in listed})
-        return {instance for zone in zones for instance in self._sample(zone)}
-
-    def _sample(self, zone: str) -> list[str]:
-        """Return a few upstreams of a zone."""
-        listed = [
-            upstream.instance
-            for upstream in self.serving.directory.by_instance.values()
-            if upstream.zone == zone
-        ]
-        count = min(PROBES_PER_ZONE, len(listed))
-        return self.serving.random.sample(listed, count)
+        """Return upstreams to probe of services of which perhaps none is reached."""
+        checks: set[str] = set()
+        for service in self.serving.reach.services_to_check():
+            listed = self.serving.directory.usable(service)
+            for zone in sorted({upstream.zone for upstream in listed}):
+                checks.update(self._sample(zone, listed))
+        return checks
+
+    def _sample(self, zone: str, upstreams: Iterable[Upstream]) -> list[str]:
+        """Return a few of some upstreams in a zone."""
+        instances = [entry.instance for entry in upstreams if entry.zone == zone]
+        count = min(PROBES_PER_ZONE, len(instances))
+        return self.serving.random.sample(instances, count)
 
     async def _check_cut_off(self, upstream: Upstream) -> None:
         if not await self._probe(upstream):
-            self.serving.record_probe_failure(upstream)
+            self.serving.record_unreached(upstream)
 
     async def _probe(self, upstream: Upstream) -> bool:
         """Probe an upstream; return whether it was reached."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_relay.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_relay.py
@@ -53,7 +53,7 @@
     async def relay(
         self, context: RequestContext, writer: ResponseWriter
     ) -> str | None:
-        """Let another node serve a request if this one reaches no upstream.
+        """Let another node serve a request if this one reaches no upstream for it.
 
         Returns:
             How the request ended; `None` if no other node took it.
@@ -80,14 +80,16 @@
 
     def _choose_node(self, context: RequestContext) -> NodeEntry | None:
         serving = self.serving
-        if not serving.is_cut_off or context.is_relayed:
+        if context.service not in serving.reach.cut_off or context.is_relayed:
             return None
         if context.runs and not context.route.may_run_again(context.runs):
             return None
         if len(context.asked_nodes) >= MAX_RELAYS:
             return None
         listed = serving.board.read(NodeListSection).nodes
-        candidates = relay_candidates(serving.relay_nodes(), serving.zone, serving.cell)
+        candidates = relay_candidates(
+            serving.relay_nodes(context.service), serving.zone, serving.cell
+        )
         untried = [
             name
             for name in candidates
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -24,6 +24,7 @@
 from lagoonhinge_core.forwarding.request_limits import RequestLimits
 from lagoonhinge_core.forwarding.retry_window import RetryBound, RetryWindow
 from lagoonhinge_core.forwarding.store_contact import StoreContact
+from lagoonhinge_core.forwarding.upstream_reach import ReachTracker
 from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamDirectory
 from lagoonhinge_core.forwarding.zone_partitions import (
     PartitionTracker,
@@ -71,7 +72,7 @@
         self.leaving_notices = LeavingNotices()
         self.pauses = UpstreamPauses()
         self.partitions = PartitionTracker()
-        self.is_cut_off = False  # whether this node reaches no upstream
+        self.reach = ReachTracker()
         # Upstreams that a probe reached again, to be told to the cell.
         self.unsent_reachable: list[str] = []
         # Upstreams that answer prompts for which this node holds memory, and how many.
@@ -204,24 +205,21 @@
         self.health.record_connect_failure(upstream.instance, self.clock())
         self.partitions.record_failure(upstream.zone, upstream.instance)
         self.eject_partitioned_zone(upstream.zone)
-        self.update_cut_off()
+        self.record_unreached(upstream)
 
-    def record_probe_failure(self, upstream: Upstream) -> None:
-        """Record a failed check whether this node reaches any upstream."""
-        self.partitions.record_failure(upstream.zone, upstream.instance)
-        self.update_cut_off()
-
-    def may_be_cut_off(self) -> bool:
-        """Return whether to check whether this node reaches any upstream."""
-        return self.is_cut_off or self.partitions.is_unreachable(
-            self.zone, self._listed_by_zone()[self.zone]
-        )
-
-    def _listed_by_zone(self) -> Counter[str]:
-        return Counter(entry.zone for entry in self.directory.by_instance.values())
+    def record_unreached(self, upstream: Upstream) -> None:
+        """Record that an upstream could not be reached, by a request or a probe."""
+        listed = self.directory.usable(upstream.service)
+        if self.reach.record_failure(upstream, listed):
+            zones = self.reach.failures[upstream.service]
+            self.log_part.warning(
+                "No upstream of a service can be reached.",
+                service=upstream.service,
+                failures={zone: len(failed) for zone, failed in zones.items()},
+            )
 
-    def relay_nodes(self) -> tuple[RelayNode, ...]:
-        """Return the other nodes, which may serve requests of this one."""
+    def relay_nodes(self, service: str) -> tuple[RelayNode, ...]:
+        """Return the other nodes, which may serve requests for a service."""
         self.load.live_peers(self.clock())
         peers = self.load.peers
         return tuple(
@@ -229,25 +227,12 @@
                 name,
                 zone,
                 name in peers,
-                name in peers and peers[name].is_cut_off,
+                name in peers and service in peers[name].cut_off,
             )
             for name, zone in self.zone_of_node.items()
             if name != self.load.node
         )
 
-    def update_cut_off(self) -> None:
-        """Determine anew whether this node reaches no upstream."""
-        listed = self._listed_by_zone()
-        is_cut_off = self.partitions.is_cut_off(listed)
-        if is_cut_off == self.is_cut_off:
-            return
-        self.is_cut_off = is_cut_off
-        if is_cut_off:
-            failures = {zone: self.partitions.count_failures(zone) for zone in listed}
-            self.log_part.warning("No upstream can be reached.", failures=failures)
-        else:
-            self.log_part.info("Upstreams can be reached again.")
-
     def record_exit(self, instance: str, evidence: str) -> None:
         """Record that an upstream ended; a request that it ran may be the cause.
 
@@ -296,8 +281,12 @@
                 zone=upstream.zone,
                 upstream=upstream.instance,
             )
-        if self.is_cut_off:
-            self.update_cut_off()
+        if self.reach.record_contact(upstream.service):
+            self.log_part.info(
+                "Upstreams of a service can be reached again.",
+                service=upstream.service,
+                upstream=upstream.instance,
+            )
 
     def ejected(self, upstreams: Collection[Upstream]) -> frozenset[str]:
         """Return which of a service's upstreams to avoid."""
