Test: streams without length or chunks end with their connection

A stream that ends with its connection between two events is whole; one that ends within an event has broken off and is resumed, or is visibly incomplete. Both held already; the stand-in of workers could not send such streams.

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -61,6 +61,9 @@
       | break          | POST   | /stream/1 | a whole stream   | 2    |
       | break          | POST   | /stream/once/1 | no whole answer | 1 |
       | stall          | POST   | /stream/1 | a whole stream   | 2    |
+      | unframed       | POST   | /stream/1 | a whole stream   | 1    |
+      | unframed break | POST   | /stream/1 | a whole stream   | 2    |
+      | unframed break | POST   | /stream/once/1 | no whole answer | 1 |
 
   # The fault was noticed only at the deadline, or at the timeout for a silent worker.
   Scenario Outline: A garbled answer ends the attempt at once
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -219,7 +219,7 @@
     lines = [f"{name}: {value}" for name, value in headers.items()]
     if fault in ("truncated", "extra"):
         lines.append(f"Content-Length: {len(body)}")
-    response_head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
+    response_head = _raw_head(lines)
     sent_body = body if fault in ("unframed", "extra") else body[:-3]
     request.transport.write(response_head + sent_body)
     if fault == "extra":
@@ -231,6 +231,30 @@
     raise web.HTTPInternalServerError
 
 
+def _raw_head(lines: list[str]) -> bytes:
+    return "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
+
+
+async def _write_unframed_stream(
+    request: web.Request, headers: dict[str, str], fault: str
+) -> web.StreamResponse:
+    """Write a stream without length or chunks, which ends with its connection."""
+    assert request.transport is not None
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    request.transport.write(_raw_head([*lines, "Content-Type: text/event-stream"]))
+    first_number = int(request.headers.get(LAST_EVENT_ID, "0")) + 1
+    for number in range(first_number, EVENT_COUNT + 1):
+        event = f"id: {number}\ndata: token {number}\n\n".encode()
+        await sleep(EVENT_GAP_S)
+        if number == 3 and fault == "unframed break":
+            request.transport.write(event[: len(event) // 2])
+            break
+        request.transport.write(event)
+    await sleep(EVENT_GAP_S)
+    request.transport.close()
+    raise web.HTTPInternalServerError
+
+
 async def _stream(
     request: web.Request, state: WorkerState, fault: str
 ) -> web.StreamResponse:
@@ -239,6 +263,8 @@
         return web.Response(status=500, body=b"failed", headers=headers)
     if fault == "not found":
         return web.Response(status=404, body=b"no such answer", headers=headers)
+    if fault in ("unframed", "unframed break"):
+        return await _write_unframed_stream(request, headers, fault)
     response = web.StreamResponse(headers=headers)
     response.content_type = "text/event-stream"
     await response.prepare(request)
