Quarantines are logged, and answers are forwarded by a module of their own

Logs: one line when requests with a cause of crashes are refused from now on, with the upstreams that ended, one when they no longer are; the line of each refusal names the causes.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
@@ -216,6 +216,12 @@
         """Return the causes whose requests are refused."""
         return self._find_causes(now_s)
 
+    def upstreams_of(self, cause: frozenset[str]) -> tuple[str, ...]:
+        """Return the upstreams that ended while they ran requests with a cause."""
+        return tuple(
+            dict.fromkeys(c.instance for c in self.confirmed if c.cause in cause)
+        )
+
     def _find_causes(self, now_s: float) -> tuple[frozenset[str], ...]:
         self._expire(now_s)
         if now_s - self.causes_found_s >= CAUSES_MAX_AGE_S:
--- /dev/null
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/answer_forwarder.py
@@ -0,0 +1,193 @@
+"""Forwards the answer of an attempt to the caller."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from lagoonhinge_core.forwarding.attempts import AttemptFailure, Failed, Lost
+from lagoonhinge_core.forwarding.crash_causes import part_causes
+from lagoonhinge_core.forwarding.event_splitter import MAX_EVENT_BYTES, EventSplitter
+from lagoonhinge_core.forwarding.routes import EventStream
+from lagoonhinge_core.forwarding.timeouts import event_gap_timeout_s
+from lagoonhinge_node.forwarding.forwarding_metrics import (
+    ForwardingMetrics,
+    kind_label,
+    length_label,
+)
+from lagoonhinge_node.forwarding.request_context import (
+    RequestContext,
+    RequestLog,
+    ResponseWriter,
+)
+from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.silence_timeout import SilenceTimeout
+from lagoonhinge_node.forwarding.upstream_choice import UpstreamChoice
+from lagoonhinge_node.forwarding.upstream_client import UpstreamAnswer
+
+MIN_FAILURE_STATUS = 500
+MIN_REDIRECT_STATUS = 300
+
+
+@dataclass
+class Attempt:
+    """An attempt in progress.
+
+    Attributes:
+        context: The request.
+        choice: The upstreams.
+        prompt_number: Number of its prompt at this node.
+        writer: Writes the answer to the caller.
+        silence_timeout: Timeout for a silent upstream.
+        claim_answer: Called when this attempt has a part of the answer; cancels the
+            request's other open attempts.
+        longest_gap_s: Longest gap between events so far, in seconds.
+    """
+
+    context: RequestContext
+    choice: UpstreamChoice
+    prompt_number: int
+    writer: ResponseWriter
+    silence_timeout: SilenceTimeout
+    claim_answer: Callable[[], None]
+    longest_gap_s: float = 0.0
+
+    def begin_write(self) -> None:
+        """Prepare to write a part of the answer, for which only this attempt remains.
+
+        A caller that reads slowly is no silence of the upstream.
+        """
+        self.claim_answer()
+        self.silence_timeout.stop()
+
+
+class AnswerForwarder:
+    """Forwards answers.
+
+    Args:
+        serving: State shared by all requests.
+        metrics: The metrics.
+        log: Log lines of requests.
+    """
+
+    def __init__(
+        self, serving: ServingState, metrics: ForwardingMetrics, log: RequestLog
+    ):
+        self.serving = serving
+        self.metrics = metrics
+        self.log = log
+
+    async def forward(
+        self, attempt: Attempt, answer: UpstreamAnswer
+    ) -> Result[None, AttemptFailure]:
+        """Forward an answer whose head has arrived.
+
+        Returns:
+            Success once it is forwarded whole, else the failure.
+        """
+        kind = attempt.context.route.kind
+        is_success = answer.head.status < MIN_REDIRECT_STATUS
+        if isinstance(kind, EventStream) and is_success:
+            return await self._forward_stream(attempt, answer, kind)
+        return await self._forward_whole(attempt, answer)
+
+    async def _forward_whole(
+        self, attempt: Attempt, answer: UpstreamAnswer
+    ) -> Result[None, AttemptFailure]:
+        context = attempt.context
+        match await answer.whole_body():
+            case Failure(lost):
+                return Failure(lost)
+            case Success(body):
+                pass
+        # A stream that has begun can't be followed by a whole answer.
+        if answer.head.status >= MIN_FAILURE_STATUS or attempt.writer.started:
+            context.failed_answer = (answer.head, body)
+            return Failure(Failed(answer.head.status))
+        attempt.begin_write()
+        self._record_success(attempt)
+        self._record_first_event(attempt, "Answered.")
+        await attempt.writer.reply(answer.head, body)
+        return Success(None)
+
+    async def _forward_stream(
+        self, attempt: Attempt, answer: UpstreamAnswer, kind: EventStream
+    ) -> Result[None, AttemptFailure]:
+        context, writer = attempt.context, attempt.writer
+        splitter = EventSplitter()
+        last_event_s: float | None = None
+        # Forwarded with the next new event, as another attempt may be forwarding.
+        waiting = b""
+        while True:
+            match await answer.next_data():
+                case Failure(lost):
+                    return Failure(lost)
+                case Success(data):
+                    pass
+            if not data:
+                break
+            events = splitter.feed(data)
+            waiting += events.raw
+            # Comments and repetitions don't show that the upstream makes progress.
+            if events.ids and events.ids[-1] != context.last_event_id:
+                attempt.begin_write()
+                now_s = self.serving.clock()
+                if last_event_s is None:
+                    self._record_first_event(attempt, "First event.")
+                else:
+                    gap_s = now_s - last_event_s
+                    attempt.longest_gap_s = max(attempt.longest_gap_s, gap_s)
+                last_event_s = context.last_event_s = now_s
+                context.last_event_id = events.ids[-1]
+                if not writer.started:
+                    await writer.start(answer.head)
+                await writer.write(waiting)
+                waiting = b""
+                attempt.silence_timeout.restart(event_gap_timeout_s(kind))
+            held_bytes = len(waiting) + len(splitter.buffer)
+            if held_bytes > MAX_EVENT_BYTES:
+                return Failure(Lost(f"{held_bytes} bytes without a new event"))
+            if not answer.hold(held_bytes):
+                return Failure(Lost(f"too large, {held_bytes} bytes"))
+        if splitter.buffer:
+            return Failure(Lost("the stream ended within an event"))
+        attempt.begin_write()
+        self._record_success(attempt)
+        self._record_stream_end(attempt)
+        if not writer.started:
+            await writer.start(answer.head)
+        if waiting:
+            await writer.write(waiting)
+        await writer.finish()
+        return Success(None)
+
+    def _record_success(self, attempt: Attempt) -> None:
+        instance, now_s = attempt.choice.upstream.instance, self.serving.clock()
+        self.serving.health.record_answer(instance, False, now_s)
+        crashes, context = self.serving.crashes, attempt.context
+        # Without crashes, as usual, no digest is computed.
+        if not crashes.is_empty():
+            crashes.record_answer((context.crash_causes.digest,), now_s)
+        crashes.record_answer(part_causes(context.request), now_s)
+
+    def _record_first_event(self, attempt: Attempt, message: str) -> None:
+        """Record the end of the prefill and the time to the first event."""
+        context, choice = attempt.context, attempt.choice
+        self.serving.load.finish_prefill(attempt.prompt_number, choice.instances())
+        took_s = self.log.took_s(context)
+        predicted_s = choice.waiting_s + choice.prefill_s
+        self.log.log_event(context, message, took_s=took_s, predicted_s=predicted_s)
+        labels = (kind_label(context.route.kind), length_label(context.request))
+        self.metrics.first_event.labels(*labels).observe(took_s)
+
+    def _record_stream_end(self, attempt: Attempt) -> None:
+        context, gap_s = attempt.context, attempt.longest_gap_s
+        took_s = self.log.took_s(context)
+        self.log.log_event(
+            context,
+            "Stream done.",
+            took_s=took_s,
+            sends=context.attempts,
+            longest_pause_s=gap_s,
+        )
+        self.metrics.longest_gap.labels(length_label(context.request)).observe(gap_s)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
@@ -329,10 +329,13 @@
     def _refuse_if_quarantined(
         self, context: RequestContext
     ) -> Result[RequestContext, Refusal]:
-        quarantine_s = context.quarantine_s(self.serving.crashes, self.serving.clock())
+        crashes, now_s = self.serving.crashes, self.serving.clock()
+        quarantine_s = context.quarantine_s(crashes, now_s)
         if not quarantine_s:
             return Success(context)
-        reason = "requests like it crash upstreams"
+        present = context.crash_causes.all()
+        causes = [sorted(c) for c in crashes.quarantined(now_s) if c <= present]
+        reason = f"requests like it crash upstreams: {causes}"
         return Failure(Refusal(HTTPStatus.SERVICE_UNAVAILABLE, reason, quarantine_s))
 
     async def _wait_until_confirmed(self) -> None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/crash_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/crash_exchange.py
@@ -17,6 +17,7 @@
     encode_message,
 )
 from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.logs import PartLogger
 
 SEND_INTERVAL_S = 0.1
 MAX_SEND_INTERVAL_S = GOSSIP_DURATION_S / 3  # with many nodes; each report goes thrice
@@ -39,6 +40,8 @@
         self.socket = socket
         self.nodes: list[NodeEntry] = []
         self.last_sent_s = float("-inf")
+        self.known_causes: tuple[frozenset[str], ...] = ()
+        self.log_part = PartLogger("health")
 
     def set_peers(self, nodes: list[NodeEntry]) -> None:
         """Replace the list of other nodes."""
@@ -60,6 +63,25 @@
         if update.crashes or update.answers:
             self._send(update, self.nodes)
 
+    @Service.timer(SEND_INTERVAL_S)
+    async def log_quarantines(self) -> None:
+        """Log causes whose requests are refused from now on, or no longer."""
+        crashes, now_s = self.serving.crashes, self.serving.clock()
+        causes = () if crashes.is_empty() else crashes.quarantined(now_s)
+        for cause in causes:
+            if cause not in self.known_causes:
+                self.log_part.warning(
+                    "Requests are refused, since requests like them crash upstreams.",
+                    causes=sorted(cause),
+                    upstreams=crashes.upstreams_of(cause),
+                )
+        for cause in self.known_causes:
+            if cause not in causes:
+                self.log_part.info(
+                    "Requests are no longer refused for crashes.", causes=sorted(cause)
+                )
+        self.known_causes = causes
+
     @Service.timer(EVIDENCE_INTERVAL_S)
     async def send_evidence(self) -> None:
         """Send the crashes behind the quarantines to a few nodes."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_relay.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_relay.py
@@ -1,6 +1,6 @@
 """Lets other nodes serve the requests of a node that reaches no upstream."""
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.forwarding.attempts import (
     AttemptFailure,
@@ -8,9 +8,11 @@
     FailureAction,
     NotDelivered,
 )
+from lagoonhinge_core.forwarding.messages import RelayOptions
 from lagoonhinge_core.forwarding.relays import MAX_RELAYS, relay_candidates
 from lagoonhinge_core.forwarding.site_store import NodeEntry
-from lagoonhinge_node.forwarding.attempt_sender import AttemptSender
+from lagoonhinge_core.forwarding.upstreams import Upstream
+from lagoonhinge_node.forwarding.answer_forwarder import AnswerForwarder, Attempt
 from lagoonhinge_node.forwarding.board_sections import NodeListSection
 from lagoonhinge_node.forwarding.forwarding_metrics import (
     ForwardingMetrics,
@@ -23,6 +25,9 @@
 )
 from lagoonhinge_node.forwarding.request_ending import RequestEnding
 from lagoonhinge_node.forwarding.serving_state import ServingState
+from lagoonhinge_node.forwarding.silence_timeout import SilenceTimeout
+from lagoonhinge_node.forwarding.upstream_choice import UpstreamChoice
+from lagoonhinge_node.forwarding.upstream_client import UpstreamClient
 
 
 class RequestRelay:
@@ -30,7 +35,7 @@
 
     Args:
         serving: State shared by all requests.
-        sender: Forwards the answers.
+        client: Sends the requests.
         ending: Ends requests that fail.
         metrics: The metrics.
         log: Log lines of requests.
@@ -39,16 +44,17 @@
     def __init__(
         self,
         serving: ServingState,
-        sender: AttemptSender,
+        client: UpstreamClient,
         ending: RequestEnding,
         metrics: ForwardingMetrics,
         log: RequestLog,
     ):
         self.serving = serving
-        self.sender = sender
+        self.client = client
         self.ending = ending
         self.metrics = metrics
         self.log = log
+        self.forwarder = AnswerForwarder(serving, metrics, log)
 
     async def relay(
         self, context: RequestContext, writer: ResponseWriter
@@ -67,7 +73,7 @@
                 runs=context.runs,
                 remaining_s=self.log.remaining_s(context),
             )
-            match await self.sender.relay(context, node, writer):
+            match await self._send(context, node, writer):
                 case Success(_):
                     self.metrics.relays.labels("answered").inc()
                     return "relayed"
@@ -78,6 +84,35 @@
                 return await self.ending.end_failed(context, writer, FailureAction.FAIL)
         return None
 
+    async def _send(
+        self, context: RequestContext, node: NodeEntry, writer: ResponseWriter
+    ) -> Result[None, AttemptFailure]:
+        """Send a request to a node and forward its answer."""
+        options = RelayOptions(self.log.remaining_s(context), context.last_event_id)
+        earlier_runs = context.runs
+        context.runs += 1
+        match await self.client.relay(node, context.request, options, earlier_runs):
+            case Failure(failure):
+                if isinstance(failure, NotDelivered | Declined):
+                    context.runs = earlier_runs
+                return Failure(failure)
+            case Success(answer):
+                pass
+        # The node itself watches the upstreams for silence.
+        attempt = Attempt(
+            context,
+            UpstreamChoice(_as_upstream(node, context.service)),
+            self.serving.load.next_prompt_number(),
+            writer,
+            SilenceTimeout(lambda _: False, lambda _: None),
+            lambda: None,
+        )
+        try:
+            return await self.forwarder.forward(attempt, answer)
+        finally:
+            attempt.silence_timeout.stop()
+            answer.close()
+
     def _choose_node(self, context: RequestContext) -> NodeEntry | None:
         serving = self.serving
         if context.service not in serving.reach.cut_off or context.is_relayed:
@@ -86,16 +121,12 @@
             return None
         if len(context.asked_nodes) >= MAX_RELAYS:
             return None
-        listed = serving.board.read(NodeListSection).nodes
-        candidates = relay_candidates(
-            serving.relay_nodes(context.service), serving.zone, serving.cell
-        )
-        untried = [
-            name
-            for name in candidates
-            if name in listed and name not in context.asked_nodes
-        ]
-        return listed[serving.random.choice(untried)] if untried else None
+        nodes = serving.relay_nodes(context.service)
+        candidates = relay_candidates(nodes, serving.zone, serving.cell)
+        untried = [name for name in candidates if name not in context.asked_nodes]
+        if not untried:
+            return None
+        return serving.board.read(NodeListSection).nodes[serving.random.choice(untried)]
 
     def _record_failure(
         self, context: RequestContext, node: NodeEntry, failure: AttemptFailure
@@ -109,3 +140,8 @@
             failure=repr(failure),
             remaining_s=self.log.remaining_s(context),
         )
+
+
+def _as_upstream(node: NodeEntry, service: str) -> Upstream:
+    """Return a node in the place of the upstream that answers."""
+    return Upstream(f"node {node.name}", service, node.host, node.port, node.zone, 0)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -76,7 +76,7 @@
         self.metrics = metrics
         self.log = log
         self.ending = RequestEnding(serving, metrics, log)
-        self.relay = RequestRelay(serving, sender, self.ending, metrics, log)
+        self.relay = RequestRelay(serving, sender.client, self.ending, metrics, log)
         self.deadlines: set[Timeout] = set()
 
     def end_all(self) -> None:
