--- a/features/steps/attempt_memory_steps.py
+++ b/features/steps/attempt_memory_steps.py
@@ -1,6 +1,7 @@
 """Steps for memory reservations of an attempt, in virtual time."""
 
 from asyncio import sleep
+from types import SimpleNamespace
 
 from behave import given, then, when
 from returns.result import Success
@@ -10,10 +11,12 @@
 from lagoonhinge_core.forwarding.prompt_placement import MemoryReservation
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_node.forwarding.attempt_memory import AttemptMemory
+from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
 from lagoonhinge_node.forwarding.reachability import (
     PROBE_INTERVAL_S,
     ReachabilityController,
 )
+from lagoonhinge_node.forwarding.site_controllers import UpstreamController
 
 TOKENS = 1000
 FAILURE_INTERVAL_S = 2.0
@@ -54,6 +57,18 @@
     loop.call_later(to_s, health.record_connect, "e0")
 
 
+@when(
+    "the third one is unreachable from {from_s:g} s on, and not listed from "
+    "{unlisted_s:g} s on"
+)
+def step_unlisted(context, from_s, unlisted_s):
+    loop, serving = context.loop, context.serving
+    serving.board.writer(SiteConfigSection(), "test")
+    upstreams = UpstreamController(serving, SimpleNamespace(upstream=None))
+    loop.call_later(from_s, serving.health.record_connect_failure, "e0", 0.0)
+    loop.call_later(unlisted_s, upstreams.apply, (), True)
+
+
 @when("one connection in 2 s to the third one fails, at a node with {peers:d} peers")
 def step_single_failures(context, peers):
     loop, serving = context.loop, context.serving
