--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -164,7 +164,7 @@
         self.writer.post(UpstreamListSection(dict(listed)))
         update_cell(self.serving)
         self.serving.load.retain_only(listed)
-        # An engine that ended is unlisted while memory is still reserved for its prompt.
+        # An engine that ended is unlisted while memory is reserved for its prompt.
         self.serving.health.retain_only({*listed, *self.serving.memory_users})
         self.serving.request_limits.retain_only(listed)
         now_s = self.serving.clock()
