An evacuated zone gets no new requests

Cause: nothing read the operator's request to evacuate a zone. Change: the rows come with the poll of the configuration and with the updates of the zone's watcher; upstreams of such a zone are not usable. All zones evacuated: refused at once. Nodes without engines of their own zone compare engines by the summaries of other cells. Ruled out: a poll of its own (calls are priced).

--- a/features/steps/store_watch_steps.py
+++ b/features/steps/store_watch_steps.py
@@ -25,6 +25,7 @@
 START_S = 3.5
 CHECK_INTERVAL_S = 0.1
 OUTAGE_S = 8.0
+EVACUATED = "east"
 SLOW_CALL_S = 0.3  # as long as the interval of updates, and below the takeover age
 
 
@@ -188,20 +189,7 @@
 
         async def run(fleet=fleet, seed=seed) -> None:
             await _pass_time(fleet, fleet.random.random() * IN_FORCE_S)
-            match fault.split():
-                case ["the", "store", "is", "silent", "for", duration, "s"]:
-                    fleet.store.silent.update(fleet.watches)
-                    fleet.store.wake()
-                    await _pass_time(fleet, float(duration))
-                    fleet.store.silent.clear()
-                case [*_, "hangs"]:
-                    tables = {StoreTable.UPSTREAMS}
-                    if "every" in fault:
-                        tables = set(StoreTable)
-                    fleet.store.hanging.update(
-                        (name, table) for name in fleet.watchers() for table in tables
-                    )
-                    fleet.store.wake()
+            await _disturb_polls(fleet, fault)
             await _pass_time(fleet, after)
             fleet.store.write(StoreTable.UPSTREAMS, "u1", True)
             drained_s = fleet.loop.time()
@@ -220,6 +208,78 @@
         context.loop.run_until_complete(run())
 
 
+async def _disturb_polls(fleet: WatchFleet, fault: str) -> None:
+    match fault.split():
+        case ["the", "store", "is", "silent", "for", duration, "s"]:
+            fleet.store.silent.update(fleet.watches)
+            fleet.store.wake()
+            await _pass_time(fleet, float(duration))
+            fleet.store.silent.clear()
+        case [*_, "hangs"]:
+            tables = {StoreTable.UPSTREAMS}
+            if "every" in fault:
+                tables = set(StoreTable)
+            fleet.store.hanging.update(
+                (name, table) for name in fleet.watchers() for table in tables
+            )
+            fleet.store.wake()
+        case ["the", "store", "loses", *_]:
+            fleet.store.forgets = True
+        case [*_, "stops"]:
+            for name in fleet.watchers():
+                await fleet.stop_node(name)
+
+
+@when("{fault}, a zone is evacuated {after:g} s later, and {then}, for {seeds:d} seeds")
+def step_evacuate(context, fault, after, then, seeds):
+    context.late = []
+    for seed in range(seeds):
+        fleet = _new_fleet(context, seed)
+        fleet.loss = context.loss
+
+        async def run(fleet=fleet, seed=seed) -> None:
+            await _pass_time(fleet, fleet.random.random() * IN_FORCE_S)
+            copy = fleet.store.copy()
+            await _disturb_polls(fleet, fault)
+            await _pass_time(fleet, after)
+            fleet.store.write(StoreTable.EVACUATIONS, EVACUATED, True)
+            await _pass_time(fleet, IN_FORCE_S)
+            context.late += _nodes_without(fleet, {EVACUATED}, seed)
+            match then.split():
+                case ["the", "store", "comes", "back", *_]:
+                    # The operator writes it again later.
+                    fleet.store.restore(copy)
+                    for _ in range(4):
+                        await _pass_time(fleet, IN_FORCE_S / 4)
+                        context.late += _nodes_without(fleet, {EVACUATED}, seed)
+                    fleet.store.write(StoreTable.EVACUATIONS, EVACUATED, True)
+                case ["a", "node", "starts"]:
+                    await fleet.start_node("n99")
+            await _pass_time(fleet, IN_FORCE_S)
+            context.late += _nodes_without(fleet, {EVACUATED}, seed)
+            fleet.store.write(StoreTable.EVACUATIONS, EVACUATED, None)
+            await _pass_time(fleet, IN_FORCE_S)
+            context.late += _nodes_without(fleet, set(), seed)
+
+        context.loop.run_until_complete(run())
+
+
+def _nodes_without(
+    fleet: WatchFleet, zones: set[str], seed: int
+) -> list[tuple[int, str, set[str]]]:
+    """Return the nodes whose evacuated zones are others."""
+    return [
+        (seed, name, watch.serving.evacuations.zones)
+        for name, watch in fleet.watches.items()
+        if watch.serving.evacuations.zones != zones
+    ]
+
+
+@then("every node knows the evacuation within two seconds, until it is taken back")
+def step_evacuation_known(context):
+    assert not context.late, context.late
+
+
 @then("every node knows within two seconds that it is leaving")
 def step_drain_known(context):
     assert not context.late, context.late
--- a/features/store_watch.feature
+++ b/features/store_watch.feature
@@ -62,6 +62,26 @@
       | 3     | 0    | every poll of the watching node hangs          | 0     | never     |
       | 39    | 0    | every poll of the watching node hangs          | 0     | never     |
 
+  # Requests reached an evacuated zone 6.7 s after the store had acknowledged it.
+  Scenario Outline: An evacuation is known in time and until it is taken back
+    Given a zone of <nodes> nodes that have started
+    And <loss> of 100 messages are lost, and others are late by up to 0 s
+    When <fault>, a zone is evacuated <after> s later, and <then>, for 4 seeds
+    Then every node knows the evacuation within two seconds, until it is taken back
+
+    Examples:
+      | nodes | loss | fault                          | after | then                                  |
+      | 1     | 0    | nothing fails                  | 0     | nothing follows                       |
+      | 3     | 0    | nothing fails                  | 0     | a node starts                         |
+      | 39    | 5    | nothing fails                  | 0     | a node starts                         |
+      | 3     | 0    | the store is silent for 8 s    | 3.3   | nothing follows                       |
+      | 39    | 5    | the store is silent for 8 s    | 3.3   | a node starts                         |
+      | 39    | 0    | every poll of the watching node hangs | 0 | nothing follows                    |
+      | 3     | 0    | the store loses its history    | 0     | a node starts                         |
+      | 39    | 5    | the watching node stops        | 0     | nothing follows                       |
+      | 3     | 0    | nothing fails                  | 0     | the store comes back from an older copy |
+      | 39    | 5    | nothing fails                  | 0     | the store comes back from an older copy |
+
   Scenario Outline: A store that comes back from an older copy
     Given a zone of <nodes> nodes that have started
     And <loss> of 100 messages are lost, and others are late by up to <lateness> s
--- a/features/support/era_machine.py
+++ b/features/support/era_machine.py
@@ -25,6 +25,7 @@
 
 NODES = ("n0", "n1", "n2")
 UPSTREAMS = ("u0", "u1", "u2")
+ZONES = ("east", "south")
 MOST_RETURNS = 3
 START_S = 3.5
 MAX_LATENESS_S = 1.0
@@ -107,6 +108,11 @@
         self.copies.append(self.store.copy())
         self.store.write(StoreTable.UPSTREAMS, name, value)
 
+    @rule(zone=st.sampled_from(ZONES), is_evacuated=st.booleans())
+    def write_evacuation(self, zone, is_evacuated):
+        self.copies.append(self.store.copy())
+        self.store.write(StoreTable.EVACUATIONS, zone, True if is_evacuated else None)
+
     @precondition(lambda self: self.store.era < MOST_RETURNS)
     @rule(
         writes=st.lists(st.sampled_from((*UPSTREAMS, "config")), max_size=3),
@@ -239,6 +245,17 @@
                 }
                 assert replica.row_versions == expected, (name, table, replica.era)
 
+    @invariant()
+    def known_evacuations_are_in_force(self):
+        for name, watch in self.fleet.watches.items():
+            known = watch.replicas[StoreTable.EVACUATIONS].row_versions.keys()
+            evacuations = watch.serving.evacuations
+            assert evacuations.zones - evacuations.forgotten_until_s.keys() == known, (
+                name,
+                evacuations,
+                known,
+            )
+
     @invariant()
     def eras_never_decrease(self):
         for name, watch in self.fleet.watches.items():
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -27,6 +27,7 @@
 from lagoonhinge_node.forwarding.peer_messages import decode_message
 from lagoonhinge_node.forwarding.site_controllers import (
     ConfigController,
+    EvacuationController,
     NodeController,
     UpstreamController,
 )
@@ -133,7 +134,10 @@
             and (row.version > after if after is not None else row.value is not None)
         )
         store_time_s = self.loop.time() + STORE_CLOCK_S
-        return TableChanges(rows, self.version, store_time_s, self.era)
+        evacuations: tuple[TableRow, ...] = ()
+        if table is StoreTable.CONFIG:
+            evacuations = self.changes(StoreTable.EVACUATIONS, after).rows
+        return TableChanges(rows, self.version, store_time_s, self.era, evacuations)
 
 
 @dataclass
@@ -164,7 +168,8 @@
                 return Failure(HistoryLost())
             changes = store.changes(table, after)
             rest_s = end_s - store.loop.time()
-            if after is None or changes.rows or rest_s < CLOCK_PRECISION_S:
+            is_changed = changes.rows or changes.evacuations
+            if after is None or is_changed or rest_s < CLOCK_PRECISION_S:
                 await sleep(store.delay_s / 2)
                 return Success(changes)
             try:
@@ -216,6 +221,7 @@
     watches: dict[str, StoreWatch] = field(default_factory=dict)
     announcers: dict[str, NodeAnnouncer] = field(default_factory=dict)
     upstreams: dict[str, UpstreamController] = field(default_factory=dict)
+    evacuations: dict[str, EvacuationController] = field(default_factory=dict)
     sent_messages: list[bytes] = field(default_factory=list)
     changed_s: dict[int, float] = field(default_factory=dict)
 
@@ -236,6 +242,7 @@
         rows = FakeRows()
         upstreams = UpstreamController(serving, rows)
         nodes = NodeController(serving, rows, entry, ())
+        evacuations = EvacuationController(serving)
         client = StoreClient(self.store, name)
         announcer = NodeAnnouncer(serving, client, nodes)
         watch = StoreWatch(
@@ -247,11 +254,14 @@
             ConfigController(serving, rows),
             upstreams,
             nodes,
+            evacuations,
         )
         self.watches[name] = watch
         self.announcers[name] = announcer
         self.upstreams[name] = upstreams
+        self.evacuations[name] = evacuations
         await upstreams.start()
+        await evacuations.start()
         await watch.start()
         await announcer.start()
 
@@ -260,6 +270,7 @@
         await self.watches.pop(name).stop()
         await self.announcers.pop(name).stop()
         await self.upstreams.pop(name).stop()
+        await self.evacuations.pop(name).stop()
 
     def deliver(self, name: str, data: bytes) -> None:
         """Hand a message to a node, if it runs."""
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_store.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_store.py
@@ -40,6 +40,11 @@
     CONFIG = "config"
     UPSTREAMS = "upstreams"
     NODES = "nodes"
+    # Read together with the configuration.
+    EVACUATIONS = "evacuations"
+
+
+POLLED_TABLES = (StoreTable.CONFIG, StoreTable.UPSTREAMS, StoreTable.NODES)
 
 
 @dataclass(frozen=True)
@@ -79,12 +84,15 @@
         store_time_s: Time of the store's clock at which they were, in seconds.
         era: Number that grows each time the store comes back from an older copy.
             Versions of an earlier era may be given out again.
+        evacuations: Rows of evacuations, which are read together with the
+            configuration; the keys are zones.
     """
 
     rows: tuple[TableRow, ...]
     version: int
     store_time_s: float
     era: int = 0
+    evacuations: tuple[TableRow, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -135,7 +143,7 @@
         """Return a table, or its changes.
 
         Args:
-            table: The table.
+            table: One of `POLLED_TABLES`.
             after: Version after which changes are returned, as soon as there are any;
                 `None` for all rows.
             wait_s: Time to wait for a change, in seconds.
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/store_replicas.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/store_replicas.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterable
 
 from lagoonhinge_core.forwarding.missed_changes import MissedChanges
-from lagoonhinge_core.forwarding.site_store import StoreTable, TableRow
+from lagoonhinge_core.forwarding.site_store import (
+    POLLED_TABLES,
+    StoreTable,
+    TableRow,
+)
 from lagoonhinge_core.forwarding.table_replica import TableReplica, TableUpdate
 
 
@@ -52,12 +56,27 @@
         states: dict[StoreTable, int] = {
             table: replica.version
             for table, replica in self.tables.items()
-            if table is not StoreTable.CONFIG
+            if table in POLLED_TABLES
+            and table is not StoreTable.CONFIG
             and replica.version is not None
             and replica.era == self.era
         }
         return self.missed_changes.tables(states, newest)
 
+    def read_after(self, table: StoreTable) -> int | None:
+        """Return the version after which to read a table; `None` to read all rows.
+
+        The configuration and the evacuations are read together, and one of them may be
+        known up to an earlier version than the other.
+        """
+        replica = self.tables[table]
+        if table is not StoreTable.CONFIG:
+            return replica.version
+        other = self.tables[StoreTable.EVACUATIONS]
+        if replica.version is None or other.version is None:
+            return None
+        return min(replica.version, other.version)
+
     def build_updates(self, now_s: float, repeat_s: float) -> tuple[TableUpdate, ...]:
         """Return the state of all tables for other nodes.
 
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/request_timeline.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/request_timeline.py
@@ -7,7 +7,7 @@
 # Events of a request's upstreams and of zones are shown from this long before it.
 UPSTREAM_EVENT_WINDOW_S = 10.0
 # Components whose last messages, however old, describe the current state of a node.
-STATE_PARTS = frozenset(("config", "node", "nodes", "settings"))
+STATE_PARTS = frozenset(("config", "evacuations", "node", "nodes", "settings"))
 MAX_STATE_MESSAGES = 6  # per node
 MAX_CLOSINGS = 20  # per node
 NO_CAPACITY = "No upstream has capacity; ending the request."
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -151,6 +151,10 @@
                 "Listed upstreams that want no requests of this node for a time.",
                 lambda: _count_paused(serving),
             ),
+            "lagoonhinge_evacuated_zones": (
+                "Zones whose upstreams get nothing new.",
+                lambda: len(serving.evacuations.zones),
+            ),
             "lagoonhinge_nodes_heard": (
                 "Nodes that share the upstreams, this one included.",
                 lambda: serving.load.count_nodes(now_s()),
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
@@ -39,6 +39,7 @@
 )
 from lagoonhinge_node.forwarding.site_controllers import (
     ConfigController,
+    EvacuationController,
     NodeController,
     UpstreamController,
 )
@@ -150,6 +151,7 @@
             settings.entry,
             (exchange.set_peers, crashes.set_peers),
         )
+        evacuations = EvacuationController(self.serving)
         self.watch = watch = StoreWatch(
             self.serving,
             store,
@@ -159,6 +161,7 @@
             ConfigController(self.serving, decoder),
             upstreams,
             nodes,
+            evacuations,
         )
         cells = CellExchange(self.serving, socket, watch)
         socket.handlers += [
@@ -175,6 +178,7 @@
             watch,
             NodeAnnouncer(self.serving, store, nodes),
             upstreams,
+            evacuations,
             exchange,
             crashes,
             cells,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
@@ -96,6 +96,7 @@
                 if until_s > now_s
             },
             "limits_per_s": serving.request_limits.limited(),
+            "evacuated": sorted(serving.evacuations.zones),
             "health": to_builtins(serving.health.records),
             "cut_off": sorted(serving.reach.cut_off),
             "crashes": to_builtins(list(serving.crashes.confirmed)),
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/peer_messages.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/peer_messages.py
@@ -31,13 +31,16 @@
 
     Attributes:
         node: Name of the node.
-        tables: State of each table.
+        tables: State of each table that is polled.
         cells: Load of other cells.
+        evacuations: State of the evacuations, apart from the tables, as nodes of
+            earlier versions can't decode a table that they do not know.
     """
 
     node: str
     tables: tuple[TableUpdate, ...]
     cells: tuple[CellSummary, ...] = ()
+    evacuations: TableUpdate | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -9,6 +9,7 @@
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.forwarding.cells import cell_zones
 from lagoonhinge_core.forwarding.crashes import CrashTracker
+from lagoonhinge_core.forwarding.evacuations import Evacuations
 from lagoonhinge_core.forwarding.freshness import Freshness
 from lagoonhinge_core.forwarding.health import HealthTracker
 from lagoonhinge_core.forwarding.leaving_notices import LeavingNotices
@@ -71,6 +72,7 @@
         self.request_limits = RequestLimits(node)
         self.leaving_notices = LeavingNotices()
         self.pauses = UpstreamPauses()
+        self.evacuations = Evacuations()
         self.partitions = PartitionTracker()
         self.reach = ReachTracker()
         # Upstreams that a probe reached again, to be told to the cell.
@@ -143,12 +145,28 @@
         self.request_limits.merge(summary.limits, now_s - summary.age_s)
 
     def usable(self, service: str) -> tuple[Upstream, ...]:
-        """Return a service's upstreams that don't leave, in an order for all nodes."""
-        notices = self.leaving_notices
+        """Return a service's upstreams for new requests, in an order for all nodes.
+
+        These don't leave, and their zones are not evacuated.
+        """
+        notices, evacuated = self.leaving_notices, self.evacuations.zones
         listed = self.directory.usable(service)
-        if not notices.known:
+        if not notices.known and not evacuated:
             return listed
-        return tuple(entry for entry in listed if not notices.is_leaving(entry))
+        return tuple(
+            entry
+            for entry in listed
+            if entry.zone not in evacuated and not notices.is_leaving(entry)
+        )
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether all upstreams of a service are in evacuated zones."""
+        zones = {entry.zone for entry in self.directory.usable(service)}
+        return bool(zones) and zones <= self.evacuations.zones
+
+    def count_upstreams(self, zone: str) -> int:
+        """Return the number of listed upstreams in a zone."""
+        return sum(u.zone == zone for u in self.directory.by_instance.values())
 
     def allowed(self, upstreams: tuple[Upstream, ...]) -> tuple[Upstream, ...]:
         """Return which upstreams take a request of this node now."""
@@ -172,7 +190,8 @@
         Their limits are left out, since the choice has counted this request.
         """
         return any(
-            self.leaving_notices.is_leaving(upstream)
+            upstream.zone in self.evacuations.zones
+            or self.leaving_notices.is_leaving(upstream)
             or bool(self.pauses.remaining_s(upstream, self.clock()))
             or self.directory.by_instance.get(upstream.instance) != upstream
             for upstream in upstreams
@@ -254,7 +273,7 @@
             return
         now_s = self.clock()
         observation = ZoneObservation(
-            sum(u.zone == zone for u in self.directory.by_instance.values()),
+            self.count_upstreams(zone),
             self.partitions.count_failures(zone),
             IDLE_INTERVAL_S * update_interval_factor(self.cell_peers),
             tuple(
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -6,6 +6,7 @@
 from mode import Service
 from returns.result import Failure, Success
 
+from lagoonhinge_core.forwarding.evacuations import ZoneChanges
 from lagoonhinge_core.forwarding.site_config import SiteConfig
 from lagoonhinge_core.forwarding.site_store import (
     ListUpdate,
@@ -79,6 +80,49 @@
             self.serving.freshness.confirm(known_s)
 
 
+class EvacuationController(Service):
+    """Maintains the evacuated zones.
+
+    Args:
+        serving: State shared by all requests.
+    """
+
+    def __init__(self, serving: ServingState):
+        super().__init__()
+        self.serving = serving
+        self.log_part = PartLogger("evacuations")
+
+    @Service.timer(0.2)
+    async def end_forgotten(self) -> None:
+        """End evacuations that the store lost and that were not written again."""
+        now_s = self.serving.clock()
+        self._record(self.serving.evacuations.end_forgotten(now_s))
+
+    def apply(self, rows: tuple[TableRow, ...]) -> None:
+        """Apply changes of evacuations."""
+        self._record(self.serving.evacuations.apply(rows))
+
+    def apply_all(self, rows: tuple[TableRow, ...], is_later_era: bool) -> None:
+        """Apply all evacuations that the store has.
+
+        Args:
+            rows: Their rows.
+            is_later_era: Whether the store came back from an older copy.
+        """
+        evacuations, now_s = self.serving.evacuations, self.serving.clock()
+        self._record(evacuations.apply_all(rows, is_later_era, now_s))
+
+    def _record(self, changes: ZoneChanges) -> None:
+        for zone in changes.evacuated:
+            self.log_part.warning(
+                "A zone is evacuated; its upstreams get nothing new.",
+                zone=zone,
+                upstreams=self.serving.count_upstreams(zone),
+            )
+        for zone in changes.taken_back:
+            self.log_part.info("A zone is no longer evacuated.", zone=zone)
+
+
 class UpstreamController(Service):
     """Maintains the list of upstreams.
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -13,6 +13,7 @@
 
 from lagoonhinge_core.forwarding.load_tracker import CellSummary
 from lagoonhinge_core.forwarding.site_store import (
+    POLLED_TABLES,
     HistoryLost,
     NodeEntry,
     SiteStore,
@@ -42,6 +43,7 @@
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.site_controllers import (
     ConfigController,
+    EvacuationController,
     NodeController,
     UpstreamController,
 )
@@ -73,6 +75,7 @@
         config: Applies the configuration.
         upstreams: Applies the list of upstreams.
         nodes: Applies the list of nodes.
+        evacuations: Applies the evacuations.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         config: ConfigController,
         upstreams: UpstreamController,
         nodes: NodeController,
+        evacuations: EvacuationController,
     ):
         super().__init__()
         self.serving = serving
@@ -95,6 +99,7 @@
         self.config = config
         self.upstreams = upstreams
         self.nodes = nodes
+        self.evacuations = evacuations
         self.clock = StoreClock()
         self.role = WatchRole(own_entry.name, times, serving.random)
         self.store_replicas = StoreReplicas()
@@ -110,7 +115,7 @@
             StoreTable.NODES: NODES_PAUSE_S,
         }
         # Set when a table has to be read although its poll has not ended.
-        self.overdue = {table: Event() for table in StoreTable}
+        self.overdue = {table: Event() for table in POLLED_TABLES}
         self.log_part = PartLogger("store")
         self.failures = 0
         self.stopped_watching = Event()
@@ -122,7 +127,7 @@
     @Service.task
     async def run(self) -> None:
         """Read all tables, then follow them."""
-        for table in (StoreTable.CONFIG, StoreTable.UPSTREAMS, StoreTable.NODES):
+        for table in POLLED_TABLES:
             while not await self._read(table, 0.0):
                 await sleep(START_RETRY_S * self.serving.random.random())
         while not self.should_stop:
@@ -158,7 +163,7 @@
         self.role.start_watching()
         self.stopped_watching.clear()
         self.log_part.info("Watching the store for the zone.")
-        polls = [create_task(self._poll(table)) for table in StoreTable]
+        polls = [create_task(self._poll(table)) for table in POLLED_TABLES]
         updates = create_task(self._send_updates())
         stopped = create_task(self.stopped_watching.wait())
         tasks = {*polls, updates, stopped}
@@ -180,7 +185,10 @@
             if table is StoreTable.CONFIG:
                 for missed in self.store_replicas.find_missed_changes():
                     self.overdue[missed].set()
-            if self.replicas[table].recent:
+            if self.replicas[table].recent or (
+                table is StoreTable.CONFIG
+                and self.replicas[StoreTable.EVACUATIONS].recent
+            ):
                 self.send_update()
             if self.replicas[table].version != before:
                 await sleep(self.pauses_s[table])
@@ -214,7 +222,7 @@
     async def _read(self, table: StoreTable, wait_s: float) -> bool:
         """Read a table or its changes and apply them; return whether that worked."""
         replica = self.replicas[table]
-        after = replica.version
+        after = self.store_replicas.read_after(table)
         while True:
             requested_s = self.serving.clock()
             self.serving.store_calls += 1
@@ -227,10 +235,11 @@
                         after = None
                         continue
                     self._record_answer(requested_s, changes)
-                    self.store_replicas.record_rows(changes.rows)
-                    rows = replica.record_read(after, changes, self.serving.clock())
-                    if rows or (rows is not None and after is None):
-                        self._apply(table, rows, after is None)
+                    if table is StoreTable.CONFIG:
+                        # First, as the configuration lets a starting node serve.
+                        evacuations = replace(changes, rows=changes.evacuations)
+                        self._record_changes(StoreTable.EVACUATIONS, after, evacuations)
+                    self._record_changes(table, after, changes)
                     match table:
                         case StoreTable.CONFIG:
                             self._confirm_config(changes.store_time_s)
@@ -248,13 +257,25 @@
                     self._log_fault(fault)
                     return False
 
+    def _record_changes(
+        self, table: StoreTable, after: int | None, changes: TableChanges
+    ) -> None:
+        """Record and apply rows that were read."""
+        self.store_replicas.record_rows(changes.rows)
+        replica, is_complete = self.replicas[table], after is None
+        is_later_era = replica.version is not None and changes.era > replica.era
+        rows = replica.record_read(after, changes, self.serving.clock())
+        if rows or (rows is not None and is_complete):
+            self._apply(table, rows, is_complete, is_later_era)
+
     def _enter_era(self, era: int) -> None:
         """Read everything again if the store came back from an older copy."""
         if self.store_replicas.enter_era(era):
             self.log_part.warning("The store came back from an older copy.", era=era)
             self.serving.store_contact.record_older_copy(self.serving.clock())
             for table in self.store_replicas.of_earlier_eras():
-                self.overdue[table].set()
+                if table in self.overdue:
+                    self.overdue[table].set()
 
     def _record_answer(self, requested_s: float, changes: TableChanges) -> None:
         now_s = self.serving.clock()
@@ -279,9 +300,17 @@
         self.socket.send(encode_message(notice), zone_peers)
 
     def _apply(
-        self, table: StoreTable, rows: tuple[TableRow, ...], is_complete: bool
+        self,
+        table: StoreTable,
+        rows: tuple[TableRow, ...],
+        is_complete: bool,
+        is_later_era: bool = False,
     ) -> None:
         match table:
+            case StoreTable.EVACUATIONS if is_complete:
+                self.evacuations.apply_all(rows, is_later_era)
+            case StoreTable.EVACUATIONS:
+                self.evacuations.apply(rows)
             case StoreTable.CONFIG:
                 self.config.apply(rows)
             case StoreTable.UPSTREAMS:
@@ -309,7 +338,14 @@
         self.socket.send(data, self._zone_peers())
 
     def _encode_update(self, tables: tuple[TableUpdate, ...]) -> bytes:
-        update = StoreUpdate(self.own_entry.name, tables, self._cell_summaries())
+        by_table = {update.table: update for update in tables}
+        evacuations = by_table.pop(StoreTable.EVACUATIONS)
+        update = StoreUpdate(
+            self.own_entry.name,
+            tuple(by_table.values()),
+            self._cell_summaries(),
+            evacuations,
+        )
         return encode_message(PeerMessage(store=update))
 
     def dump(self) -> dict[str, Any]:
@@ -347,6 +383,8 @@
                 self.serving.merge_summary(summary)
         nodes = self.serving.board.read(NodeListSection).nodes
         self.watcher = nodes.get(update.node)
+        if update.evacuations is not None:
+            self._merge(update.node, update.evacuations)
         for table_update in update.tables:
             self._merge(update.node, table_update)
 
@@ -361,13 +399,14 @@
         match self.replicas[table].merge(update, now_s):
             case MissingRows():
                 if self.replicas[table].version is not None:
-                    self.incomplete.add(table)
+                    is_polled = table in POLLED_TABLES
+                    self.incomplete.add(table if is_polled else StoreTable.CONFIG)
                     self.found_incomplete.set()
                 return
             case NewRows(rows):
                 self._apply(table, rows, False)
             case AllRows(rows):
-                self._apply(table, rows, True)
+                self._apply(table, rows, True, is_later_era=True)
         match table:
             case StoreTable.CONFIG:
                 self._record_update(sender, known_s)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
@@ -120,10 +120,13 @@
 
         Returns:
             The time until the first pause ends, or until limited upstreams together
-            take one more request from any node, in seconds; `None` if an upstream takes
-            a request of this node now, or there is none.
+            take one more request from any node, in seconds; infinite if all zones of
+            the service are evacuated; `None` if an upstream takes a request of this
+            node now, or there is none.
         """
         serving, now_s = self.serving, self.serving.clock()
+        if serving.is_evacuated(service):
+            return inf
         untried = tuple(u for u in serving.usable(service) if u.instance not in tried)
         if not untried or serving.allowed(untried):
             return None
@@ -159,7 +162,7 @@
     ) -> UpstreamChoice | DeadlineUnreachable | None:
         serving, cell = self.serving, self.serving.cell
         now_s, load = serving.clock(), serving.load
-        own = tuple(entry for entry in untried if entry.zone in cell) or untried
+        own = tuple(entry for entry in untried if entry.zone in cell)
 
         def describe_own(entry: Upstream, position: float) -> EngineCandidate:
             known = load.load(entry.instance, now_s)
@@ -172,6 +175,8 @@
             return EngineCandidate(entry.instance, known, is_ejected, is_remote=True)
 
         others = self._other_cells(untried) if len(own) < len(untried) else []
+        if not own and not others:
+            own = untried
         pool = EnginePool(
             own, others, serving.cell_peers, describe_own, describe_remote
         )
