Connections that send much take turns, and late connect timeouts do not count

Cause: each loop iteration read once from every connection, so with many fast senders one iteration took longer than the connect timeout of 0.15 s, which then fired although the connection was established; sound upstreams counted as unreachable. Change: a connection with two full reads in a row reads in turn, one in each iteration; reads grow while they cost little processor time. A connect timeout that fires late is not counted. 4,096 comments or repeated events in a row end a stream's attempt (tiny comments cost far more than their bytes). Ruled out: a smaller fixed read (floods of bodies then reach their bound only after the deadline).

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/attempts.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/attempts.py
@@ -14,9 +14,15 @@
 
 @dataclass(frozen=True)
 class NotDelivered:
-    """No byte of the request can have reached the upstream."""
+    """No byte of the request can have reached the upstream.
+
+    Attributes:
+        reason: Description of the fault.
+        is_timeout: Whether the connection was not established in time.
+    """
 
     reason: str
+    is_timeout: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/event_splitter.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/event_splitter.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 
 MAX_EVENT_BYTES = 256 << 10  # a thousand times the usual event
+# Comments and repeated events in a row, which upstreams send some of each second while
+# they have nothing new; tiny ones cost far more than their bytes.
+MAX_STALE_EVENTS = 4096
 ID_FIELD = b"id:"
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 MAX_END_BYTES = 4
@@ -15,10 +18,12 @@
     Attributes:
         raw: Bytes of the events, with the empty lines that end them.
         ids: Values of their `id` fields.
+        count: Number of events, comments included.
     """
 
     raw: bytes
     ids: tuple[str, ...]
+    count: int = 0
 
 
 NO_EVENTS = CompleteEvents(b"", ())
@@ -45,7 +50,8 @@
             for line in raw.splitlines()
             if line.startswith(ID_FIELD)
         ]
-        return CompleteEvents(raw, tuple(ids))
+        count = sum(raw.count(text) for text in EVENT_ENDS)
+        return CompleteEvents(raw, tuple(ids), count)
 
 
 def _last_end(received: bytearray, text: bytes, start: int) -> int:
--- a/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
@@ -1,10 +1,11 @@
 """The shared HTTP client session, with automatic retries disabled."""
 
-from asyncio import BaseTransport, get_running_loop
+from asyncio import AbstractEventLoop, BaseTransport, get_running_loop
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 from ssl import create_default_context
+from time import thread_time
 from typing import Any
 
 from aiohttp import (
@@ -22,14 +23,19 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 
+from lagoonhinge_http.read_turns import (
+    FIRST_READ_BYTES,
+    MAX_FULL_READS,
+    ReadTurns,
+    next_read_bytes,
+)
+
 CONNECT_TIMEOUT_S = 2.0
 KEEPALIVE_S = 15.0
 MAX_LINE_BYTES = 1_048_576
 MAX_HEAD_BYTES = 64 << 10  # of an answer, with the informational answers before it
 MAX_HEADS = 16  # of an answer, likewise
 FRAMING_FACTOR = 16  # of the body; chunks of one byte have five bytes of framing each
-# Received at once on one connection, so that a fast sender does not hold up the others.
-READ_BYTES = 4 << 10
 
 
 class ConnectionLost(Exception):
@@ -40,17 +46,46 @@
     """Aborts the connection if an answer's head or framing has no end.
 
     The HTTP library limits neither the informational answers before an answer nor the
-    sizes, extensions and trailers of chunks.
+    sizes, extensions and trailers of chunks. A connection whose sender is faster than
+    this process takes turns with others.
+
+    Args:
+        loop: The event loop.
+        turns: Turns of the session's connections.
     """
 
-    received_bytes = 0
-    heads = 0
+    def __init__(self, loop: AbstractEventLoop, turns: ReadTurns):
+        super().__init__(loop)
+        self.turns = turns
+        self.received_bytes = 0
+        self.heads = 0
+        self.read_bytes = FIRST_READ_BYTES
+        self.full_reads = 0  # in a row
+        self.awaits_turn = False
+        self.is_held = False  # by flow control of the library
 
     def connection_made(self, transport: BaseTransport) -> None:
         """Limit the size of reads."""
-        # The size with which asyncio's transports call `recv`.
-        setattr(transport, "max_size", READ_BYTES)
         super().connection_made(transport)
+        self._set_read_bytes(FIRST_READ_BYTES)
+
+    def pause_reading(self) -> None:
+        """Pause reading until the body is consumed."""
+        self.is_held = True
+        super().pause_reading()
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Resume reading, at its turn."""
+        self.is_held = False
+        super().resume_reading(resume_parser)
+        if self.awaits_turn and self.transport is not None:
+            self.transport.pause_reading()
+
+    def take_turn(self) -> None:
+        """Read once."""
+        self.awaits_turn = False
+        if self.transport is not None and not self.is_held:
+            self.transport.resume_reading()
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the answer to the next request."""
@@ -66,7 +101,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; none if parsing resumes after a pause."""
-        super().data_received(data)
+        if len(data) >= self.read_bytes:
+            started_s = thread_time()
+            super().data_received(data)
+            self._record_full_read(thread_time() - started_s)
+        else:
+            super().data_received(data)
+            if data:
+                self.full_reads = 0
         self.received_bytes += len(data)
         body_bytes = 0 if self._payload is None else self._payload.total_bytes
         if self.exception() is not None:
@@ -76,6 +118,21 @@
         elif self.received_bytes > MAX_HEAD_BYTES + FRAMING_FACTOR * body_bytes:
             self._abort_answer(f"{self.received_bytes} bytes with little or no body")
 
+    def _record_full_read(self, took_s: float) -> None:
+        self._set_read_bytes(next_read_bytes(self.read_bytes, took_s))
+        self.full_reads += 1
+        if self.full_reads < MAX_FULL_READS:
+            return
+        if self.transport is not None and not self.awaits_turn:
+            self.awaits_turn = True
+            self.transport.pause_reading()
+            self.turns.wait(self)
+
+    def _set_read_bytes(self, read_bytes: int) -> None:
+        self.read_bytes = read_bytes
+        # The size with which asyncio's transports call `recv`.
+        setattr(self.transport, "max_size", read_bytes)
+
     def _abort_answer(self, reason: str) -> None:
         error = ClientPayloadError(reason)
         self.set_exception(error)
@@ -123,7 +180,8 @@
         keepalive_timeout=KEEPALIVE_S if reuse else None,
         ssl=ssl_context,
     )
-    factory: Any = partial(handler, loop=get_running_loop())
+    loop = get_running_loop()
+    factory: Any = partial(handler, loop=loop, turns=ReadTurns(loop))
     connector._factory = factory
     return ClientSession(
         connector=connector,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/answer_forwarder.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/answer_forwarder.py
@@ -7,7 +7,11 @@
 
 from lagoonhinge_core.forwarding.attempts import AttemptFailure, Failed, Lost
 from lagoonhinge_core.forwarding.crash_causes import part_causes
-from lagoonhinge_core.forwarding.event_splitter import MAX_EVENT_BYTES, EventSplitter
+from lagoonhinge_core.forwarding.event_splitter import (
+    MAX_EVENT_BYTES,
+    MAX_STALE_EVENTS,
+    EventSplitter,
+)
 from lagoonhinge_core.forwarding.routes import EventStream
 from lagoonhinge_core.forwarding.timeouts import event_gap_timeout_s
 from lagoonhinge_node.forwarding.forwarding_metrics import (
@@ -117,7 +121,7 @@
         splitter = EventSplitter()
         last_event_s: float | None = None
         # Forwarded with the next new event, as another attempt may be forwarding.
-        waiting = b""
+        waiting, stale_events = b"", 0
         while True:
             match await answer.next_data():
                 case Failure(lost):
@@ -128,6 +132,7 @@
                 break
             events = splitter.feed(data)
             waiting += events.raw
+            stale_events += events.count
             # Comments and repetitions don't show that the upstream makes progress.
             if events.ids and events.ids[-1] != context.last_event_id:
                 attempt.begin_write()
@@ -142,9 +147,11 @@
                 if not writer.started:
                     await writer.start(answer.head)
                 await writer.write(waiting)
-                waiting = b""
+                waiting, stale_events = b"", 0
                 attempt.silence_timeout.restart(event_gap_timeout_s(kind))
             held_bytes = len(waiting) + len(splitter.buffer)
+            if stale_events > MAX_STALE_EVENTS:
+                return Failure(Lost(f"{stale_events} events without a new one"))
             if held_bytes > MAX_EVENT_BYTES:
                 return Failure(Lost(f"{held_bytes} bytes without a new event"))
             if not answer.hold(held_bytes):
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -5,6 +5,7 @@
 request unknown, also of one that must not be retried.
 """
 
+from asyncio import get_running_loop
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -46,6 +47,10 @@
 )
 
 CONNECT_TIMEOUT_S = 0.15  # fifty round trips between availability zones
+# A connect timeout that fires later than this after its time shows that this process
+# was held up, and says nothing of the upstream.
+TIMEOUT_LATENESS_S = 0.05
+MAX_LATE_TIMEOUTS = 3  # of one attempt
 READ_BUFFER_BYTES = 64 << 10  # of an answer whose caller reads slowly
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 # Header between nodes: upstreams that may have run the request before.
@@ -192,6 +197,26 @@
         port: int,
         request: CallerRequest,
         headers: list[tuple[str, str]],
+    ) -> Result[UpstreamAnswer, AttemptFailure]:
+        loop, late_timeouts = get_running_loop(), 0
+        while True:
+            due_s = loop.time() + CONNECT_TIMEOUT_S
+            result = await self._request_once(host, port, request, headers)
+            match result:
+                case Failure(NotDelivered(is_timeout=True)) if (
+                    loop.time() - due_s > TIMEOUT_LATENESS_S
+                    and late_timeouts < MAX_LATE_TIMEOUTS
+                ):
+                    late_timeouts += 1
+                case _:
+                    return result
+
+    async def _request_once(
+        self,
+        host: str,
+        port: int,
+        request: CallerRequest,
+        headers: list[tuple[str, str]],
     ) -> Result[UpstreamAnswer, AttemptFailure]:
         # Passed as a path, so that the target stays unchanged, even an empty query.
         url = URL.build(
@@ -208,7 +233,9 @@
                 timeout=call_timeout(None, connect_s=CONNECT_TIMEOUT_S),
                 read_bufsize=READ_BUFFER_BYTES,
             )
-        except (ClientConnectorError, ConnectionTimeoutError) as error:
+        except ConnectionTimeoutError as error:
+            return Failure(NotDelivered(_describe(error), is_timeout=True))
+        except ClientConnectorError as error:
             return Failure(NotDelivered(_describe(error)))
         except (ConnectionLost, ClientError, OSError) as error:
             return Failure(Lost(_describe(error)))
