Cold upstreams get few requests from all nodes together

Cause: nothing read how long an upstream is cold, nor how many requests a second a cold one takes, and after an evacuation or an outage of a zone all nodes would turn to upstreams that look idle. Change: the permits of few senders, which limits used, are a module of their own and also hold for cold upstreams; a zone that is taken back counts as cold.

--- a/features/support/limit_fleet.py
+++ b/features/support/limit_fleet.py
@@ -77,8 +77,8 @@
         return max(
             self.by_name,
             key=lambda name: (
-                self.by_name[name].limits.permits[UPSTREAM].count
-                if UPSTREAM in self.by_name[name].limits.permits
+                self.by_name[name].limits.permits.counts[UPSTREAM].count
+                if UPSTREAM in self.by_name[name].limits.permits.counts
                 else -1.0
             ),
         )
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/request_limits.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/request_limits.py
@@ -1,12 +1,5 @@
 """Limits that upstreams name for the requests of all nodes together.
 
-An equal part of a small limit is less than one request in any short time, so equal
-parts either exceed the limit, if each node may begin with one request, or leave the
-upstream idle. Instead, few nodes may send to a limited upstream, its *senders*, and the
-others leave it out. All nodes rank the nodes that they hear from in the same way, so
-they agree on the senders without a message, and replace one that falls silent. Each
-sender has an equal part of the limit.
-
 Load pattern: an upstream in need gets its usual share of the load, since it looks idle.
 """
 
@@ -19,17 +12,11 @@
     RequestLimit,
     UnreadableLimit,
 )
-from lagoonhinge_core.forwarding.upstreams import stable_rank
+from lagoonhinge_core.forwarding.sender_permits import RateTolerance, SenderPermits
 
-# Requests beyond a limit that an upstream tolerates in any 4 s: 5, and half of what the
+# In any 4 s an upstream tolerates 5 requests beyond its limit, and half of what the
 # limit allows in that time (the platform's rules).
-TOLERATED_REQUESTS = 5.0
-TOLERATED_TIME_S = 2.0
-# Share of these for bursts; the rest is for nodes that disagree on the senders.
-BURST_SHARE = 0.5
-# An upstream that takes hardly any requests still gets one in this time, as only its
-# answers tell when its limit ends.
-TRIAL_INTERVAL_S = 10.0
+LIMIT_TOLERANCE = RateTolerance(5.0, 2.0)
 
 
 @dataclass(frozen=True)
@@ -56,25 +43,6 @@
     is_own: bool
 
 
-@dataclass(frozen=True)
-class _Permits:
-    """Requests that this node may send at a time, in seconds."""
-
-    count: float
-    counted_s: float
-
-
-def sender_count(per_s: float, nodes: int) -> int:
-    """Return how many nodes may send to an upstream.
-
-    Args:
-        per_s: Its limit, in requests a second.
-        nodes: Nodes that use it.
-    """
-    burst = BURST_SHARE * (TOLERATED_REQUESTS + TOLERATED_TIME_S * per_s)
-    return max(1, min(nodes, int(burst)))
-
-
 class RequestLimits:
     """Limits of upstreams, and how many requests this node may send them.
 
@@ -89,9 +57,8 @@
     """
 
     def __init__(self, node: str):
-        self.node = node
         self.statements: dict[str, _Statement] = {}
-        self.permits: dict[str, _Permits] = {}
+        self.permits = SenderPermits(node, LIMIT_TOLERANCE)
         self.has_unsent = False
 
     def record_answer(self, instance: str, notice: LimitNotice, now_s: float) -> bool:
@@ -160,51 +127,21 @@
             now_s: The time, in seconds.
         """
         per_s = self.limit_per_s(instance)
-        return per_s is None or self._count(instance, per_s, nodes, now_s) >= 1.0
+        return per_s is None or self.permits.may_send(instance, per_s, nodes, now_s)
 
     def record_send(self, instance: str, nodes: Collection[str], now_s: float) -> None:
         """Count a request that this node sends to an upstream."""
         per_s = self.limit_per_s(instance)
         if per_s is not None:
-            count = self._count(instance, per_s, nodes, now_s)
-            self.permits[instance] = _Permits(count - 1.0, now_s)
+            self.permits.record_send(instance, per_s, nodes, now_s)
 
     def retain_only(self, instances: Collection[str]) -> None:
         """Drop the limits of upstreams that are no longer listed."""
         for instance in [name for name in self.statements if name not in instances]:
             del self.statements[instance]
-            self.permits.pop(instance, None)
+            self.permits.drop(instance)
 
     def _record(self, instance: str, statement: _Statement) -> None:
         self.statements[instance] = statement
         if statement.per_s is None:
-            self.permits.pop(instance, None)
-
-    def _count(
-        self, instance: str, per_s: float, nodes: Collection[str], now_s: float
-    ) -> float:
-        """Return how many requests this node may send now.
-
-        A node begins with none when it learns of the limit or becomes a sender, since
-        other nodes may have used the limit until then.
-        """
-        part_per_s = self._part_per_s(instance, per_s, nodes)
-        permits = self.permits.get(instance)
-        if permits is None or not part_per_s:
-            permits = _Permits(0.0, now_s)
-        count = permits.count + part_per_s * (now_s - permits.counted_s)
-        most = max(1.0, part_per_s * BURST_SHARE * TOLERATED_TIME_S)
-        permits = _Permits(min(count, most), now_s)
-        self.permits[instance] = permits
-        return permits.count
-
-    def _part_per_s(self, instance: str, per_s: float, nodes: Collection[str]) -> float:
-        """Return this node's part of a limit; 0 if it is not one of the senders."""
-        if self.node not in nodes:
-            return 0.0
-        count = sender_count(per_s, len(nodes))
-        if count < len(nodes):
-            ranked = sorted(nodes, key=lambda name: stable_rank(f"{instance} {name}"))
-            if self.node not in ranked[:count]:
-                return 0.0
-        return max(per_s, 1 / TRIAL_INTERVAL_S) / count
+            self.permits.drop(instance)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_config.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_config.py
@@ -27,11 +27,16 @@
         name: Name of the service.
         max_connections: Connections that one upstream accepts from all nodes together.
         engine: Speed and memory of its model engines; `None` for a plain service.
+        cold_s: For how long an upstream is cold after a start, in seconds.
+        cold_per_s: Requests a second that a cold upstream takes from all nodes
+            together; 0 if there is no limit.
     """
 
     name: str
     max_connections: int
     engine: EngineProfile | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/upstreams.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/upstreams.py
@@ -1,7 +1,7 @@
 """The upstreams listed by the platform, and which of them may get new requests."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import blake2b
 
 
@@ -32,6 +32,7 @@
         slots: Requests that it serves concurrently.
         leaving: Whether it is draining and must get no new requests.
         started_ms: Start, in milliseconds since the epoch; 0 if it is not reported.
+        cold_s: For how long it was still cold when it last reported, in seconds.
     """
 
     instance: str
@@ -42,6 +43,7 @@
     slots: int
     leaving: bool = False
     started_ms: int = 0
+    cold_s: float = field(default=0.0, compare=False)
 
     def address(self) -> str:
         """Return `host:port`."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -151,6 +151,10 @@
                 "Listed upstreams that want no requests of this node for a time.",
                 lambda: _count_paused(serving),
             ),
+            "lagoonhinge_cold_upstreams": (
+                "Upstreams that are cold and take few requests.",
+                lambda: sum(end_s > now_s() for end_s in serving.cold.until_s.values()),
+            ),
             "lagoonhinge_evacuated_zones": (
                 "Zones whose upstreams get nothing new.",
                 lambda: len(serving.evacuations.zones),
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
@@ -96,6 +96,11 @@
                 if until_s > now_s
             },
             "limits_per_s": serving.request_limits.limited(),
+            "cold_s": {
+                run.instance: round(until_s - now_s, 3)
+                for run, until_s in serving.cold.until_s.items()
+                if until_s > now_s
+            },
             "evacuated": sorted(serving.evacuations.zones),
             "health": to_builtins(serving.health.records),
             "cut_off": sorted(serving.reach.cut_off),
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -8,6 +8,7 @@
 
 from lagoonhinge_core.blackboard import Blackboard
 from lagoonhinge_core.forwarding.cells import cell_zones
+from lagoonhinge_core.forwarding.cold_upstreams import ColdBound, ColdUpstreams
 from lagoonhinge_core.forwarding.crashes import CrashTracker
 from lagoonhinge_core.forwarding.evacuations import Evacuations
 from lagoonhinge_core.forwarding.freshness import Freshness
@@ -24,6 +25,8 @@
 from lagoonhinge_core.forwarding.relays import RelayNode
 from lagoonhinge_core.forwarding.request_limits import RequestLimits
 from lagoonhinge_core.forwarding.retry_window import RetryBound, RetryWindow
+from lagoonhinge_core.forwarding.sender_permits import SenderPermits
+from lagoonhinge_core.forwarding.site_config import ServiceProfile
 from lagoonhinge_core.forwarding.store_contact import StoreContact
 from lagoonhinge_core.forwarding.upstream_reach import ReachTracker
 from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamDirectory
@@ -32,6 +35,7 @@
     ZoneObservation,
     is_likely_partitioned,
 )
+from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
 from lagoonhinge_node.logs import PartLogger
 
 
@@ -73,6 +77,7 @@
         self.leaving_notices = LeavingNotices()
         self.pauses = UpstreamPauses()
         self.evacuations = Evacuations()
+        self.cold = ColdUpstreams()
         self.partitions = PartitionTracker()
         self.reach = ReachTracker()
         # Upstreams that a probe reached again, to be told to the cell.
@@ -117,6 +122,39 @@
         for window in self.retry_windows.values():
             window.bound = bound
 
+    def set_cold_bound(self, bound: ColdBound | None) -> None:
+        """Change how many requests a cold upstream may get."""
+        if bound is None:
+            self.cold.permits = None
+        elif self.cold.permits is None:
+            tolerance = bound.tolerance()
+            self.cold.permits = SenderPermits(self.load.node, tolerance)
+        else:
+            self.cold.permits.tolerance = bound.tolerance()
+
+    def cold_profile(self, upstream: Upstream) -> ServiceProfile | None:
+        """Return the profile of an upstream's service if a cold one takes few."""
+        config = self.board.find(SiteConfigSection()).config
+        profile = None if config is None else config.services.get(upstream.service)
+        return profile if profile is not None and profile.cold_per_s else None
+
+    def cold_per_s(self, upstream: Upstream) -> float | None:
+        """Return the requests a second that a cold upstream takes; else `None`."""
+        if not self.cold.remaining_s(upstream, self.clock()):
+            return None
+        profile = self.cold_profile(upstream)
+        return None if profile is None else profile.cold_per_s
+
+    def record_cold(self, upstream: Upstream, left_s: float) -> None:
+        """Record that an upstream is cold for some more time, in seconds."""
+        if left_s and self.cold.record(upstream, left_s, self.clock()):
+            self.log_part.info(
+                "An upstream is cold; it takes few requests.",
+                upstream=upstream.instance,
+                left_s=left_s,
+                per_s=self.cold_per_s(upstream),
+            )
+
     def allows_retry(self, service: str) -> bool:
         """Return whether the retry budget of a service allows one more retry."""
         # Listed nodes without updates count too, so that a partition never raises this
@@ -170,7 +208,8 @@
 
     def allowed(self, upstreams: tuple[Upstream, ...]) -> tuple[Upstream, ...]:
         """Return which upstreams take a request of this node now."""
-        if not self.pauses.until_s and not self.request_limits.statements:
+        is_any_limited = bool(self.request_limits.statements or self.cold.until_s)
+        if not self.pauses.until_s and not is_any_limited:
             return upstreams
         return tuple(entry for entry in upstreams if self.may_send(entry))
 
@@ -178,11 +217,14 @@
         """Return whether an upstream takes a request of this node now."""
         if self.pauses.remaining_s(upstream, self.clock()):
             return False
-        limits = self.request_limits
-        if limits.limit_per_s(upstream.instance) is None:
+        limits, instance = self.request_limits, upstream.instance
+        cold_per_s = self.cold_per_s(upstream)
+        if limits.limit_per_s(instance) is None and cold_per_s is None:
             return True
-        nodes = self._nodes_sharing(upstream)
-        return limits.may_send(upstream.instance, nodes, self.clock())
+        nodes, now_s = self._nodes_sharing(upstream), self.clock()
+        return limits.may_send(instance, nodes, now_s) and (
+            cold_per_s is None or self.cold.may_send(instance, cold_per_s, nodes, now_s)
+        )
 
     def any_closed(self, upstreams: Iterable[Upstream]) -> bool:
         """Return whether upstreams stopped taking requests after they were chosen.
@@ -198,11 +240,15 @@
         )
 
     def record_send(self, upstream: Upstream) -> None:
-        """Count a request or a part of one against the limit of its upstream."""
-        limits = self.request_limits
-        if limits.limit_per_s(upstream.instance) is not None:
-            nodes = self._nodes_sharing(upstream)
-            limits.record_send(upstream.instance, nodes, self.clock())
+        """Count a request or a part of one against what its upstream takes."""
+        limits, instance = self.request_limits, upstream.instance
+        cold_per_s = self.cold_per_s(upstream)
+        if limits.limit_per_s(instance) is None and cold_per_s is None:
+            return
+        nodes, now_s = self._nodes_sharing(upstream), self.clock()
+        limits.record_send(instance, nodes, now_s)
+        if cold_per_s is not None:
+            self.cold.record_send(instance, cold_per_s, nodes, now_s)
 
     def _nodes_sharing(self, upstream: Upstream) -> frozenset[str]:
         """Return the live nodes that share the limit of an upstream.
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/settings_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/settings_controller.py
@@ -8,6 +8,7 @@
 from mode import Service
 from returns.result import Failure, Result, Success
 
+from lagoonhinge_core.forwarding.cold_upstreams import ColdBound
 from lagoonhinge_core.forwarding.freshness import FreshnessLimits
 from lagoonhinge_core.forwarding.retry_window import RetryBound
 from lagoonhinge_node.addresses import SettingError
@@ -25,11 +26,13 @@
         freshness: Limits on the age of the configuration.
         grace_s: Time from the stop signal until the process is killed, in seconds.
         retries: Retry budget over all nodes.
+        cold: Requests that a cold upstream may get; `None` if they are not bounded.
     """
 
     freshness: FreshnessLimits
     grace_s: float
     retries: RetryBound
+    cold: ColdBound | None = None
 
 
 ReadSettings = Callable[[], Result[LiveSettings, tuple[SettingError, ...]]]
@@ -55,7 +58,8 @@
         self.log_part = PartLogger("settings")
 
     async def on_start(self) -> None:
-        """Install the signal handler."""
+        """Put the settings into force, and install the signal handler."""
+        self.serving.set_cold_bound(self.current.cold)
         get_running_loop().add_signal_handler(SIGHUP, self._on_signal)
 
     @Service.timer(CHECK_INTERVAL_S)
@@ -71,6 +75,7 @@
                 self.logged_errors = ()
                 self.serving.freshness.limits = settings.freshness
                 self.serving.set_retry_bound(settings.retries)
+                self.serving.set_cold_bound(settings.cold)
                 self.log_part.info("Settings are in force.", settings=repr(settings))
             case Failure(errors) if errors != self.logged_errors:
                 self.logged_errors = errors
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -121,6 +121,14 @@
             )
         for zone in changes.taken_back:
             self.log_part.info("A zone is no longer evacuated.", zone=zone)
+            self._expect_cold(zone)
+
+    def _expect_cold(self, zone: str) -> None:
+        """Take a zone's upstreams for cold, as their rows may be older than that."""
+        for upstream in self.serving.directory.by_instance.values():
+            profile = self.serving.cold_profile(upstream)
+            if upstream.zone == zone and profile is not None:
+                self.serving.record_cold(upstream, profile.cold_s)
 
 
 class UpstreamController(Service):
@@ -178,6 +186,7 @@
         for entry in update.changed:
             self.pending_removals.pop(entry.instance, None)
             self._log_change(current.get(entry.instance), entry)
+            self.serving.record_cold(entry, entry.cold_s)
             if entry.leaving:
                 # Holds for this run even if an older copy of its row comes back.
                 self.serving.leaving_notices.merge((entry.run(),))
@@ -214,6 +223,7 @@
         now_s = self.serving.clock()
         self.serving.leaving_notices.retain_only(listed, now_s)
         self.serving.pauses.drop_ended(now_s)
+        self.serving.cold.drop_ended(now_s)
 
 
 class NodeController:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
@@ -119,10 +119,10 @@
             tried: Instances of earlier attempts.
 
         Returns:
-            The time until the first pause ends, or until limited upstreams together
-            take one more request from any node, in seconds; infinite if all zones of
-            the service are evacuated; `None` if an upstream takes a request of this
-            node now, or there is none.
+            The time until the first pause ends, or until limited or cold upstreams
+            together take one more request from any node, in seconds; infinite if all
+            zones of the service are evacuated; `None` if an upstream takes a request of
+            this node now, or there is none.
         """
         serving, now_s = self.serving, self.serving.clock()
         if serving.is_evacuated(service):
@@ -137,8 +137,11 @@
             if pause_s:
                 pauses_s.append(pause_s)
             else:
-                limit_per_s = serving.request_limits.limit_per_s(entry.instance)
-                limits_per_s += limit_per_s or 0.0
+                rates_per_s = (
+                    serving.request_limits.limit_per_s(entry.instance),
+                    serving.cold_per_s(entry),
+                )
+                limits_per_s += min((r for r in rates_per_s if r), default=0.0)
         if limits_per_s:
             pauses_s.append(1 / limits_per_s)
         return min(pauses_s, default=inf)
