Summaries have no load of other cells' upstreams, which load updates carry

Cause: the commit before added the load that an evacuated zone's nodes put on other cells to their summary. Those cells already get the load updates of nodes that use their upstreams (LoadExchange._receivers), so it would count twice. Change: that part is taken back.

--- a/features/forwarding_placement.feature
+++ b/features/forwarding_placement.feature
@@ -182,19 +182,6 @@
       | 0.5 | 3    | 5   | 5        | 1.0     |
       | 2   | 3    | 1   | 3        | 0       |
 
-  # While a zone is evacuated, its nodes use the engines of other cells.
-  Scenario Outline: Load that another cell puts on an engine counts in its own cell
-    Given a summary of another cell that is <age> s old, with <told> requests and 1.5 s of prefill that it put on an engine here
-    And this node has <own> open requests there
-    Then that engine of this cell has <requests> open requests and <prefill> s of prefill, of which this cell put <own> there
-
-    Examples:
-      | age | told | own | requests | prefill |
-      | 0   | 3    | 0   | 3        | 1.5     |
-      | 0.5 | 3    | 5   | 8        | 1.0     |
-      | 1.9 | 3    | 1   | 4        | 0       |
-      | 2.5 | 3    | 1   | 1        | 0       |
-
   Scenario: A summary that is too old is not used
     Given a summary of another cell that is 2.5 s old, with 3 open requests and 1.5 s of prefill on an engine
     Then the load of that cell is unknown
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -125,15 +125,12 @@
             assigned prefills are finished, in milliseconds, its open requests, and the
             KV cache that they use, in thousands of tokens.
         limits: Limits that these upstreams named or withdrew.
-        away: Load that the nodes of this cell put on upstreams of other cells, in the
-            same form, while their own zone is evacuated.
     """
 
     zone: str
     age_s: float
     upstreams: dict[str, tuple[int, int, int]]
     limits: tuple[StatedLimit, ...] = ()
-    away: dict[str, tuple[int, int, int]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -185,15 +182,6 @@
         return max(end_s - now_s, OVERDUE_SHARE * total_s)
 
 
-def _summarize_loads(loads: dict[str, Load]) -> dict[str, tuple[int, int, int]]:
-    """Return the loads of the upstreams that have any, in the form of a summary."""
-    return {
-        instance: (round(load.prefill_s * 1000), load.requests, load.tokens // 1000)
-        for instance, load in loads.items()
-        if load.requests or load.prefill_s or load.tokens
-    }
-
-
 class LoadTracker:
     """Tracks the predicted load of all upstreams at one node.
 
@@ -294,15 +282,18 @@
     ) -> CellSummary:
         """Return the summary of upstreams of this node's own cell."""
         loads = {instance: self.load(instance, now_s) for instance in instances}
-        return CellSummary(zone, 0.0, _summarize_loads(loads))
-
-    def summarize_away(
-        self, instances: Iterable[str], now_s: float
-    ) -> dict[str, tuple[int, int, int]]:
-        """Return the load that this node's cell puts on upstreams of other cells."""
-        self._expire_peers(now_s)
-        return _summarize_loads(
-            {instance: self._cell_load(instance, now_s) for instance in instances}
+        return CellSummary(
+            zone,
+            0.0,
+            {
+                instance: (
+                    round(load.prefill_s * 1000),
+                    load.requests,
+                    load.tokens // 1000,
+                )
+                for instance, load in loads.items()
+                if load.requests or load.prefill_s or load.tokens
+            },
         )
 
     def remote_load(self, instance: str, summary: CellSummary, now_s: float) -> Load:
@@ -324,20 +315,6 @@
     def load(self, instance: str, now_s: float) -> Load:
         """Return the predicted load of an upstream."""
         self._expire_peers(now_s)
-        load = self._cell_load(instance, now_s)
-        for summary, taken_s in self.summaries.values():
-            if instance in summary.away and now_s - taken_s <= SUMMARY_TIMEOUT_S:
-                prefill_ms, requests, kilotokens = summary.away[instance]
-                remaining_s = max(0.0, prefill_ms / 1000 - (now_s - taken_s))
-                load = Load(
-                    load.prefill_s + remaining_s,
-                    load.requests + requests,
-                    load.tokens + kilotokens * 1000,
-                )
-        return load
-
-    def _cell_load(self, instance: str, now_s: float) -> Load:
-        """Return the load that the nodes of this cell put on an upstream."""
         own = self.own_work.get(instance, NO_WORK)
         others = self.peer_work.get(instance, NO_WORK)
         requests = own.requests + others.requests
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/cell_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/cell_exchange.py
@@ -53,14 +53,9 @@
         listed = serving.directory.by_instance.values()
         instances = [entry.instance for entry in listed if entry.zone == serving.zone]
         now_s = serving.clock()
-        away: dict[str, tuple[int, int, int]] = {}
-        if serving.zone in serving.evacuations.zones:
-            others = [u.instance for u in listed if u.zone not in serving.cell]
-            away = serving.load.summarize_away(others, now_s)
         summary = replace(
             serving.load.summarize(serving.zone, instances, now_s),
             limits=serving.request_limits.known_statements(instances, now_s),
-            away=away,
         )
         data = encode_message(PeerMessage(cell=summary))
         for nodes in zones.values():
