Requests that take longer than usual are hedged within an operator's limit

Cause: a few slow answers decide the tail, and the only second attempt began after 1 s of silence, or twice the target. Change: a second attempt for repeatable requests before any part of the answer, off unless the settings have hedge.share and hedge.perS; spent with the retry budget, none under pressure. A failure of the first attempt is passed on only once no attempt that still works is open.

--- a/features/open_attempts.feature
+++ b/features/open_attempts.feature
@@ -39,6 +39,34 @@
       | order  | wait 9         | status 200   | status 200   | 504    | 0     |
       | once   | event 1; wait 9 | event 2; end | event 2; end | 1 aborted | 0  |
 
+  # Both upstreams are predicted to answer at once.
+  Scenario Outline: A hedged request gets one answer
+    Given upstreams that do "<first>" and "<second>" and "<third>"
+    And requests are hedged after 0.3 s
+    When a caller sends a <kind>
+    Then the caller gets "<answer>" after sends to "<sends>"
+
+    Examples:
+      | kind   | first                    | second                                  | third      | answer  | sends |
+      | call   | wait 0.38; status 200    | wait 0.05; status 200                   | end        | 200     | 0 1   |
+      | call   | wait 0.38; status 200    | wait 0.079; status 200                  | end        | 200     | 0 1   |
+      | call   | wait 0.38; status 200    | wait 0.081; status 200                  | end        | 200     | 0 1   |
+      | call   | wait 0.29; status 200    | end                                     | end        | 200     | 0     |
+      | call   | wait 0.35; lost          | wait 0.3; status 200                    | end        | 200     | 0 1   |
+      | call   | wait 0.35; status 500    | wait 0.08; status 200                   | end        | 200     | 0 1   |
+      | call   | wait 0.35; lost          | wait 0.08; lost                         | status 200 | 502     | 0 1   |
+      | call   | wait 0.38; status 200    | refuse                                  | end        | 200     | 0 1   |
+      | order  | wait 0.38; status 200    | end                                     | end        | 200     | 0     |
+      | once   | wait 0.38; event 1; end  | end                                     | end        | 1 end   | 0     |
+      | stream | wait 0.9; event 1; end   | wait 0.1; event 1; wait 0.1; event 2; end | end      | 1 2 end | 0 1   |
+      | stream | event 1; wait 0.5; event 2; end | end                              | end        | 1 2 end | 0     |
+
+  Scenario: The work of both upstreams of a hedged request ends when the caller leaves
+    Given upstreams that do "wait 9" and "wait 9" and "wait 9"
+    And requests are hedged after 0.3 s
+    When a caller sends a call and leaves after 0.35 s
+    Then nothing is sent to any upstream any more, after sends to "0 1"
+
   Scenario: The work of both upstreams ends when the caller leaves
     Given upstreams that do "wait 9" and "wait 9" and "wait 9"
     When a caller sends a call and leaves after 0.7 s
--- a/features/steps/open_attempts_steps.py
+++ b/features/steps/open_attempts_steps.py
@@ -8,6 +8,12 @@
 from features.support.serving import build_serving_state
 from features.support.virtual_time import VirtualLoop
 from lagoonhinge_core.forwarding.attempts import Declined, Lost
+from lagoonhinge_core.forwarding.hedging import (
+    LATE_FACTOR,
+    MIN_OBSERVATIONS,
+    HedgeBound,
+    HedgeGroup,
+)
 from lagoonhinge_core.forwarding.messages import AnswerHead, CallerRequest
 from lagoonhinge_core.forwarding.prompt_placement import MemoryReservation
 from lagoonhinge_core.forwarding.routes import (
@@ -200,6 +206,16 @@
     context.writer = RecordingWriter()
 
 
+@given("requests are hedged after {after:g} s")
+def step_hedged(context, after):
+    hedges = context.serving.hedges
+    hedges.set_bound(HedgeBound(0.05, 100.0))
+    hedges.budget.by_share = hedges.budget.by_rate = 1.0
+    for kind in ("idempotent", "at_most_once", "stream"):
+        for _ in range(MIN_OBSERVATIONS):
+            hedges.record_delay(HedgeGroup("s", kind, "none"), after / LATE_FACTOR)
+
+
 def _start(context, kind):
     service = (WeightedService("s", 1.0),)
     route = Route("r", "h", "/", KINDS[kind], service, LIMIT_S, 0.2, 2)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field, replace
 
+from lagoonhinge_core.forwarding.hedging import GroupDelays
 from lagoonhinge_core.forwarding.request_limits import StatedLimit
 from lagoonhinge_core.forwarding.upstreams import UpstreamRun
 
@@ -87,6 +88,7 @@
         limits: Limits that upstreams named to it, or withdrew.
         leaving: Upstreams that told it that they leave.
         cut_off: Services of which it reaches no upstream.
+        delays: Delays of answers, if requests are hedged.
     """
 
     node: str
@@ -97,6 +99,7 @@
     limits: tuple[StatedLimit, ...] = ()
     leaving: tuple[UpstreamRun, ...] = ()
     cut_off: frozenset[str] = frozenset()
+    delays: tuple[GroupDelays, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/answer_forwarder.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/answer_forwarder.py
@@ -19,6 +19,7 @@
     kind_label,
     length_label,
 )
+from lagoonhinge_node.forwarding.hedge_groups import hedge_group
 from lagoonhinge_node.forwarding.request_context import (
     RequestContext,
     RequestLog,
@@ -46,6 +47,8 @@
         claim_answer: Called when this attempt has a part of the answer; cancels the
             request's other open attempts.
         longest_gap_s: Longest gap between events so far, in seconds.
+        sent_s: When it was sent to an upstream, in seconds of the node's clock; `None`
+            for one that another node makes.
     """
 
     context: RequestContext
@@ -55,6 +58,7 @@
     silence_timeout: SilenceTimeout
     claim_answer: Callable[[], None]
     longest_gap_s: float = 0.0
+    sent_s: float | None = None
 
     def begin_write(self) -> None:
         """Prepare to write a part of the answer, for which only this attempt remains.
@@ -182,7 +186,10 @@
         context, choice = attempt.context, attempt.choice
         self.serving.load.finish_prefill(attempt.prompt_number, choice.instances())
         took_s = self.log.took_s(context)
-        predicted_s = choice.waiting_s + choice.prefill_s
+        predicted_s = choice.ready_s()
+        if attempt.sent_s is not None:
+            delay_s = self.serving.clock() - attempt.sent_s - predicted_s
+            self.serving.hedges.record_delay(hedge_group(context), delay_s)
         self.log.log_event(context, message, took_s=took_s, predicted_s=predicted_s)
         labels = (kind_label(context.route.kind), length_label(context.request))
         self.metrics.first_event.labels(*labels).observe(took_s)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/attempt_sender.py
@@ -119,6 +119,7 @@
                         writer,
                         silence_timeout,
                         claim_answer,
+                        sent_s=serving.clock(),
                     )
                 )
                 not_run = isinstance(result, Failure) and isinstance(
@@ -186,7 +187,7 @@
 
     async def _exchange(self, attempt: Attempt) -> Result[None, AttemptFailure]:
         context, choice = attempt.context, attempt.choice
-        predicted_s = choice.waiting_s + choice.prefill_s
+        predicted_s = choice.ready_s()
         attempt.silence_timeout.restart(answer_timeout_s(context.route, predicted_s))
         answer: UpstreamAnswer | None = None
         try:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_metrics.py
@@ -87,6 +87,11 @@
             "Requests that other nodes were asked to serve, by result.",
             ("result",),
         )
+        self.hedges = self.counter(
+            "lagoonhinge_hedges",
+            "Requests that were slower than usual: hedges by result, or why not sent.",
+            ("result",),
+        )
         self.refusals = self.counter(
             "lagoonhinge_refusals",
             "Requests that were not admitted, by status.",
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/load_exchange.py
@@ -104,6 +104,7 @@
             limits=self.serving.request_limits.own_statements(now_s)[-MAX_NOTICES:],
             leaving=tuple(self.serving.leaving_notices.own)[-MAX_NOTICES:],
             cut_off=self.serving.reach.cut_off,
+            delays=self.serving.hedges.take_unsent(),
         )
         self.serving.request_limits.has_unsent = False
         self.serving.leaving_notices.has_unsent = False
@@ -116,6 +117,7 @@
         now_s = self.serving.clock()
         self.serving.load.merge(message.load, now_s)
         self.serving.request_limits.merge(message.load.limits, now_s)
+        self.serving.hedges.merge(message.load.delays)
         for run in self.serving.leaving_notices.merge(message.load.leaving):
             self.log_part.info(
                 "A peer was told that an upstream leaves.",
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/open_attempts.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/open_attempts.py
@@ -4,7 +4,7 @@
 first has a part of the answer forwards it, and the others are cancelled.
 """
 
-from asyncio import Queue, Task, create_task, gather
+from asyncio import Queue, Task, TimerHandle, create_task, gather, get_running_loop
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, TypeAlias
@@ -45,6 +45,17 @@
     result: AttemptResult
 
 
+@dataclass(frozen=True)
+class HedgeDue:
+    """An attempt takes longer than usual.
+
+    Attributes:
+        choice: The upstreams of the attempt.
+    """
+
+    choice: UpstreamChoice
+
+
 class OpenAttempts:
     """The open attempts of one request.
 
@@ -60,7 +71,9 @@
         self.choices: dict[str, UpstreamChoice] = {}
         self.superseded: list[Task[AttemptResult]] = []
         self.silent: set[str] = set()
-        self.updates: Queue[UpstreamSilent | Task[AttemptResult]] = Queue()
+        self.updates: Queue[UpstreamSilent | HedgeDue | Task[AttemptResult]] = Queue()
+        self.is_answered = False  # in part
+        self.hedge_timer: TimerHandle | None = None
 
     def is_empty(self) -> bool:
         """Return whether no attempt is open."""
@@ -76,6 +89,12 @@
         self.tasks[instance] = task
         task.add_done_callback(self.updates.put_nowait)
 
+    def hedge_after(self, choice: UpstreamChoice, delay_s: float) -> None:
+        """Report an attempt that has no part of the answer after a time."""
+        loop = get_running_loop()
+        due = HedgeDue(choice)
+        self.hedge_timer = loop.call_later(delay_s, self.updates.put_nowait, due)
+
     def all_silent(self) -> bool:
         """Return whether each open attempt, if any, is at a silent upstream."""
         return self.tasks.keys() <= self.silent
@@ -94,6 +113,7 @@
     def claim_answer(self, choice: UpstreamChoice) -> None:
         """Let one attempt continue the answer; cancel the others."""
         instance = choice.upstream.instance
+        self.is_answered = True
         self.silent.discard(instance)
         for other in [name for name in self.tasks if name != instance]:
             task = self.tasks.pop(other)
@@ -101,8 +121,8 @@
             self.superseded.append(task)
             self.record_superseded(self.choices[other], other in self.silent)
 
-    async def next_update(self) -> UpstreamSilent | AttemptEnded:
-        """Wait until an attempt ends or its upstream is silent.
+    async def next_update(self) -> UpstreamSilent | HedgeDue | AttemptEnded:
+        """Wait until an attempt ends, takes long, or its upstream is silent.
 
         Raises:
             ConnectionError: The caller's connection ended.
@@ -113,12 +133,19 @@
                 if update.choice.upstream.instance in self.silent:
                     return update
                 continue
+            if isinstance(update, HedgeDue):
+                is_only = list(self.tasks) == [update.choice.upstream.instance]
+                if is_only and not self.is_answered:
+                    return update
+                continue
             instance = update.get_name()
             if self.tasks.pop(instance, None) is not None:
                 return AttemptEnded(self.choices[instance], update.result())
 
     async def close(self) -> None:
         """Cancel all open attempts and wait for their end."""
+        if self.hedge_timer is not None:
+            self.hedge_timer.cancel()
         tasks = (*self.tasks.values(), *self.superseded)
         for task in tasks:
             task.cancel()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_context.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_context.py
@@ -70,6 +70,8 @@
         deferred_lines: Log lines above the rate limit, written only on failure.
         is_relayed: Whether another node, which reaches no upstream, sent it.
         asked_nodes: Nodes that were asked to serve it.
+        hedged_instance: Upstream of its second attempt while both are open; empty
+            without one.
     """
 
     request: CallerRequest
@@ -91,6 +93,7 @@
     deferred_lines: list["DeferredLine"] = field(default_factory=list)
     is_relayed: bool = False
     asked_nodes: set[str] = field(default_factory=set)
+    hedged_instance: str = ""
 
     @cached_property
     def crash_causes(self) -> PossibleCauses:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -25,6 +25,7 @@
 )
 from lagoonhinge_node.forwarding.open_attempts import (
     AttemptEnded,
+    HedgeDue,
     OpenAttempts,
     UpstreamSilent,
 )
@@ -37,6 +38,7 @@
     SHORT_RETRY_AFTER_S,
     RequestEnding,
 )
+from lagoonhinge_node.forwarding.request_hedging import RequestHedging
 from lagoonhinge_node.forwarding.request_relay import RequestRelay
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.silence_timeout import SilenceTimeout
@@ -77,6 +79,7 @@
         self.log = log
         self.ending = RequestEnding(serving, metrics, log)
         self.relay = RequestRelay(serving, sender.client, self.ending, metrics, log)
+        self.hedging = RequestHedging(serving, chooser, metrics, log)
         self.deadlines: set[Timeout] = set()
 
     def end_all(self) -> None:
@@ -91,6 +94,8 @@
         if not context.is_relayed:
             window = self.serving.retry_window(context.service)
             window.count_request(self.serving.clock())
+            if self.serving.hedges.budget is not None:
+                self.serving.hedges.budget.count_request()
         context.last_event_id = context.request.last_event_id
         end = "caller_left"
         deadline = timeout(max(0.0, self.log.remaining_s(context)))
@@ -159,10 +164,15 @@
             partial(attempts.report_silence, choice),
         )
         claim_answer = partial(attempts.claim_answer, choice)
+        is_first = not context.attempts and attempts.is_empty()
         attempts.start(
             choice,
             self.sender.send(context, choice, writer, silence_timeout, claim_answer),
         )
+        if is_first:
+            delay_s = self.hedging.due_in_s(context, choice)
+            if delay_s is not None:
+                attempts.hedge_after(choice, delay_s)
 
     async def _wait_for_retry(
         self, context: RequestContext, writer: ResponseWriter, attempts: OpenAttempts
@@ -179,6 +189,11 @@
                     if attempts.all_silent():
                         return None
                     continue
+                case HedgeDue(first):
+                    hedge = self.hedging.choose(context, first)
+                    if hedge is not None:
+                        self._start_attempt(context, writer, attempts, hedge)
+                    continue
                 case AttemptEnded(choice, Success(_)):
                     self._count_attempt(choice, "answered")
                     return "answered"
@@ -195,8 +210,9 @@
                     return None
                 # The other attempt goes on, and may not be counted as a run yet.
                 continue
+            # An attempt that is not silent may still succeed.
             may_pass_on = action is FailureAction.PASS_ON and not writer.started
-            if attempts.is_empty() or may_pass_on:
+            if attempts.is_empty() or (may_pass_on and attempts.all_silent()):
                 await attempts.close()
                 return await self.ending.end_failed(
                     context, writer, action, quarantine_s or SHORT_RETRY_AFTER_S
@@ -318,6 +334,7 @@
         self, context: RequestContext, choice: UpstreamChoice, was_silent: bool
     ) -> None:
         self._count_attempt(choice, "silent" if was_silent else "superseded")
+        self.hedging.record_superseded(context, choice)
         self.log.log_event(
             context,
             "Another upstream continues the answer.",
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -13,6 +13,7 @@
 from lagoonhinge_core.forwarding.evacuations import Evacuations
 from lagoonhinge_core.forwarding.freshness import Freshness
 from lagoonhinge_core.forwarding.health import HealthTracker
+from lagoonhinge_core.forwarding.hedging import HedgeTracker
 from lagoonhinge_core.forwarding.leaving_notices import LeavingNotices
 from lagoonhinge_core.forwarding.load_tracker import (
     IDLE_INTERVAL_S,
@@ -85,6 +86,7 @@
         # Upstreams that answer prompts for which this node holds memory, and how many.
         self.memory_users: Counter[str] = Counter()
         self.crashes = CrashTracker()
+        self.hedges = HedgeTracker()
         self.retry_windows: dict[str, RetryWindow] = {}
         self.node_count = 1
         self.store_contact = StoreContact()
@@ -157,10 +159,22 @@
 
     def allows_retry(self, service: str) -> bool:
         """Return whether the retry budget of a service allows one more retry."""
-        # Listed nodes without updates count too, so that a partition never raises this
-        # node's share of the budget.
-        nodes = max(self.node_count, self.load.count_nodes(self.clock()))
-        return self.retry_window(service).allows_retry(self.clock(), nodes)
+        window = self.retry_window(service)
+        return window.allows_retry(self.clock(), self.known_nodes())
+
+    def known_nodes(self) -> int:
+        """Return the number of nodes that share what all may do together.
+
+        Listed nodes without updates count too, so that a partition never raises this
+        node's share.
+        """
+        return max(self.node_count, self.load.count_nodes(self.clock()))
+
+    def is_restricted(self, service: str) -> bool:
+        """Return whether some upstreams of a service take few or no requests now."""
+        listed = self.directory.usable(service)
+        usable = self.usable(service)
+        return len(usable) < len(listed) or len(self.allowed(usable)) < len(usable)
 
     def update_cell(self, engine_services: Iterable[str]) -> None:
         """Determine the cell of this node anew from the listed engines.
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/settings_controller.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/settings_controller.py
@@ -10,6 +10,7 @@
 
 from lagoonhinge_core.forwarding.cold_upstreams import ColdBound
 from lagoonhinge_core.forwarding.freshness import FreshnessLimits
+from lagoonhinge_core.forwarding.hedging import HedgeBound
 from lagoonhinge_core.forwarding.retry_window import RetryBound
 from lagoonhinge_node.addresses import SettingError
 from lagoonhinge_node.forwarding.serving_state import ServingState
@@ -27,12 +28,14 @@
         grace_s: Time from the stop signal until the process is killed, in seconds.
         retries: Retry budget over all nodes.
         cold: Requests that a cold upstream may get; `None` if they are not bounded.
+        hedges: How many requests may be hedged; `None` for none.
     """
 
     freshness: FreshnessLimits
     grace_s: float
     retries: RetryBound
     cold: ColdBound | None = None
+    hedges: HedgeBound | None = None
 
 
 ReadSettings = Callable[[], Result[LiveSettings, tuple[SettingError, ...]]]
@@ -60,6 +63,7 @@
     async def on_start(self) -> None:
         """Put the settings into force, and install the signal handler."""
         self.serving.set_cold_bound(self.current.cold)
+        self.serving.hedges.set_bound(self.current.hedges)
         get_running_loop().add_signal_handler(SIGHUP, self._on_signal)
 
     @Service.timer(CHECK_INTERVAL_S)
@@ -76,6 +80,7 @@
                 self.serving.freshness.limits = settings.freshness
                 self.serving.set_retry_bound(settings.retries)
                 self.serving.set_cold_bound(settings.cold)
+                self.serving.hedges.set_bound(settings.hedges)
                 self.log_part.info("Settings are in force.", settings=repr(settings))
             case Failure(errors) if errors != self.logged_errors:
                 self.logged_errors = errors
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
@@ -46,6 +46,10 @@
     tokens: int = 0
     reservations: tuple[MemoryReservation, ...] = ()
 
+    def ready_s(self) -> float:
+        """Return the predicted time until its first event, in seconds."""
+        return self.waiting_s + self.prefill_s
+
     def upstreams(self) -> tuple[Upstream, ...]:
         """Return the answering upstream and its helpers."""
         return (self.upstream, *self.helpers)
