lagoonctl place tells where a request would go now, and why

Operators could only learn after the fact where a request went. Change: the node's own placement on its present state, with a copy of its random numbers; candidates with load, its age and states. Nothing is counted.

--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/main.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/main.py
@@ -8,12 +8,13 @@
 from lagoonhinge_ctl.drain_commands import Drain, Undrain
 from lagoonhinge_ctl.explain_command import Explain
 from lagoonhinge_ctl.node_commands import Nodes, State
+from lagoonhinge_ctl.place_command import Place
 
 EXIT_CODES = """\
 Exit codes: 0 success; 2 bad usage; 3 bad configuration; 4 another change was accepted
 first; 5 the platform did not say whether the change was accepted; 6 the platform was
 not reached; 7 not in force on every node; 8 a node did not answer; 9 no log has the
-request.\
+request, or no route or client account is known.\
 """
 
 
@@ -22,7 +23,9 @@
 class Lagoonctl:
     """Operate a lagoonhinge fleet."""
 
-    subcommand: Subcommands[ConfigCommand | State | Nodes | Drain | Undrain | Explain]
+    subcommand: Subcommands[
+        ConfigCommand | State | Nodes | Drain | Undrain | Explain | Place
+    ]
 
 
 def main() -> None:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/operator_interface.py
@@ -1,25 +1,30 @@
-"""The operators' interface of a forwarding node: metrics and the state dump."""
+"""The operators' interface of a forwarding node: metrics, state, and previews."""
 
 from http import HTTPStatus
 from typing import Any
 
 from aiohttp import web
-from msgspec import json, to_builtins
+from msgspec import ValidationError, convert, json, to_builtins
 
 from lagoonhinge_node.forwarding.board_sections import (
     NodeListSection,
     SiteConfigSection,
 )
 from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
+from lagoonhinge_node.forwarding.placement_preview import (
+    PlacementPreview,
+    PlacementQuery,
+)
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.store_watch import StoreWatch
 
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
+PLACE_PATH = "/place"
 
 
 class OperatorInterface:
-    """Serves metrics and the state dump.
+    """Serves metrics, the state dump, and previews of placements.
 
     Args:
         serving: State shared by all requests.
@@ -45,12 +50,26 @@
                 return web.Response(
                     body=self.metrics.render(), content_type="text/plain"
                 )
+            case path if path == PLACE_PATH:
+                return self._preview(request)
             case path if path == STATE_PATH:
                 body = json.encode(self.dump())
                 return web.Response(body=body, content_type="application/json")
             case _:
                 return web.Response(status=HTTPStatus.NOT_FOUND)
 
+    def _preview(self, request: web.BaseRequest) -> web.Response:
+        unknown = request.query.keys() - PlacementQuery.__dataclass_fields__.keys()
+        if unknown:
+            text = f"unknown fields: {', '.join(sorted(unknown))}"
+            return web.Response(status=HTTPStatus.BAD_REQUEST, text=text)
+        try:
+            query = convert(dict(request.query), PlacementQuery, strict=False)
+        except ValidationError as error:
+            return web.Response(status=HTTPStatus.BAD_REQUEST, text=str(error))
+        report = PlacementPreview(self.serving).preview(query)
+        return web.Response(body=json.encode(report), content_type="application/json")
+
     def dump(self) -> dict[str, Any]:
         """Return the state of the node, without any client key."""
         serving, now_s = self.serving, self.serving.clock()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from math import inf
+from random import Random
 
 from lagoonhinge_core.forwarding.cell_placement import EnginePool, place_in_cells
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
@@ -73,10 +74,12 @@
 
     Args:
         serving: State shared by all requests.
+        random: Generator of random numbers; the node's own if it is `None`.
     """
 
-    def __init__(self, serving: ServingState):
+    def __init__(self, serving: ServingState, random: Random | None = None):
         self.serving = serving
+        self.random = serving.random if random is None else random
 
     def choose(
         self,
@@ -187,7 +190,7 @@
         pool = EnginePool(
             own, others, serving.cell_peers, describe_own, describe_remote
         )
-        placement = place_in_cells(profile, pool, prompt, serving.random)
+        placement = place_in_cells(profile, pool, prompt, self.random)
         if isinstance(placement, Placement):
             return self._build_choice(placement, prompt)
         return placement
