--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -91,8 +91,13 @@
 
 @dataclass(eq=False)
 class PlatformFleet(Fleet):
-    """The processes of one scenario on the platform."""
+    """The processes of one scenario on the platform.
 
+    Attributes:
+        module_path: Module search path of the next nodes; empty for this version.
+    """
+
+    module_path: str = ""
     workers: dict[str, Process] = field(default_factory=dict)
     store: Process | None = None
 
@@ -173,6 +178,8 @@
         )
         arguments = ("-m", "lagoonhinge_platform")
         environment = {SETTINGS_VARIABLE: str(path)}
+        if self.module_path:
+            environment["PYTHONPATH"] = self.module_path
         if unread_log:
             popen = Popen(
                 (executable, *arguments),
