Short prompts are compared on engines without long prefills

Cause: with more than 8 peers a node compares three engines drawn at random, and in a burst of long prompts all three are often occupied. Change: the sample is drawn from the engines without a long prefill, or from the 8 with the shortest.

--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -12,19 +12,15 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.emulator.traffic import PROFILE
-from lagoonhinge_core.forwarding.engine_sampling import sample_engines
+from lagoonhinge_core.forwarding.cell_placement import EnginePool, place_in_cells
 from lagoonhinge_core.forwarding.load_tracker import (
+    CellSummary,
     LoadTracker,
     LoadUpdate,
     OpenWork,
     Prefill,
 )
-from lagoonhinge_core.forwarding.prompt_placement import (
-    EngineCandidate,
-    Prompt,
-    is_short,
-    place_prompt,
-)
+from lagoonhinge_core.forwarding.prompt_placement import EngineCandidate, Prompt
 from lagoonhinge_http.wire import encode
 from lagoonhinge_node.logs import PartLogger, set_up_queued_logs
 
@@ -52,13 +48,15 @@
 
     def place(self, prompt: Prompt) -> None:
         """Place a prompt once."""
-        short = is_short(PROFILE, prompt)
-        sample = sample_engines(self.engine_names, short, self.peers, self.random)
-        engines = tuple(
-            EngineCandidate(name, self.tracker.load(name, NOW_S), False, position)
-            for position, name in sample
-        )
-        place_prompt(PROFILE, engines, prompt)
+        pool = EnginePool(self.engine_names, (), self.peers, self._describe, _no_remote)
+        place_in_cells(PROFILE, pool, prompt, self.random)
+
+    def _describe(self, name: str, position: float) -> EngineCandidate:
+        return EngineCandidate(name, self.tracker.load(name, NOW_S), False, position)
+
+
+def _no_remote(name: str, _: CellSummary) -> EngineCandidate:
+    raise AssertionError(f"{name} is an engine of another cell")
 
 
 def build_node(engines: int, peers: int) -> Node:
--- a/features/forwarding_placement.feature
+++ b/features/forwarding_placement.feature
@@ -43,6 +43,20 @@
       | 20    | 3     | 6    |
       | 70    | 1     | 8    |
 
+  # With a sample of any three engines, short prompts waited a second behind long ones
+  # while other engines were free.
+  Scenario Outline: A short prompt is compared on engines without long prefills
+    Given <busy> of 26 engines prefill long prompts for 1 s
+    Then a node with 27 peers compares 3 of the <pool> engines with the shortest long prefills
+
+    Examples:
+      | busy | pool |
+      | 0    | 26   |
+      | 13   | 13   |
+      | 18   | 8    |
+      | 24   | 8    |
+      | 26   | 8    |
+
   Scenario Outline: With more peers, fewer engines are compared for a short prompt
     When a node with <peers> peers places a short prompt on <engines> engines
     Then it compares <count> of them
--- a/features/steps/forwarding_placement_steps.py
+++ b/features/steps/forwarding_placement_steps.py
@@ -6,9 +6,12 @@
 from behave import given, then, when
 
 from bench.emulator.traffic import PROFILE
-from lagoonhinge_core.forwarding.cell_placement import place_long_prompt
+from lagoonhinge_core.forwarding.cell_placement import EnginePool, place_long_prompt
 from lagoonhinge_core.forwarding.cells import cell_zones
-from lagoonhinge_core.forwarding.engine_sampling import sample_engines, sample_size
+from lagoonhinge_core.forwarding.engine_sampling import (
+    position_engines,
+    sample_size,
+)
 from lagoonhinge_core.forwarding.load_tracker import (
     CellSummary,
     Load,
@@ -23,7 +26,6 @@
     EngineCandidate,
     Placement,
     Prompt,
-    is_short,
     place_prompt,
 )
 
@@ -69,7 +71,6 @@
 
 
 def _place(context, prompt: Prompt):
-    short = is_short(PROFILE, prompt)
     engines = tuple(
         EngineCandidate(
             name,
@@ -77,7 +78,7 @@
             name in context.recently_failed,
             position,
         )
-        for position, name in sample_engines(context.names, short, 0, Random(1))
+        for position, name in position_engines(context.names)
     )
     placement = place_prompt(PROFILE, engines, prompt)
     if not isinstance(placement, Placement):
@@ -193,6 +194,36 @@
     assert reserved > 0
 
 
+@given("{busy:d} of {engines:d} engines prefill long prompts for {seconds:g} s")
+def step_long_prefills(context, busy, engines, seconds):
+    context.names = [f"e{number}" for number in range(engines)]
+    context.tracker = LoadTracker("n0")
+    for number in range(busy):
+        # Each is a little longer than the one before.
+        prefill = Prefill(number, f"e{number}", seconds + number / 1000, True)
+        context.tracker.add_prefill(prefill, NOW_S)
+
+
+@then(
+    "a node with {peers:d} peers compares {count:d} of the {pool:d} engines with the "
+    "shortest long prefills"
+)
+def step_compares(context, peers, count, pool):
+    def describe(name: str, position: float) -> EngineCandidate:
+        return EngineCandidate(name, context.tracker.load(name, NOW_S), False, position)
+
+    engines = EnginePool(context.names, (), peers, describe, None)
+    waits_s = sorted(context.tracker.load(n, NOW_S).prefill_s for n in context.names)
+    drawn = set()
+    for seed in range(100):
+        compared = engines.own_candidates(True, Random(seed))
+        assert len(compared) == count, compared
+        longest_s = max(engine.load.prefill_s for engine in compared)
+        assert longest_s <= waits_s[pool - 1], (longest_s, waits_s)
+        drawn.update(engine.instance for engine in compared)
+    assert len(drawn) == pool, drawn
+
+
 @then("it has no room")
 def step_no_room(context):
     assert context.placement is None, context.placement
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/cell_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/cell_placement.py
@@ -12,8 +12,9 @@
 
 from lagoonhinge_core.forwarding.engine_sampling import (
     EngineT,
-    sample_engines,
+    position_engines,
     sample_remote_engines,
+    sample_size,
 )
 from lagoonhinge_core.forwarding.engine_time import EngineProfile
 from lagoonhinge_core.forwarding.load_tracker import CellSummary
@@ -28,6 +29,10 @@
     place_prompt,
 )
 
+# Fewest engines from which a sample is drawn: all nodes know the same ones without a
+# long prefill, and would fill these up.
+MIN_POOL_ENGINES = 8
+
 
 @dataclass(frozen=True)
 class EnginePool(Generic[EngineT]):
@@ -50,11 +55,24 @@
     def own_candidates(
         self, short: bool, random: Random
     ) -> tuple[EngineCandidate, ...]:
-        """Return the engines of the own cell to compare."""
-        sampled = sample_engines(self.own, short, self.peers, random)
-        return tuple(
-            self.describe_own(engine, position) for position, engine in sampled
+        """Return the engines of the own cell to compare.
+
+        Long prefills are told to all nodes at once, so a short prompt is compared on
+        engines without one, or on those with the shortest. A sample of all engines may
+        have only engines that long prompts occupy for seconds.
+        """
+        candidates = tuple(
+            self.describe_own(engine, position)
+            for position, engine in position_engines(self.own)
         )
+        size = sample_size(len(candidates), self.peers)
+        if not short or size == len(candidates):
+            return candidates
+        limit_s = DEFAULT_WEIGHTS.short_prefill_s
+        ranked = sorted(candidates, key=lambda c: c.load.prefill_s)
+        free = sum(c.load.prefill_s <= limit_s for c in ranked)
+        drawn_from = ranked[: max(free, size, MIN_POOL_ENGINES)]
+        return tuple(random.sample(drawn_from, size))
 
     def short_candidates(self, random: Random) -> tuple[EngineCandidate, ...]:
         """Return the engines to compare for a short prompt."""
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/engine_sampling.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/engine_sampling.py
@@ -31,27 +31,18 @@
     return min(engines, max(MIN_SAMPLE_SIZE, wanted))
 
 
-def sample_engines(
-    engines: Sequence[EngineT], is_short: bool, peers: int, random: Random
-) -> list[tuple[float, EngineT]]:
-    """Return the engines to compare for a prompt, each with its position.
+def position_engines(engines: Sequence[EngineT]) -> list[tuple[float, EngineT]]:
+    """Return engines with their positions in an order that all nodes share.
 
     Args:
-        engines: Engines that may take it, in an order that all nodes share.
-        is_short: Whether the prompt is short; others are compared on all engines.
-        peers: Other nodes that use the engines.
-        random: Random number generator of the sample.
+        engines: Engines in that order.
 
     Returns:
         Pairs of a position, from 0 for the first engine to 1 for the last, and an
         engine.
     """
     last_index = max(1, len(engines) - 1)
-    positioned = [(index / last_index, engine) for index, engine in enumerate(engines)]
-    size = sample_size(len(positioned), peers)
-    if not is_short or size == len(positioned):
-        return positioned
-    return random.sample(positioned, size)
+    return [(index / last_index, engine) for index, engine in enumerate(engines)]
 
 
 def sample_remote_engines(
