--- a/bench/emulator/fleet.py
+++ b/bench/emulator/fleet.py
@@ -229,6 +229,7 @@
             [name for name, zone in self.engine_zones.items() if zone in cell],
             [(summary, engines) for summary, engines in known if summary is not None],
             self._cell_size(number) - 1,
+            lambda name: tracker.prefill_s(name, now_s),
             lambda name, position: EngineCandidate(
                 name, tracker.load(name, now_s), position=position
             ),
--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -48,7 +48,14 @@
 
     def place(self, prompt: Prompt) -> None:
         """Place a prompt once."""
-        pool = EnginePool(self.engine_names, (), self.peers, self._describe, _no_remote)
+        pool = EnginePool(
+            self.engine_names,
+            (),
+            self.peers,
+            lambda name: self.tracker.prefill_s(name, NOW_S),
+            self._describe,
+            _no_remote,
+        )
         place_in_cells(PROFILE, pool, prompt, self.random)
 
     def _describe(self, name: str, position: float) -> EngineCandidate:
--- a/features/steps/forwarding_placement_steps.py
+++ b/features/steps/forwarding_placement_steps.py
@@ -212,7 +212,10 @@
     def describe(name: str, position: float) -> EngineCandidate:
         return EngineCandidate(name, context.tracker.load(name, NOW_S), False, position)
 
-    engines = EnginePool(context.names, (), peers, describe, None)
+    def prefill_s(name: str) -> float:
+        return context.tracker.prefill_s(name, NOW_S)
+
+    engines = EnginePool(context.names, (), peers, prefill_s, describe, None)
     waits_s = sorted(context.tracker.load(n, NOW_S).prefill_s for n in context.names)
     drawn = set()
     for seed in range(100):
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/cell_placement.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/cell_placement.py
@@ -42,6 +42,8 @@
         own: Engines of the own cell, in an order that all nodes share.
         others: Summary and engines of each other cell whose load is known.
         peers: Number of other nodes in the own cell.
+        prefill_s: Return the time until an engine of the own cell has finished its
+            assigned prefills, in seconds.
         describe_own: Return an engine of the own cell, at its position in the order.
         describe_remote: Return an engine of another cell.
     """
@@ -49,6 +51,7 @@
     own: Sequence[EngineT]
     others: Sequence[tuple[CellSummary, Sequence[EngineT]]]
     peers: int
+    prefill_s: Callable[[EngineT], float]
     describe_own: Callable[[EngineT, float], EngineCandidate]
     describe_remote: Callable[[EngineT, CellSummary], EngineCandidate]
 
@@ -61,18 +64,17 @@
         engines without one, or on those with the shortest. A sample of all engines may
         have only engines that long prompts occupy for seconds.
         """
-        candidates = tuple(
-            self.describe_own(engine, position)
-            for position, engine in position_engines(self.own)
+        compared = position_engines(self.own)
+        size = sample_size(len(compared), self.peers)
+        if short and size < len(compared):
+            waits_s = [self.prefill_s(engine) for engine in self.own]
+            free = sum(s <= DEFAULT_WEIGHTS.short_prefill_s for s in waits_s)
+            ranked = sorted(range(len(waits_s)), key=waits_s.__getitem__)
+            drawn_from = ranked[: max(free, size, MIN_POOL_ENGINES)]
+            compared = [compared[index] for index in random.sample(drawn_from, size)]
+        return tuple(
+            self.describe_own(engine, position) for position, engine in compared
         )
-        size = sample_size(len(candidates), self.peers)
-        if not short or size == len(candidates):
-            return candidates
-        limit_s = DEFAULT_WEIGHTS.short_prefill_s
-        ranked = sorted(candidates, key=lambda c: c.load.prefill_s)
-        free = sum(c.load.prefill_s <= limit_s for c in ranked)
-        drawn_from = ranked[: max(free, size, MIN_POOL_ENGINES)]
-        return tuple(random.sample(drawn_from, size))
 
     def short_candidates(self, random: Random) -> tuple[EngineCandidate, ...]:
         """Return the engines to compare for a short prompt."""
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -322,11 +322,12 @@
         others = self.peer_work.get(instance, NO_WORK)
         requests = own.requests + others.requests
         tokens = own.tokens + others.tokens
+        return Load(self.prefill_s(instance, now_s), requests, tokens)
+
+    def prefill_s(self, instance: str, now_s: float) -> float:
+        """Return the time until an upstream's prefills are finished, in seconds."""
         queue = self.queues.get(instance)
-        if queue is None:
-            return Load(requests=requests, tokens=tokens)
-        prefill_s = queue.prefill_s(now_s)
-        return Load(prefill_s, requests, tokens)
+        return 0.0 if queue is None else queue.prefill_s(now_s)
 
     def count_nodes(self, now_s: float) -> int:
         """Return the number of live nodes, including this one."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_choice.py
@@ -188,7 +188,12 @@
         if not own and not others:
             own = untried
         pool = EnginePool(
-            own, others, serving.cell_peers, describe_own, describe_remote
+            own,
+            others,
+            serving.cell_peers,
+            lambda entry: load.prefill_s(entry.instance, now_s),
+            describe_own,
+            describe_remote,
         )
         placement = place_in_cells(profile, pool, prompt, self.random)
         if isinstance(placement, Placement):
