Bulk reads are of 4 to 256 KB

Cause: beside load 14 to 16 floods of bodies and of comments ended at their deadline: reads of tiny chunks shrank to 1 KB, and those of bodies stopped at 64 KB, so the bounds of answers were reached after more than a thousand loop iterations. Change: 4 KB at least, 256 KB at most.

--- a/features/busy_process.feature
+++ b/features/busy_process.feature
@@ -21,10 +21,10 @@
     Examples:
       | size  | took | next  |
       | 4096  | 0.1  | 8192  |
-      | 65536 | 0.1  | 65536 |
+      | 262144 | 0.1 | 262144 |
       | 4096  | 0.5  | 4096  |
-      | 4096  | 1.5  | 2048  |
-      | 1024  | 5    | 1024  |
+      | 8192  | 1.5  | 4096  |
+      | 4096  | 5    | 4096  |
 
   # Beside other load, sound upstreams counted as unreachable, and requests were refused.
   Scenario Outline: A connect timeout counts only if the process was not held up
--- a/packages/lagoonhinge-http/src/lagoonhinge_http/read_turns.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/read_turns.py
@@ -11,9 +11,8 @@
 # Full reads in a row after which a connection takes turns: its sender is faster than
 # this process. Events and small answers do not fill a read.
 MAX_FULL_READS = 2
-MIN_READ_BYTES = 1 << 10
-FIRST_READ_BYTES = 4 << 10
-MAX_READ_BYTES = 64 << 10
+FIRST_READ_BYTES = 4 << 10  # also the least
+MAX_READ_BYTES = 256 << 10
 # Processor time that one read may take; parsing tiny chunks takes a hundred times as
 # long for each byte as copying a body.
 MAX_READ_S = 0.001
@@ -63,7 +62,7 @@
         took_s: Processor time that it took, in seconds.
     """
     if took_s > MAX_READ_S:
-        return max(MIN_READ_BYTES, read_bytes // 2)
+        return max(FIRST_READ_BYTES, read_bytes // 2)
     if took_s * GROWTH_FACTOR < MAX_READ_S:
         return min(MAX_READ_BYTES, read_bytes * 2)
     return read_bytes
