Hedging takes the runner's choice, and previews the callers' refusal

Change: the runner passes its choice to the hedging; the preview uses Refusal. No behaviour changes. Formatter, linter and types pass; hedging, open_attempts, place and platform_adapter: 137 passed, 0 failed.

--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/placement_preview.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/placement_preview.py
@@ -19,6 +19,7 @@
 from lagoonhinge_core.forwarding.routes import Route
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
+from lagoonhinge_node.forwarding.caller_interface import Refusal
 from lagoonhinge_node.forwarding.request_ending import SHORT_RETRY_AFTER_S
 from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.upstream_choice import UpstreamChoice, UpstreamChooser
@@ -118,13 +119,6 @@
     candidates: tuple[CandidateReport, ...] = ()
 
 
-@dataclass(frozen=True)
-class _Refusal:
-    status: int
-    reason: str
-    retry_after_s: float | None = None
-
-
 class PlacementPreview:
     """Previews the placement of requests.
 
@@ -152,35 +146,33 @@
                 return self._place(query, route, service, random)
         raise AssertionError("not a result")
 
-    def _find_route(self, query: PlacementQuery) -> Result[Route, _Refusal]:
+    def _find_route(self, query: PlacementQuery) -> Result[Route, Refusal]:
         serving = self.serving
         config = serving.board.read(SiteConfigSection).config
         staleness = serving.freshness.staleness(serving.clock())
         if config is None:
-            return Failure(_Refusal(503, "no configuration", SHORT_RETRY_AFTER_S))
+            return Failure(Refusal(503, "no configuration", SHORT_RETRY_AFTER_S))
         if staleness in (Staleness.UNKNOWN, Staleness.STALE):
             reason = "the configuration is stale"
-            return Failure(_Refusal(503, reason, SHORT_RETRY_AFTER_S))
+            return Failure(Refusal(503, reason, SHORT_RETRY_AFTER_S))
         route = config.routes.find(query.host, query.path)
         if route is None:
-            return Failure(_Refusal(404, "no such route"))
+            return Failure(Refusal(404, "no such route"))
         names = {account.name for account in config.accounts.values()}
         if config.needs_key and not route.public and query.account not in names:
-            return Failure(_Refusal(401, "no such client account"))
+            return Failure(Refusal(401, "no such client account"))
         return Success(route)
 
     def _place(
         self, query: PlacementQuery, route: Route, service: str, random: Random
     ) -> PlacementReport:
         serving = self.serving
-        size = PromptSize(query.prompt_tokens, query.answer_tokens)
+        size: PromptSize | None = None
+        if query.prompt_tokens:
+            size = PromptSize(query.prompt_tokens, query.answer_tokens)
         request = CallerRequest(
-            "", "", query.path, query.host, (), b"", None, None, None, None
+            "", "", query.path, query.host, (), b"", None, None, size, None
         )
-        if query.prompt_tokens:
-            request = CallerRequest(
-                "", "", query.path, query.host, (), b"", None, None, size, None
-            )
         remaining_s = min(route.timeout_s, query.time_limit_s or inf)
         if service in serving.reach.cut_off:
             return self._report(
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_hedging.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_hedging.py
@@ -6,11 +6,12 @@
     HedgeSituation,
     decide_hedge,
 )
+from lagoonhinge_core.forwarding.prompt_placement import DeadlineUnreachable
 from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.hedge_groups import hedge_group
 from lagoonhinge_node.forwarding.request_context import RequestContext, RequestLog
 from lagoonhinge_node.forwarding.serving_state import ServingState
-from lagoonhinge_node.forwarding.upstream_choice import UpstreamChoice, UpstreamChooser
+from lagoonhinge_node.forwarding.upstream_choice import UpstreamChoice
 
 
 class RequestHedging:
@@ -18,7 +19,6 @@
 
     Args:
         serving: State shared by all requests.
-        chooser: Chooses upstreams.
         metrics: The metrics.
         log: Log lines of requests.
     """
@@ -26,12 +26,10 @@
     def __init__(
         self,
         serving: ServingState,
-        chooser: UpstreamChooser,
         metrics: ForwardingMetrics,
         log: RequestLog,
     ):
         self.serving = serving
-        self.chooser = chooser
         self.metrics = metrics
         self.log = log
 
@@ -42,19 +40,21 @@
         return self.serving.hedges.due_in_s(hedge_group(context), choice.ready_s())
 
     def choose(
-        self, context: RequestContext, first: UpstreamChoice
+        self,
+        context: RequestContext,
+        first: UpstreamChoice,
+        choice: UpstreamChoice | DeadlineUnreachable | None,
     ) -> UpstreamChoice | None:
-        """Return the upstream of a hedge that is due now; `None` if none is sent."""
+        """Return the upstream of a hedge that is due now; `None` if none is sent.
+
+        Args:
+            context: The request.
+            first: The upstreams of its first attempt.
+            choice: Where placement would send another attempt.
+        """
         serving, budget = self.serving, self.serving.hedges.budget
         if budget is None:
             return None
-        choice = self.chooser.choose(
-            context.request,
-            context.route,
-            context.service,
-            context.tried,
-            self.log.remaining_s(context),
-        )
         alternative: Alternative | None = None
         if isinstance(choice, UpstreamChoice):
             load = serving.load.load(choice.upstream.instance, serving.clock())
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -79,7 +79,7 @@
         self.log = log
         self.ending = RequestEnding(serving, metrics, log)
         self.relay = RequestRelay(serving, sender.client, self.ending, metrics, log)
-        self.hedging = RequestHedging(serving, chooser, metrics, log)
+        self.hedging = RequestHedging(serving, metrics, log)
         self.deadlines: set[Timeout] = set()
 
     def end_all(self) -> None:
@@ -190,7 +190,8 @@
                         return None
                     continue
                 case HedgeDue(first):
-                    hedge = self.hedging.choose(context, first)
+                    alternative = self._choose_now(context)
+                    hedge = self.hedging.choose(context, first, alternative)
                     if hedge is not None:
                         self._start_attempt(context, writer, attempts, hedge)
                     continue
