Logs lead from a request to the causes of crashes in it

A failed attempt has the digest of its request, so the request of a record can be followed to the lines about causes, which have no request ID. The line about causes that are no longer refused has the upstreams whose crashes remain: with some, answers did not contradict the crashes, only their attribution changed. No change of behaviour.

--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/crash_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/crash_exchange.py
@@ -80,8 +80,12 @@
                 )
         for cause in self.known_causes:
             if cause not in causes:
+                # Without upstreams, answers contradicted the crashes, or they are old;
+                # otherwise the crashes are only attributed differently.
                 self.log_part.info(
-                    "Requests are no longer refused for crashes.", causes=sorted(cause)
+                    "Requests are no longer refused for crashes.",
+                    causes=sorted(cause),
+                    upstreams=crashes.upstreams_of(cause),
                 )
         self.known_causes = causes
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -303,6 +303,7 @@
             declined=context.declined,
             may_repeat=history.within_retry_budget,
             remaining_s=history.remaining_s,
+            digest=context.crash_causes.digest if isinstance(failure, Lost) else None,
             parts=context.request.shared_parts,
             verdict=action.value,
         )
