--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -73,6 +73,18 @@
       | events                                                                                             | refused    | served       |
       | a+p crashes 1, 1 s pass, b+q crashes 2, 1 s pass, c+p crashes 3, 1 s pass, d+q crashes 4, 1 s pass, e+p crashes 5, 1 s pass, f+q crashes 6, 1 s pass | g+p, g+q | g+x |
 
+    # A request under which three engines had ended was served again when the same crashes
+    # counted for a second one, since a request was refused only if it was both.
+    Examples: requests that are always on the same upstreams
+      | events                                                                                             | refused    | served       |
+      | a+p fails on 1, b+p fails on 1, 1 ended, a+p fails on 2, b+p fails on 2, 2 ended, a+p fails on 3, b+p fails on 3, 3 ended | a+p, b+p | c+p |
+      | a+p fails on 1, b+p fails on 1, 1 ended, a+p fails on 2, b+p fails on 2, 2 ended, a+p fails on 3, b+p fails on 3, 3 ended, a+p crashes 4 | a+p, b+p | c+p |
+      | a+p fails on 1, b+p fails on 1, 1 ended, a+p fails on 2, b+p fails on 2, 2 ended, a+p fails on 3, b+p fails on 3, 3 ended, b+p is answered | a+p | b+p, c+p |
+      | a+x fails on 1, c+y fails on 1, 1 ended, a+x fails on 2, c+y fails on 2, 2 ended, a+x fails on 3, c+y fails on 3, 3 ended, a+x fails on 4, c+y fails on 4, 4 ended, 1 s pass | a+x, c+y | d+x, d+y |
+      | a fails on 1, s+q fails on 1, 1 ended, 1 s pass, a fails on 2, t+q fails on 2, 2 ended, 1 s pass, a fails on 3, u+q fails on 3, 3 ended, 1 s pass | a | d+q |
+      | a fails on 1, s+q fails on 1, 1 ended, 1 s pass, a fails on 2, t+q fails on 2, 2 ended, 1 s pass, a fails on 3, u+q fails on 3, 3 ended, 1 s pass, v+q crashes 4, 1 s pass | a, d+q | d |
+      | a fails on 1, c fails on 1, 1 ended, a fails on 2, c fails on 2, 2 ended, a crashes 3, c crashes 4 | a, c | d |
+
   Scenario Outline: Peers are told of answers that contradict their crashes
     Given the crash tracker of a node
     When these events come: <events>
--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -30,6 +30,37 @@
       | 64    | 120     | 5    | 60    | 5   | nothing else happens                 |
       | 64    | 120     | 5    | 60    | 5   | half of the nodes restart at 15 s    |
 
+  # Both run on the only worker each time, so the same crashes count for both.
+  Scenario Outline: A request that crashes workers is held back beside a sound one that is always with it
+    Given <nodes> nodes on the platform with 1 workers for models
+    When the same request that crashes workers and the same sound one are sent together each second for <duration> s
+    Then from 3 s after the third crash on, at most 3 workers crash
+    And from 13 s after it on, the sound request is answered
+
+    Examples:
+      | nodes | duration |
+      | 1     | 24       |
+      | 3     | 24       |
+
+  # A request under which three engines had ended was sent to engines 4 times more, as a
+  # sound one had been beside it each time.
+  Scenario Outline: Requests that crash engines are held back beside sound ones that are always with them
+    Given a fleet of <nodes> nodes and <engines> engines, of whose messages <loss> of 100 are lost
+    When <sound> sound prompts a second come for 40 s, and each 3 s <guilty> that crash engines and <companions> others together, with 5 seeds
+    Then each that crashes engines reaches them at most 3 times later than 3 s after its third crash
+    And none of the others is refused for more than 10 s
+
+    Examples:
+      | nodes | engines | loss | sound | guilty | companions |
+      | 1     | 16      | 0    | 20    | 1      | 0          |
+      | 1     | 16      | 0    | 20    | 1      | 1          |
+      | 9     | 23      | 0    | 20    | 1      | 1          |
+      | 9     | 23      | 5    | 20    | 1      | 4          |
+      | 9     | 23      | 5    | 20    | 2      | 0          |
+      | 9     | 23      | 5    | 20    | 2      | 2          |
+      | 64    | 120     | 5    | 60    | 1      | 1          |
+      | 64    | 120     | 5    | 60    | 2      | 2          |
+
   Scenario Outline: Upstreams that end for another reason quarantine nothing
     Given a fleet of <nodes> nodes and <engines> engines, of whose messages <loss> of 100 are lost
     When <sound> sound and 0 bad prompts a second come for 40 s, <event>, with 3 seeds
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -1,5 +1,6 @@
 """Steps about parts of prompts that crash upstreams."""
 
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from random import Random
@@ -10,6 +11,7 @@
 
 from features.steps.platform_node_steps import start_fleet
 from features.support.crash_fleet import CrashFleet
+from features.support.fleet import Process
 from features.support.platform_fleet import PlatformFleet, send
 from lagoonhinge_platform.names import ATTEMPT_ID, PROMPT_PARTS
 
@@ -110,51 +112,92 @@
 )
 def step_send_prompts(context, place, duration):
     fleet = context.fleet
-    for worker in fleet.workers.values():
+
+    def send_one(number: int, due_s: float) -> SentPrompt:
+        is_bad = number % BAD_PROMPT_EVERY == 0
+        parts = _prompt_parts(number, is_bad, place)
+        node = fleet.nodes[number % len(fleet.nodes)]
+        return _send_prompt(node, number, number, parts, is_bad, due_s)
+
+    _send_while_recorded(context, send_one, duration * PROMPTS_PER_S, PROMPTS_PER_S)
+
+
+@when(
+    "the same request that crashes workers and the same sound one are sent together "
+    "each second for {duration:d} s"
+)
+def step_send_pairs(context, duration):
+    fleet = context.fleet
+
+    def send_one(number: int, due_s: float) -> SentPrompt:
+        pair, is_sound = divmod(number, 2)
+        parts = "topic1:40,own1:250" if is_sound else f"{BAD_PART}:40,own0:250"
+        node = fleet.nodes[pair % len(fleet.nodes)]
+        return _send_prompt(
+            node, number, is_sound, parts, not is_sound, due_s - is_sound / 2
+        )
+
+    _send_while_recorded(context, send_one, duration * 2, 2)
+
+
+def _send_while_recorded(
+    context, send_one: Callable[[int, float], SentPrompt], count: int, per_s: float
+) -> None:
+    """Send prompts, each given its number and when it is due, and record crashes."""
+    for worker in context.fleet.workers.values():
         worker.put_faults(crashing_part=BAD_PART)
-    context.recorder = CrashRecorder(fleet)
+    context.recorder = CrashRecorder(context.fleet)
     stopped = Event()
     thread = Thread(target=context.recorder.run, args=(stopped,))
     thread.start()
     started_s = monotonic()
-
-    def send_one(number: int) -> SentPrompt:
-        sleep(max(0.0, started_s + number / PROMPTS_PER_S - monotonic()))
-        sent_s, is_bad = monotonic(), number % BAD_PROMPT_EVERY == 0
-        answer = send(
-            fleet.nodes[number % len(fleet.nodes)],
-            "POST",
-            f"/stream/{number}",
-            f"prompt {number}".encode(),
-            {
-                ATTEMPT_ID: f"attempt-{number}",
-                PROMPT_PARTS: _prompt_parts(number, is_bad, place),
-            },
-        )
-        return SentPrompt(sent_s, is_bad, None if answer is None else answer.status)
-
     with ThreadPoolExecutor(SENDERS) as pool:
-        context.sent = list(pool.map(send_one, range(duration * PROMPTS_PER_S)))
+        due_s = [started_s + number / per_s for number in range(count)]
+        context.sent = list(pool.map(send_one, range(count), due_s))
     stopped.set()
     thread.join()
 
 
-def _stable_s(context) -> float:
-    """Return when crashes have to stop; without a fifth crash, the last counts."""
-    return context.recorder.exits_s[:CRASHES_TO_STABLE][-1] + STABLE_S
+def _send_prompt(
+    node: Process, number: int, content: int, parts: str, is_bad: bool, due_s: float
+) -> SentPrompt:
+    """Send a prompt when it is due; those with the same content are the same."""
+    sleep(max(0.0, due_s - monotonic()))
+    sent_s = monotonic()
+    answer = send(
+        node,
+        "POST",
+        f"/stream/{content}",
+        f"prompt {content}".encode(),
+        {ATTEMPT_ID: f"attempt-{number}", PROMPT_PARTS: parts},
+    )
+    return SentPrompt(sent_s, is_bad, None if answer is None else answer.status)
+
 
+def _stable_s(context, crashes: int = CRASHES_TO_STABLE) -> float:
+    """Return when crashes have to stop; with fewer than so many, the last counts."""
+    return context.recorder.exits_s[:crashes][-1] + STABLE_S
 
-@then("from 3 s after the fifth crash on, at most {most:d} workers crash")
-def step_crashes_stop(context, most):
-    from_s = _stable_s(context)
+
+@then("from 3 s after the {nth} crash on, at most {most:d} workers crash")
+def step_crashes_stop(context, nth, most):
+    from_s = _stable_s(context, {"third": 3, "fifth": CRASHES_TO_STABLE}[nth])
     exits_s = context.recorder.exits_s
     late = [at_s for at_s in exits_s if at_s > from_s]
     assert len(late) <= most, (len(late), len(exits_s))
 
 
+@then("from 13 s after it on, the sound request is answered")
+def step_sound_request_answered(context):
+    _check_sound_answered(context, _stable_s(context, 3) + 10.0)
+
+
 @then("from 6 s after it on, every sound prompt is answered")
 def step_sound_answered(context):
-    from_s = _stable_s(context) + STABLE_S
+    _check_sound_answered(context, _stable_s(context) + STABLE_S)
+
+
+def _check_sound_answered(context, from_s: float) -> None:
     sound = [
         prompt
         for prompt in context.sent
@@ -205,6 +248,35 @@
                 raise AssertionError(event)
 
 
+@when(
+    "{sound:d} sound prompts a second come for {duration:d} s, and each 3 s {guilty:d} "
+    "that crash engines and {companions:d} others together, with {seeds:d} seeds"
+)
+def step_groups(context, sound, duration, guilty, companions, seeds):
+    nodes, engines, loss = context.size
+    context.fleets = [
+        CrashFleet(nodes, engines, sound, 0, loss, Random(seed), guilty, companions)
+        for seed in range(seeds)
+    ]
+    for fleet in context.fleets:
+        fleet.run(duration)
+
+
+@then(
+    "each that crashes engines reaches them at most {most:d} times later than 3 s "
+    "after its third crash"
+)
+def step_late_guilty(context, most):
+    late = [fleet.late_guilty_sends() for fleet in context.fleets]
+    assert max(late) <= most, late
+
+
+@then("none of the others is refused for more than {most_s:d} s")
+def step_companions(context, most_s):
+    longest_s = [fleet.longest_refusal_s() for fleet in context.fleets]
+    assert max(longest_s) <= most_s, longest_s
+
+
 @then("later than 3 s after the fifth crash at most {most:d} bad prompts reach engines")
 def step_fleet_late(context, most):
     late = [fleet.late_sends(context.restarted_s) for fleet in context.fleets]
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -1,4 +1,9 @@
-"""Nodes before engines that one part of prompts crashes, in steps of virtual time."""
+"""Nodes before engines that prompts crash, in steps of virtual time.
+
+Some prompts share a part that crashes engines. Others crash them by all that they hold;
+they come again and again, together with sound ones, and all of a group are on the same
+engines, as nodes choose by the same loads.
+"""
 
 from collections import deque
 from collections.abc import Sequence
@@ -24,6 +29,9 @@
 MAX_ATTEMPTS = 2
 STABLE_S = 3.0
 CRASHES_TO_STABLE = 5
+REQUEST_CRASHES_TO_STABLE = 3
+GROUP_INTERVAL_S = 3.0
+CLIENT_RETRY_S = 1.0  # until clients of a group send it again, to another node
 BAD_PART = "bad"
 BASE_PART = "base"
 TOPICS = 12  # parts that some sound prompts share
@@ -38,12 +46,14 @@
         causes: What in it may crash an upstream.
         is_bad: Whether it crashes its upstream.
         attempts: Its attempts so far.
+        group: Number of the group in which it came; `None` if alone.
     """
 
     node: str
     causes: PossibleCauses
     is_bad: bool
     attempts: int = 0
+    group: int | None = None
 
 
 @dataclass
@@ -72,6 +82,8 @@
         bad_per_s: Prompts a second with the part that crashes engines.
         loss: Share of lost messages.
         random: Random numbers.
+        guilty: Requests of a group that crash engines.
+        companions: Sound requests of a group.
     """
 
     nodes: int
@@ -80,6 +92,8 @@
     bad_per_s: float
     loss: float
     random: Random
+    guilty: int = 0
+    companions: int = 0
     now_s: float = 0.0
 
     def __post_init__(self) -> None:
@@ -94,6 +108,14 @@
         self.crashes_s: list[float] = []  # that the part caused
         self.bad_sent_s: list[float] = []
         self.sound_s: list[tuple[float, bool]] = []  # and whether it was refused
+        self.groups_s: deque[float] = deque()  # when groups come
+        self.next_group_s = 0.0
+        self.group_engines: dict[tuple[int, int], Engine] = {}
+        self.guilty_sent_s: dict[str, list[float]] = {}
+        self.guilty_crashes_s: dict[str, list[float]] = {}
+        # Since when companions are refused, and the longest such times.
+        self.refused_since_s: dict[str, float] = {}
+        self.refused_s: list[float] = []
 
     def run(self, duration_s: float) -> None:
         """Pass time."""
@@ -106,6 +128,7 @@
             for is_bad, rate in ((False, self.sound_per_s), (True, self.bad_per_s)):
                 if self.random.random() < rate * STEP_S:
                     self._receive(self._new_request(is_bad))
+            self._receive_groups()
             for name, tracker in self.trackers.items():
                 self._gossip(name, tracker)
 
@@ -127,10 +150,27 @@
         causes = PossibleCauses(f"{number}", tuple(PART_PREFIX + p for p in parts))
         return Request(self.random.choice(list(self.trackers)), causes, is_bad)
 
+    def _receive_groups(self) -> None:
+        if self.guilty and self.now_s >= self.next_group_s:
+            self.next_group_s += GROUP_INTERVAL_S
+            self.groups_s += [self.now_s, self.now_s + CLIENT_RETRY_S]
+        while self.groups_s and self.groups_s[0] <= self.now_s:
+            self.groups_s.popleft()
+            number, node = next(self.numbers), self.random.choice(list(self.trackers))
+            members = [("guilty", n) for n in range(self.guilty)]
+            members += [("companion", n) for n in range(self.companions)]
+            for role, n in members:
+                causes = PossibleCauses(f"{role}{n}", (PART_PREFIX + BASE_PART,))
+                is_bad = role == "guilty"
+                self._receive(Request(node, causes, is_bad, group=number))
+
     def _receive(self, request: Request) -> None:
         tracker = self.trackers[request.node]
         is_refused = bool(tracker.remaining_quarantine_s(request.causes, self.now_s))
-        if not request.is_bad:
+        if request.group is not None:
+            if is_refused and not request.is_bad:
+                self.refused_since_s.setdefault(request.causes.digest, self.now_s)
+        elif not request.is_bad:
             self.sound_s.append((self.now_s, is_refused))
         if not is_refused:
             self._send(request)
@@ -141,21 +181,45 @@
             return
         request.attempts += 1
         duration_s = BEGIN_S if request.is_bad else ANSWER_S
-        if request.is_bad:
+        if request.group is not None and request.is_bad:
+            sent_s = self.guilty_sent_s.setdefault(request.causes.digest, [])
+            sent_s.append(self.now_s)
+        elif request.is_bad:
             self.bad_sent_s.append(self.now_s)
-        engine = self.random.choice(live)
+        engine = self._choose_engine(request, live)
         engine.open.append((self.now_s + duration_s, request))
 
+    def _choose_engine(self, request: Request, live: list[Engine]) -> Engine:
+        if request.group is None:
+            return self.random.choice(live)
+        attempt = (request.group, request.attempts)
+        if attempt not in self.group_engines:
+            self.group_engines[attempt] = self.random.choice(live)
+        return self.group_engines[attempt]
+
     def _run_engine(self, engine: Engine) -> None:
         due = [request for at_s, request in engine.open if at_s <= self.now_s]
         if any(request.is_bad for request in due):
-            self.crashes_s.append(self.now_s)
+            self._record_crash([request for request in due if request.is_bad])
             self._crash(engine)
             return
         engine.open = [entry for entry in engine.open if entry[0] > self.now_s]
         for request in due:
             tracker = self.trackers[request.node]
             tracker.record_answer(request.causes.all(), self.now_s)
+            self._end_refusal(request.causes.digest)
+
+    def _record_crash(self, causes: list[Request]) -> None:
+        for request in causes:
+            if request.group is None:
+                self.crashes_s.append(self.now_s)
+            else:
+                times_s = self.guilty_crashes_s.setdefault(request.causes.digest, [])
+                times_s.append(self.now_s)
+
+    def _end_refusal(self, digest: str) -> None:
+        since_s = self.refused_since_s.pop(digest, self.now_s)
+        self.refused_s.append(self.now_s - since_s)
 
     def _crash(self, engine: Engine) -> None:
         broken, engine.open = [request for _, request in engine.open], []
@@ -216,6 +280,26 @@
             for at_s in self.bad_sent_s
         )
 
+    def late_guilty_sends(self) -> int:
+        """Return how often a request of the groups reached engines too late, at most.
+
+        That is later than the time in which crashes are detected and told after its
+        third one.
+        """
+        return max(
+            sum(
+                at_s > crashes_s[:REQUEST_CRASHES_TO_STABLE][-1] + STABLE_S
+                for at_s in self.guilty_sent_s[digest]
+            )
+            for digest, crashes_s in self.guilty_crashes_s.items()
+        )
+
+    def longest_refusal_s(self) -> float:
+        """Return how long a companion was refused at most, in seconds."""
+        for digest in tuple(self.refused_since_s):
+            self._end_refusal(digest)
+        return max(self.refused_s, default=0.0)
+
     def refused_share(self, from_s: float) -> float:
         """Return the share of sound prompts that were refused from a time on."""
         results = [is_refused for at_s, is_refused in self.sound_s if at_s >= from_s]
