Quarantines are tried again, and trials tell what else may have ended them

Cause: fleets whose truth is known (new) showed four faults. A trial beside another crash counted as guilt of a sound request, which was refused for ten minutes; a part that all prompts share was taken for the cause of what two others did, and no answer could clear it, as nothing with it was sent; a part whose crashes came in a burst was found too late; the fleet gave two engines the same name.

Change: a trial's crash counts only if nothing else explains it. What is refused is tried again at growing intervals, disputed causes at once, and a part without other suspected parts. A part that narrower ones explain is disputed. Ends that are explained are no common failures. From the fifth crash on, two moments are enough.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -94,24 +94,34 @@
     Examples: another cause explains the crashes
       | events                                                                                             | tried | held |
       | a fails on 1, b fails on 1, 1 ended, a fails on 2, b fails on 2, 2 ended, a fails on 3, b fails on 3, 3 ended | a, b | none |
-      | a crashes 1, a crashes 2, a crashes 3                                                              | none  | a    |
+      | a crashes 1, a crashes 2, a crashes 3, 59 s pass                                                   | none  | a    |
+      | a crashes 1, a crashes 2, a crashes 3, 61 s pass                                                   | a     | none |
       | a+p crashes 1, a+p crashes 2, a+p crashes 3, 2 s pass                                              | none  | a+p  |
+      | a+p crashes 1, 1 s pass, b+p crashes 2, 1 s pass, c+p crashes 3, 9 s pass                          | none  | d+p  |
+      | a+p crashes 1, 1 s pass, b+p crashes 2, 1 s pass, c+p crashes 3, 11 s pass                         | d+p   | none |
       | a crashes 1, a crashes 2, a crashes 3, c crashes 4, c crashes 5, c crashes 6                       | none  | a, c |
       | a fails on 1, b fails on 1, 1 ended, a fails on 2, b fails on 2, 2 ended, a crashes 3, b crashes 4 | a, b  | none |
       | s+x fails on 1, a+p crashes 1, 1 s pass, s+x fails on 2, b+p crashes 2, 1 s pass, s+x fails on 3, c+p crashes 3, 1 s pass, d+p crashes 4, 1 s pass | s+x, e+p | s+p |
       | s+x fails on 1, a+p crashes 1, 1 s pass, s+x fails on 2, b+p crashes 2, 1 s pass, s+x fails on 3, c+p crashes 3, 1 s pass, d+p crashes 4, 1 s pass, e+p crashes 5, 1 s pass, f+p crashes 6, 1 s pass | s+x | g+p |
 
+    Examples: a part that other parts share explains the crashes of both
+      | events                                                                                             | tried | held |
+      | a+x+p crashes 1, 0.3 s pass, b+x+q crashes 2, 0.3 s pass, c+x+p crashes 3, 0.3 s pass, d+x+q crashes 4, 0.3 s pass, e+x+p crashes 5, 0.3 s pass, f+x+q crashes 6, 1 s pass | s+x | t+x+p |
+      | a+x+p crashes 1, 0.3 s pass, b+x+q crashes 2, 0.3 s pass, c+x+r crashes 3, 0.3 s pass, d+x+s crashes 4, 1 s pass | none | s+x |
+
     Examples: after the same crashes of a and b on 1, 2 and 3
       | events                                                                                             | tried | held |
       | a and b crash 1 to 3, a is tried on 4                                                              | b     | a    |
-      | a and b crash 1 to 3, a is tried on 4, a crashes 4, 11 s pass                                      | b     | a    |
+      | a and b crash 1 to 3, a is tried on 4, a crashes 4, 44 s pass                                      | b     | a    |
+      | a and b crash 1 to 3, a is tried on 4, a crashes 4, 46 s pass                                      | a, b  | none |
+      | a and b crash 1 to 3, a is tried on 4, a fails on 4, c fails on 4, 4 ended, c crashes 5, c crashes 6, 6 s pass | a, b, c | none |
       | a and b crash 1 to 3, b is tried on 4, b is answered                                               | none  | a    |
-      | a and b crash 1 to 3, a is tried on 4, 9 s pass                                                    | b     | a    |
-      | a and b crash 1 to 3, a is tried on 4, 11 s pass                                                   | a, b  | none |
-      | a and b crash 1 to 3, a is tried on 4, 11 s pass, a is tried on 5, 29 s pass                       | b     | a    |
-      | a and b crash 1 to 3, a is tried on 4, 11 s pass, a is tried on 5, 31 s pass                       | a, b  | none |
+      | a and b crash 1 to 3, a is tried on 4, 4 s pass                                                    | b     | a    |
+      | a and b crash 1 to 3, a is tried on 4, 6 s pass                                                    | a, b  | none |
+      | a and b crash 1 to 3, a is tried on 4, 6 s pass, a is tried on 5, 14 s pass                        | b     | a    |
+      | a and b crash 1 to 3, a is tried on 4, 6 s pass, a is tried on 5, 16 s pass                        | a, b  | none |
       | a and b crash 1 to 3, peer tries a on 4                                                            | b     | a    |
-      | a and b crash 1 to 3, peer tries a on 4, peer reports a on 4 0 s ago, 11 s pass                    | b     | a    |
+      | a and b crash 1 to 3, peer tries a on 4, peer reports a on 4 0 s ago, 44 s pass                    | b     | a    |
       | a and b crash 1 to 3, peer claims a                                                                | b     | a    |
       | a and b crash 1 to 3, peer claims a, 3 s pass                                                      | a, b  | none |
 
--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -73,3 +73,9 @@
       | 9     | 23      | 5    | 20    | all of the engines ends each 5 s     |
       | 9     | 23      | 5    | 40    | a tenth of the engines ends each 1 s |
       | 64    | 120     | 5    | 60    | all of the engines ends each 5 s     |
+
+  # Two requests were refused only together, and a part that all prompts share was taken
+  # for the cause of what others did, and not tried for ten minutes.
+  @fuzz
+  Scenario: What crashes engines is told from sound requests, whatever comes together
+    When fleets whose truth is known run with 60 examples
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -11,7 +11,9 @@
 
 from features.steps.platform_node_steps import start_fleet
 from features.support.crash_fleet import CrashFleet
+from features.support.crash_truth import check_truth
 from features.support.fleet import Process
+from features.support.fuzz import run_examples
 from features.support.platform_fleet import PlatformFleet, send
 from lagoonhinge_platform.names import ATTEMPT_ID, PROMPT_PARTS
 
@@ -267,7 +269,7 @@
     "after its third crash"
 )
 def step_late_guilty(context, most):
-    late = [fleet.late_guilty_sends() for fleet in context.fleets]
+    late = [fleet.late_sends(()) for fleet in context.fleets]
     assert max(late) <= most, late
 
 
@@ -293,3 +295,8 @@
 def step_fleet_all_sound(context):
     shares = [fleet.refused_share(0.0) for fleet in context.fleets]
     assert max(shares) == 0, shares
+
+
+@when("fleets whose truth is known run with {examples:d} examples")
+def step_truths(context, examples):
+    run_examples(check_truth, examples)
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -38,8 +38,8 @@
 REQUEST_CRASHES_TO_STABLE = 3
 GROUP_INTERVAL_S = 3.0
 CLIENT_RETRY_S = 1.0  # until clients of a group send it again, to another node
-BAD_PART = "bad"
 BASE_PART = "base"
+BESIDE_PART = "beside"
 TOPICS = 12  # parts that some sound prompts share
 
 
@@ -91,7 +91,10 @@
         loss: Share of lost messages.
         random: Random numbers.
         guilty: Requests of a group that crash engines.
-        companions: Sound requests of a group.
+        companions: Sound requests of a group, the same each time.
+        strangers: Sound requests of a group that share a part and differ each time.
+        bad_parts: Number of parts that crash engines.
+        ends_per_s: Engines that end for another reason, a second.
     """
 
     nodes: int
@@ -102,6 +105,9 @@
     random: Random
     guilty: int = 0
     companions: int = 0
+    strangers: int = 0
+    bad_parts: int = 1
+    ends_per_s: float = 0.0
     now_s: float = 0.0
 
     def __post_init__(self) -> None:
@@ -109,7 +115,9 @@
             name: CrashTracker(trials=TrialLedger(name))
             for name in (f"n{n}" for n in range(self.nodes))
         }
-        self.upstreams = [Engine(f"e{n}") for n in range(self.engines)]
+        self.numbers = iter(range(10**9))
+        # Each run of an engine has a name of its own.
+        self.upstreams = [Engine(f"e{next(self.numbers)}") for _ in range(self.engines)]
         self.messages: deque[
             tuple[
                 float,
@@ -122,15 +130,16 @@
         self.claims: list[tuple[float, Request]] = []
         # When each node finds that an upstream ended.
         self.detections: deque[tuple[float, str, str]] = deque()
-        self.numbers = iter(range(10**9))
-        self.crashes_s: list[float] = []  # that the part caused
-        self.bad_sent_s: list[float] = []
+        self.bad_causes = [f"{PART_PREFIX}bad{n}" for n in range(self.bad_parts)]
+        self.guilty_causes = [f"guilty{n}" for n in range(self.guilty)]
+        # When engines crashed because of each of these, and when requests were sent.
+        self.crashes_s: dict[str, list[float]] = {}
+        self.sent_s: dict[str, list[float]] = {}
+        self.all_causes: set[frozenset[str]] = set()  # of all requests
         self.sound_s: list[tuple[float, bool]] = []  # and whether it was refused
         self.groups_s: deque[float] = deque()  # when groups come
         self.next_group_s = 0.0
         self.group_engines: dict[tuple[int, int], Engine] = {}
-        self.guilty_sent_s: dict[str, list[float]] = {}
-        self.guilty_crashes_s: dict[str, list[float]] = {}
         # Since when companions are refused, and the longest such times.
         self.refused_since_s: dict[str, float] = {}
         self.refused_s: list[float] = []
@@ -148,6 +157,8 @@
                     self._receive(self._new_request(is_bad))
             self._receive_groups()
             self._begin_trials()
+            if self.random.random() < self.ends_per_s * STEP_S:
+                self._crash(self.random.choice(self.upstreams))
             for name, tracker in self.trackers.items():
                 self._gossip(name, tracker)
 
@@ -165,8 +176,10 @@
     def _new_request(self, is_bad: bool) -> Request:
         number = next(self.numbers)
         topic = f"topic{self.random.randrange(TOPICS)}"
-        parts = [BASE_PART, BAD_PART, topic] if is_bad else [BASE_PART, topic]
-        causes = PossibleCauses(f"{number}", tuple(PART_PREFIX + p for p in parts))
+        parts = [PART_PREFIX + part for part in (BASE_PART, topic)]
+        if is_bad:
+            parts.insert(1, self.random.choice(self.bad_causes))
+        causes = PossibleCauses(f"{number}", tuple(parts))
         return Request(self.random.choice(list(self.trackers)), causes, is_bad)
 
     def _receive_groups(self) -> None:
@@ -176,18 +189,24 @@
         while self.groups_s and self.groups_s[0] <= self.now_s:
             self.groups_s.popleft()
             number, node = next(self.numbers), self.random.choice(list(self.trackers))
-            members = [("guilty", n) for n in range(self.guilty)]
-            members += [("companion", n) for n in range(self.companions)]
-            for role, n in members:
-                causes = PossibleCauses(f"{role}{n}", (PART_PREFIX + BASE_PART,))
-                is_bad = role == "guilty"
+            base, beside = PART_PREFIX + BASE_PART, PART_PREFIX + BESIDE_PART
+            members = [(name, (base,)) for name in self.guilty_causes]
+            members += [(f"companion{n}", (base,)) for n in range(self.companions)]
+            members += [
+                (f"stranger{next(self.numbers)}", (base, beside))
+                for _ in range(self.strangers)
+            ]
+            for name, parts in members:
+                is_bad = name in self.guilty_causes
+                causes = PossibleCauses(name, parts)
                 self._receive(Request(node, causes, is_bad, group=number))
 
     def _receive(self, request: Request) -> None:
         tracker = self.trackers[request.node]
+        self.all_causes.add(request.causes.all())
         is_refused = bool(tracker.remaining_quarantine_s(request.causes, self.now_s))
-        if request.group is not None:
-            if is_refused and not request.is_bad:
+        if request.causes.digest.startswith("companion"):
+            if is_refused:
                 self.refused_since_s.setdefault(request.causes.digest, self.now_s)
         elif not request.is_bad:
             self.sound_s.append((self.now_s, is_refused))
@@ -222,11 +241,8 @@
             return
         request.attempts += 1
         duration_s = BEGIN_S if request.is_bad else ANSWER_S
-        if request.group is not None and request.is_bad:
-            sent_s = self.guilty_sent_s.setdefault(request.causes.digest, [])
-            sent_s.append(self.now_s)
-        elif request.is_bad:
-            self.bad_sent_s.append(self.now_s)
+        for cause in self._true_causes(request):
+            self.sent_s.setdefault(cause, []).append(self.now_s)
         engine = self._choose_engine(request, live)
         engine.open.append((self.now_s + duration_s, request))
         if request.is_trial:
@@ -254,13 +270,14 @@
             tracker.record_answer(request.causes.all(), self.now_s)
             self._end_refusal(request.causes.digest)
 
-    def _record_crash(self, causes: list[Request]) -> None:
-        for request in causes:
-            if request.group is None:
-                self.crashes_s.append(self.now_s)
-            else:
-                times_s = self.guilty_crashes_s.setdefault(request.causes.digest, [])
-                times_s.append(self.now_s)
+    def _true_causes(self, request: Request) -> list[str]:
+        causes = request.causes.all()
+        return [c for c in (*self.bad_causes, *self.guilty_causes) if c in causes]
+
+    def _record_crash(self, requests: list[Request]) -> None:
+        causes = {c for request in requests for c in self._true_causes(request)}
+        for cause in causes:
+            self.crashes_s.setdefault(cause, []).append(self.now_s)
 
     def _end_refusal(self, digest: str) -> None:
         since_s = self.refused_since_s.pop(digest, self.now_s)
@@ -317,29 +334,30 @@
         ]
 
     def stable_s(self) -> float:
-        """Return from when prompts with the part may reach no more engines."""
-        return self.crashes_s[:CRASHES_TO_STABLE][-1] + STABLE_S
+        """Return from when requests with what crashes engines may reach none.
 
-    def late_sends(self, restarts_s: Sequence[float]) -> int:
-        """Return how many of them did, not counting times after restarts of nodes."""
-        return sum(
-            at_s > self.stable_s()
-            and not any(start_s <= at_s < start_s + STABLE_S for start_s in restarts_s)
-            for at_s in self.bad_sent_s
-        )
+        That is later than the time in which crashes are detected and told, after the
+        third crash of a request and the fifth of a part.
+        """
+        return max(self._stable_of_s(cause) for cause in self.crashes_s)
 
-    def late_guilty_sends(self) -> int:
-        """Return how often a request of the groups reached engines too late, at most.
+    def _stable_of_s(self, cause: str) -> float:
+        is_part = cause.startswith(PART_PREFIX)
+        first = CRASHES_TO_STABLE if is_part else REQUEST_CRASHES_TO_STABLE
+        return self.crashes_s[cause][:first][-1] + STABLE_S
+
+    def late_sends(self, restarts_s: Sequence[float]) -> int:
+        """Return how many with one cause did, at most.
 
-        That is later than the time in which crashes are detected and told after its
-        third one.
+        Times after restarts of nodes don't count.
         """
         return max(
             sum(
-                at_s > crashes_s[:REQUEST_CRASHES_TO_STABLE][-1] + STABLE_S
-                for at_s in self.guilty_sent_s[digest]
+                at_s > self._stable_of_s(cause)
+                and not any(start <= at_s < start + STABLE_S for start in restarts_s)
+                for at_s in self.sent_s[cause]
             )
-            for digest, crashes_s in self.guilty_crashes_s.items()
+            for cause in self.crashes_s
         )
 
     def longest_refusal_s(self) -> float:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_causes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_causes.py
@@ -12,7 +12,7 @@
 """
 
 from bisect import bisect_left, bisect_right
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass, replace
 from hashlib import blake2b
 
@@ -25,6 +25,10 @@
 # Upstreams that end closer together may have a common cause outside of the requests,
 # such as a power failure.
 COMMON_FAILURE_S = 0.2
+# Moments at which upstreams must have ended under a part, as they may end together for
+# another reason. After five crashes it must be found, also if they came in a burst.
+MOMENTS = 3
+MOMENTS_OF_MANY = 2
 # Of the upstreams that ended together, those that a part must explain: two parts may
 # crash upstreams at the same time.
 MIN_EXPLAINED_SHARE = 0.5
@@ -74,14 +78,18 @@
     Attributes:
         causes: Possible causes, all of which a request must have to be refused.
         upstreams: The upstreams that ended.
-        is_disputed: Whether another one explains so many of the crashes that the rest
-            is not enough; a trial can tell them apart.
+        is_disputed: Whether another one, or several narrower parts, explain so many of
+            the crashes that the rest is not enough; a trial can tell them apart.
     """
 
     causes: frozenset[str]
     upstreams: frozenset[str]
     is_disputed: bool = False
 
+    def is_part(self) -> bool:
+        """Return whether it is parts of prompts, and not a request."""
+        return all(map(_is_part, self.causes))
+
 
 def find_causes(
     crashes_s: Mapping[str, Mapping[str, float]], now_s: float
@@ -105,52 +113,82 @@
         for cause, times_s in crashes_s.items()
         if not _is_part(cause) and len(times_s) >= CRASHES_TO_QUARANTINE
     ]
-    found += _find_parts(crashes_s, now_s)
+    by_requests = frozenset[str]().union(*(entry.upstreams for entry in found))
+    found += _find_parts(crashes_s, by_requests, now_s)
     return tuple(
-        replace(cause, is_disputed=_is_explained_by_other(cause, found))
+        replace(
+            cause,
+            is_disputed=cause.is_disputed or _is_explained_by_other(cause, found),
+        )
         for cause in found
     )
 
 
 def _find_parts(
-    crashes_s: Mapping[str, Mapping[str, float]], now_s: float
+    crashes_s: Mapping[str, Mapping[str, float]],
+    by_requests: frozenset[str],
+    now_s: float,
 ) -> list[FoundCause]:
     """Return the parts of prompts that explain more crashes than anything else.
 
     Where several parts have the same crashes, a request is refused only if it has all
     of them, so that sound requests with some of them are served, and their answers show
     the cause. Where a request has the same crashes as parts, the parts are not causes.
+
+    Args:
+        crashes_s: When each upstream ended, in seconds, for each possible cause.
+        by_requests: Upstreams that ended under requests that are causes.
+        now_s: The time, in seconds.
     """
     ends_s: dict[str, float] = {}
     for times_s in crashes_s.values():
         for upstream, at_s in times_s.items():
             ends_s[upstream] = min(at_s, ends_s.get(upstream, at_s))
-    all_ends_s = sorted(ends_s.values())
-    unexplained = {
-        cause: frozenset(upstreams)
-        for cause, times_s in crashes_s.items()
-        if (upstreams := _attributable(cause, times_s, all_ends_s, now_s))
-    }
     found: list[FoundCause] = []
-    while unexplained:
-        most = max(len(upstreams) for upstreams in unexplained.values())
+    explained = by_requests
+    unexplained = {c: frozenset(times_s) for c, times_s in crashes_s.items()}
+    while True:
+        # Ends that something else explains are no failures in common with the others.
+        open_ends_s = sorted(
+            at_s for upstream, at_s in ends_s.items() if upstream not in explained
+        )
+        attributable = {
+            cause: rest
+            for cause, upstreams in unexplained.items()
+            if len(upstreams) >= CRASHES_TO_QUARANTINE
+            and (
+                rest := upstreams
+                & _attributable(cause, crashes_s[cause], open_ends_s, explained, now_s)
+            )
+        }
+        most = max(map(len, attributable.values()), default=0)
         if most < CRASHES_TO_QUARANTINE:
-            break
-        explained = min(
-            (upstreams for upstreams in unexplained.values() if len(upstreams) == most),
+            return found
+        largest = min(
+            (
+                upstreams
+                for upstreams in attributable.values()
+                if len(upstreams) == most
+            ),
             key=sorted,
         )
-        equal = [c for c, upstreams in unexplained.items() if upstreams == explained]
+        equal = [c for c, upstreams in attributable.items() if upstreams == largest]
         if all(map(_is_part, equal)):
-            separate = len(explained) >= CRASHES_TO_SEPARATE
+            separate = len(largest) >= CRASHES_TO_SEPARATE
             sets = [(cause,) for cause in equal] if separate else [equal]
-            found += [FoundCause(frozenset(causes), explained) for causes in sets]
-        unexplained = {
-            cause: rest
-            for cause, upstreams in unexplained.items()
-            if (rest := upstreams - explained)
-        }
-    return found
+            narrower = [
+                crashes_s[cause].keys()
+                for cause, upstreams in unexplained.items()
+                if _is_part(cause)
+                and len(crashes_s[cause]) >= CRASHES_TO_QUARANTINE
+                and len(upstreams & largest) < len(largest)
+            ]
+            # Two parts may crash upstreams under prompts that share a third.
+            rest = largest.difference(*narrower)
+            is_divided = len(rest) < CRASHES_TO_QUARANTINE
+            found += [FoundCause(frozenset(s), largest, is_divided) for s in sets]
+        explained |= largest
+        unexplained = {c: ups - largest for c, ups in unexplained.items()}
 
 
 def _is_explained_by_other(cause: FoundCause, found: Iterable[FoundCause]) -> bool:
@@ -169,23 +207,35 @@
 def _attributable(
     cause: str,
     times_s: Mapping[str, float],
-    all_ends_s: Sequence[float],
+    open_ends_s: Sequence[float],
+    explained: Collection[str],
     now_s: float,
-) -> Collection[str]:
-    """Return the upstreams whose end a cause may explain; none if too few."""
+) -> Set[str]:
+    """Return the upstreams whose end a cause may explain; none if too few.
+
+    Args:
+        cause: The cause.
+        times_s: When upstreams ended under requests that had it, in seconds.
+        open_ends_s: When upstreams ended of which no cause is known, sorted.
+        explained: The upstreams of which a cause is known.
+        now_s: The time, in seconds.
+    """
     if not _is_part(cause):
         return times_s.keys()
-    own_ends_s = sorted(times_s.values())
-    explained_s = {
-        upstream: at_s
-        for upstream, at_s in times_s.items()
-        if now_s - at_s >= SETTLE_S
-        and _count_near(own_ends_s, at_s)
-        >= MIN_EXPLAINED_SHARE * _count_near(all_ends_s, at_s)
-    }
-    if _count_moments(explained_s.values()) < CRASHES_TO_QUARANTINE:
-        return ()
-    return explained_s.keys()
+    own_s = sorted(times_s.values())
+    own_open_s = sorted(at_s for name, at_s in times_s.items() if name not in explained)
+    attributed_s: dict[str, float] = {}
+    for upstream, at_s in times_s.items():
+        own = _count_near(own_s, at_s)
+        others = _count_near(open_ends_s, at_s) - _count_near(own_open_s, at_s)
+        if now_s - at_s >= SETTLE_S and own >= MIN_EXPLAINED_SHARE * (own + others):
+            attributed_s[upstream] = at_s
+    moments = MOMENTS
+    if len(attributed_s) >= CRASHES_TO_SEPARATE:
+        moments = MOMENTS_OF_MANY
+    if _count_moments(attributed_s.values()) < moments:
+        return frozenset()
+    return attributed_s.keys()
 
 
 def _count_near(sorted_s: Sequence[float], at_s: float) -> int:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_trials.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_trials.py
@@ -16,9 +16,13 @@
 CLAIM_S = 0.6
 MAX_TURN_WAIT_S = 0.8  # after that, for trials that were claimed beside it
 CLAIM_TTL_S = 2.0  # more than both
-# Until a trial that had no result is repeated, at first; a request may run that long.
-FIRST_INTERVAL_S = 10.0
+# Until a trial that had no result is repeated, at first, so that a sound request is
+# served within 10 s of its first refusal.
+FIRST_INTERVAL_S = 5.0
 INTERVAL_GROWTH = 3.0
+# Each trial of what crashes upstreams ends one, so they are rare after a crash: at most
+# two a minute and a half, where three late sends of a request are allowed.
+GROWTHS_AFTER_CRASH = 2
 REPORT_DURATION_S = 1.0  # reports are sent repeatedly, as datagrams may be lost
 RETENTION_S = 600.0  # as long as the crashes
 MAX_TRIALS = 1000
@@ -42,11 +46,16 @@
     at_s: float
     number: int
 
-    def next_due_s(self) -> float:
-        """Return from when another one may be made, if this one has no result."""
+    def next_due_s(self, has_crashed: bool = False) -> float:
+        """Return from when another one may be made.
+
+        Args:
+            has_crashed: Whether its upstream ended, for no other known cause.
+        """
         if not self.instance:
             return self.at_s + CLAIM_TTL_S
-        return self.at_s + FIRST_INTERVAL_S * INTERVAL_GROWTH ** (self.number - 1)
+        growths = self.number - 1 + GROWTHS_AFTER_CRASH * has_crashed
+        return self.at_s + FIRST_INTERVAL_S * INTERVAL_GROWTH**growths
 
 
 @dataclass(frozen=True)
@@ -119,11 +128,6 @@
                 self._put(cause, replace(trial, instance=instance), now_s)
                 self.reported_s[cause] = now_s
 
-    def due_s(self, causes: Iterable[str]) -> float:
-        """Return from when causes may be tried, if earlier trials had no result."""
-        trials = [self.newest[cause] for cause in causes if cause in self.newest]
-        return max((trial.next_due_s() for trial in trials), default=float("-inf"))
-
     def reports(self, now_s: float) -> tuple[TrialReport, ...]:
         """Return the trials of this node to send to peers."""
         for cause, since_s in tuple(self.reported_s.items()):
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
@@ -7,6 +7,7 @@
 from another one, it is tried.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import TypeVar
@@ -17,7 +18,11 @@
     PossibleCauses,
     find_causes,
 )
-from lagoonhinge_core.forwarding.crash_trials import TrialLedger, TrialReport
+from lagoonhinge_core.forwarding.crash_trials import (
+    Trial,
+    TrialLedger,
+    TrialReport,
+)
 
 # Documents that prompts share are in use for hours; an answer ends a quarantine sooner.
 QUARANTINE_S = 600.0
@@ -28,6 +33,10 @@
 # Entries of each kind; a network partition breaks off some tens of attempts per node.
 MAX_ENTRIES = 1000
 MAX_GOSSIPED = 100  # of each kind in a message, so that it fits into a datagram
+# From the last crash until a cause that nothing disputes is tried, at first.
+PART_TRIAL_DELAY_S = 10.0
+REQUEST_TRIAL_DELAY_S = 60.0
+CRASHES_TO_SUSPECT = 2  # sound prompts are often on one upstream that ends
 CAUSES_MAX_AGE_S = 0.1  # until causes are found again, as crashes settle
 
 
@@ -214,16 +223,13 @@
         """Return when a request in quarantine may be tried.
 
         Returns:
-            Time until then, in seconds, 0 if now; `None` if it is not tried, as its
-            quarantine does not depend on what a trial of it may tell apart.
+            Time until then, in seconds, 0 if now; `None` if it is not tried.
         """
         held = self._held_by(causes, now_s)
         # One that has two causes can't tell them apart.
-        if len(held) != 1 or not held[0].is_disputed:
-            return None
-        if any(self._crashed_in_trial(cause) for cause in held[0].causes):
+        if len(held) != 1 or self._has_other_suspect(causes, held[0]):
             return None
-        return max(0.0, self.trials.due_s(held[0].causes) - now_s)
+        return max(0.0, self._trial_due_s(held[0], now_s) - now_s)
 
     def claim_trial(self, causes: PossibleCauses, now_s: float) -> None:
         """Claim the trial of a request that may be tried now."""
@@ -283,9 +289,41 @@
         found = (entry.causes for entry in self._find_causes(now_s))
         return frozenset[str]().union(*found)
 
-    def _crashed_in_trial(self, cause: str) -> bool:
-        trial = self.trials.newest.get(cause)
-        return trial is not None and Crash(cause, trial.instance) in self.confirmed
+    def _has_other_suspect(self, causes: PossibleCauses, found: FoundCause) -> bool:
+        """Return whether another part of a prompt may crash the trial of a part."""
+        if not found.is_part():
+            return False
+        others = frozenset(causes.parts) - found.causes
+        crashes = Counter(c.cause for c in self.confirmed if c.cause in others)
+        return any(count >= CRASHES_TO_SUSPECT for count in crashes.values())
+
+    def _trial_due_s(self, found: FoundCause, now_s: float) -> float:
+        """Return from when a cause may be tried, in seconds."""
+        trials = [
+            trial.next_due_s(self._crashed_in_trial(found, trial, now_s))
+            for cause in found.causes
+            if (trial := self.trials.newest.get(cause)) is not None
+        ]
+        if trials:
+            return max(trials)
+        if found.is_disputed:
+            return now_s
+        newest_s = max(
+            at_s
+            for crash, at_s in self.confirmed.items()
+            if crash.cause in found.causes
+        )
+        # Many sound requests may share a part, but few are the same.
+        delay_s = PART_TRIAL_DELAY_S if found.is_part() else REQUEST_TRIAL_DELAY_S
+        return newest_s + delay_s
+
+    def _crashed_in_trial(self, found: FoundCause, trial: Trial, now_s: float) -> bool:
+        """Return whether a trial's upstream ended, and no other cause explains that."""
+        return trial.instance in found.upstreams and not any(
+            trial.instance in other.upstreams
+            for other in self._find_causes(now_s)
+            if other.causes != found.causes
+        )
 
     def _find_causes(self, now_s: float) -> tuple[FoundCause, ...]:
         self._expire(now_s)
