--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -79,3 +79,14 @@
   @fuzz
   Scenario: What crashes engines is told from sound requests, whatever comes together
     When fleets whose truth is known run with 60 examples
+
+  # Drawn by hand: three parts crash engines at the same time.
+  Scenario Outline: What crashes engines is told from sound requests, in fleets that were drawn
+    When a fleet of <nodes> nodes and <engines> engines runs with <sound> sound and <bad> bad prompts a second, <lost> of 100 messages lost, half of the nodes restarting at <restart>, seed <seed>
+    Then what is guilty is held back and what is sound is served, with 3 guilty parts
+
+    Examples:
+      | nodes | engines | sound | bad | lost | restart | seed |
+      | 3     | 12      | 2     | 3   | 20   | 25 s    | 23   |
+      | 9     | 23      | 20    | 3   | 5    | 15 s    | 2141 |
+      | 3     | 27      | 2     | 1   | 0    | 12 s    | 3008 |
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from threading import Event, Thread
 from time import monotonic, sleep
@@ -11,7 +11,7 @@
 
 from features.steps.platform_node_steps import start_fleet
 from features.support.crash_fleet import CrashFleet
-from features.support.crash_truth import check_truth
+from features.support.crash_truth import CrashTruth, check_run, check_truth
 from features.support.fleet import Process
 from features.support.fuzz import run_examples
 from features.support.platform_fleet import PlatformFleet, send
@@ -300,3 +300,21 @@
 @when("fleets whose truth is known run with {examples:d} examples")
 def step_truths(context, examples):
     run_examples(check_truth, examples)
+
+
+@when(
+    "a fleet of {nodes:d} nodes and {engines:d} engines runs with {sound:d} sound and "
+    "{bad:d} bad prompts a second, {lost:d} of 100 messages lost, half of the nodes "
+    "restarting at {restart:d} s, seed {seed:d}"
+)
+def step_drawn_fleet(context, nodes, engines, sound, bad, lost, restart, seed):
+    context.truth = CrashTruth(
+        nodes, engines, sound, bad, 0, 0, 0, 0, lost, restart, seed
+    )
+
+
+@then(
+    "what is guilty is held back and what is sound is served, with {parts:d} guilty parts"
+)
+def step_drawn_fleet_checked(context, parts):
+    check_run(replace(context.truth, bad_parts=parts))
--- a/features/support/crash_truth.py
+++ b/features/support/crash_truth.py
@@ -80,6 +80,11 @@
 
 @given(truth=TRUTHS)
 def check_truth(truth: CrashTruth) -> None:
+    """Check the fleets that hypothesis draws."""
+    check_run(truth)
+
+
+def check_run(truth: CrashTruth) -> None:
     """Check that what crashes engines is held back, and what doesn't is served."""
     fleet, restarts_s = truth.fleet(), list[float]()
     while fleet.now_s < DURATION_S:
