--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -83,7 +83,7 @@
   # Drawn by hand: three parts crash engines at the same time.
   Scenario Outline: What crashes engines is told from sound requests, in fleets that were drawn
     When a fleet of <nodes> nodes and <engines> engines runs with <sound> sound and <bad> bad prompts a second, <lost> of 100 messages lost, half of the nodes restarting at <restart>, seed <seed>
-    Then what is guilty is held back and what is sound is served, with 3 guilty parts
+    Then 3 guilty parts are held back, and what is sound is served
 
     Examples:
       | nodes | engines | sound | bad | lost | restart | seed |
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -313,8 +313,6 @@
     )
 
 
-@then(
-    "what is guilty is held back and what is sound is served, with {parts:d} guilty parts"
-)
+@then("{parts:d} guilty parts are held back, and what is sound is served")
 def step_drawn_fleet_checked(context, parts):
     check_run(replace(context.truth, bad_parts=parts))
