--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_trials.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_trials.py
@@ -1,11 +1,12 @@
 """Trials that tell apart what may have crashed upstreams.
 
 Causes with the same crashes are all held back, so no answer to them can show which one
-is sound. A trial sends one request on its own account, on an upstream where no other
-trial runs: an answer clears its causes, and one more crash shows that they are guilty.
+is sound. A trial sends one request that has only one of them, on an upstream where no
+other trial runs: an answer clears its causes, and one more crash shows that they are guilty.
 
 Load pattern: a request that crashes its upstreams and a sound one are sent together
-each time, at the same node or at different ones, and run on the same upstreams.
+each time, at the same node or at different ones, and run on the same upstreams. A part
+that all prompts share is refused, so no answer can show that it is sound.
 """
 
 from collections.abc import Collection, Iterable
@@ -20,8 +21,8 @@
 # served within 10 s of its first refusal.
 FIRST_INTERVAL_S = 5.0
 INTERVAL_GROWTH = 3.0
-# Each trial of what crashes upstreams ends one, so they are rare after a crash: at most
-# two a minute and a half, where three late sends of a request are allowed.
+# Each trial of what crashes upstreams ends one, so after a crash they are rare: at most
+# two in 90 s, where callers' upstreams may get three such requests.
 GROWTHS_AFTER_CRASH = 2
 MAX_GROWTHS = 5  # an interval longer than a quarantine has no effect
 REPORT_DURATION_S = 1.0  # reports are sent repeatedly, as datagrams may be lost
@@ -66,9 +67,9 @@
 
     Attributes:
         cause: The cause.
-        node: As in `Trial`; also the two others of the same name.
-        instance: See there.
-        number: See there.
+        node: The node that makes it.
+        instance: The upstream; empty until it is chosen.
+        number: Number of the trial of this cause, from 1.
         age_s: Time since it was claimed, in seconds.
     """
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/crash_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/crash_exchange.py
@@ -2,7 +2,7 @@
 
 A crash is sent to all nodes when it is detected. Behind a quarantine, it is also sent
 to a few nodes at random from time to time, for those that were cut off or started
-later.
+later. Trials are sent with both, so that nodes make one at a time.
 """
 
 from mode import Service
