--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_trials.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_trials.py
@@ -2,7 +2,7 @@
 
 Causes with the same crashes are all held back, so no answer to them can show which one
 is sound. A trial sends one request that has only one of them, on an upstream where no
-other trial runs: an answer clears its causes, and one more crash shows that they are guilty.
+other trial runs: an answer clears it, and one more crash shows that it is guilty.
 
 Load pattern: a request that crashes its upstreams and a sound one are sent together
 each time, at the same node or at different ones, and run on the same upstreams. A part
