Limits of crashes and of their trials have one home

crash_trials repeated four limits of crashes under other names, one of which had to equal the length of a quarantine. Both now use crash_limits. The time after which a claim is left follows from the waits before it. No change of behaviour: all values are the same.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_trials.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_trials.py
@@ -12,11 +12,19 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field, replace
 
+from lagoonhinge_core.forwarding.crash_limits import (
+    GOSSIP_DURATION_S,
+    MAX_ENTRIES,
+    MAX_GOSSIPED,
+    QUARANTINE_S,
+)
+
 # From the claim of a trial to its start: nodes that claim one at the same time learn of
 # each other. The reports of large fleets go out each third of a second.
 CLAIM_S = 0.6
 MAX_TURN_WAIT_S = 0.8  # after that, for trials that were claimed beside it
-CLAIM_TTL_S = 2.0  # more than both
+# A claim that chose no upstream by then was left; 0.6 s more for a busy node.
+CLAIM_TTL_S = CLAIM_S + MAX_TURN_WAIT_S + 0.6
 # Until a trial that had no result is repeated, at first, so that a sound request is
 # served within 10 s of its first refusal.
 FIRST_INTERVAL_S = 5.0
@@ -25,10 +33,6 @@
 # two in 90 s, where callers' upstreams may get three such requests.
 GROWTHS_AFTER_CRASH = 2
 MAX_GROWTHS = 5  # an interval longer than a quarantine has no effect
-REPORT_DURATION_S = 1.0  # reports are sent repeatedly, as datagrams may be lost
-RETENTION_S = 600.0  # as long as the crashes
-MAX_TRIALS = 1000
-MAX_REPORTS = 100  # in a message, so that it fits into a datagram
 
 
 @dataclass(frozen=True)
@@ -134,9 +138,9 @@
     def reports(self, now_s: float) -> tuple[TrialReport, ...]:
         """Return the trials of this node to send to peers."""
         for cause, since_s in tuple(self.reported_s.items()):
-            if now_s - since_s > REPORT_DURATION_S or cause not in self.newest:
+            if now_s - since_s > GOSSIP_DURATION_S or cause not in self.newest:
                 del self.reported_s[cause]
-        return self.reports_of(tuple(self.reported_s)[-MAX_REPORTS:], now_s)
+        return self.reports_of(tuple(self.reported_s)[-MAX_GOSSIPED:], now_s)
 
     def reports_of(
         self, causes: Collection[str], now_s: float
@@ -146,8 +150,8 @@
             TrialReport(cause, trial.node, trial.instance, trial.number, age_s)
             for cause in causes
             if (trial := self.newest.get(cause)) is not None
-            and (age_s := now_s - trial.at_s) <= RETENTION_S
-        )[:MAX_REPORTS]
+            and (age_s := now_s - trial.at_s) <= QUARANTINE_S
+        )[:MAX_GOSSIPED]
 
     def merge(self, reports: Iterable[TrialReport], now_s: float) -> None:
         """Add the trials that a peer reports."""
@@ -172,6 +176,6 @@
         self.newest[cause] = trial
         while self.newest:
             oldest, first = next(iter(self.newest.items()))
-            if now_s - first.at_s <= RETENTION_S and len(self.newest) <= MAX_TRIALS:
+            if now_s - first.at_s <= QUARANTINE_S and len(self.newest) <= MAX_ENTRIES:
                 break
             del self.newest[oldest]
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
@@ -18,21 +18,21 @@
     PossibleCauses,
     find_causes,
 )
+from lagoonhinge_core.forwarding.crash_limits import (
+    GOSSIP_DURATION_S,
+    MAX_ENTRIES,
+    MAX_GOSSIPED,
+    QUARANTINE_S,
+)
 from lagoonhinge_core.forwarding.crash_trials import (
     Trial,
     TrialLedger,
     TrialReport,
 )
 
-# Documents that prompts share are in use for hours; an answer ends a quarantine sooner.
-QUARANTINE_S = 600.0
 # Detecting that an upstream ended takes less: its row expires after some seconds, and a
 # connection is refused sooner.
 SUSPECT_TTL_S = 6.0
-GOSSIP_DURATION_S = 1.0  # crashes are sent repeatedly, as datagrams may be lost
-# Entries of each kind; a network partition breaks off some tens of attempts per node.
-MAX_ENTRIES = 1000
-MAX_GOSSIPED = 100  # of each kind in a message, so that it fits into a datagram
 # From the last crash until a cause that nothing disputes is tried, at first.
 PART_TRIAL_DELAY_S = 10.0
 REQUEST_TRIAL_DELAY_S = 60.0
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/crash_exchange.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/crash_exchange.py
@@ -7,7 +7,7 @@
 
 from mode import Service
 
-from lagoonhinge_core.forwarding.crashes import GOSSIP_DURATION_S
+from lagoonhinge_core.forwarding.crash_limits import GOSSIP_DURATION_S
 from lagoonhinge_core.forwarding.load_tracker import update_interval_factor
 from lagoonhinge_core.forwarding.site_store import NodeEntry
 from lagoonhinge_node.forwarding.peer_messages import (
