Review: a restarted node uses the memory tickets of its predecessor

Case 3 of the review. Tried: a node that is killed half a second after it sent two divided prompts, and gets two more after its restart, among three nodes and 16 engines.

--- a/review/support/workers.py
+++ b/review/support/workers.py
@@ -109,6 +109,7 @@
         self.tickets: dict[str, Ticket] = {}
         self.finishes_closed = False  # goes on when the channel of a request closes
         self.kept: set[Task[None]] = set()
+        self.divided = 0  # requests that it works on with the memory of others
 
     async def start(self) -> None:
         """Serve on a free port and register in the store."""
@@ -141,6 +142,10 @@
             "born": self.born,
         }
 
+    def is_divided(self) -> bool:
+        """Return whether it works on a request that uses memory of other workers."""
+        return self.divided > 0
+
     async def _health(self, _: web.Request) -> web.Response:
         return web.Response(headers={"Lagoonhinge-Instance-Id": self.instance})
 
@@ -206,6 +211,8 @@
             return web.Response(body=b"x" * 800, headers=headers)
         for worker, name in held:
             worker._use(name, attempt)
+        self.divided += bool(held)
+        was_divided = bool(held)
         try:
             return await self._stream(request, attempt)
         except (ConnectionError, CancelledError):
@@ -220,6 +227,7 @@
                 held = []
             raise
         finally:
+            self.divided -= was_divided
             for worker, name in held:
                 worker._leave(name, attempt)
             self.site.record.write("run ends", attempt=attempt, worker=self.instance)
