--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONPATH=target/deps:review PYTHONDONTWRITEBYTECODE=1 python3 -S -c '
-import support.case, support.clients, support.config
+import support.balancer, support.case, support.clients, support.config
 import support.nodes, support.record, support.store, support.workers
 '
--- a/review/support/nodes.py
+++ b/review/support/nodes.py
@@ -127,9 +127,13 @@
         self.record.write("SIGTERM", node=self.name)
         self.process.send_signal(SIGTERM)
 
+    def is_running(self) -> bool:
+        """Return whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
     def end(self) -> None:
         """End the process if it still runs."""
-        if self.process is not None and self.process.poll() is None:
+        if self.process is not None and self.is_running():
             self.process.send_signal(SIGCONT)
             self.process.send_signal(SIGKILL)
             self.process.wait()
--- a/review/support/store.py
+++ b/review/support/store.py
@@ -51,7 +51,7 @@
                 web.post("/lagoonhinge/rows-tx", self._transact),
             ]
         )
-        self.port = await serve(app)
+        self.port = port_of(await serve(app))
 
     def put(self, table: str, key: str, value: bytes) -> None:
         """Write one row, as the operator, a worker or another writer does."""
@@ -132,12 +132,16 @@
         return self._answer()
 
 
-async def serve(app: web.Application) -> int:
-    """Serve an application on a free port of loopback; return the port."""
+async def serve(app: web.Application) -> web.AppRunner:
+    """Serve an application on a free port of loopback."""
     runner = web.AppRunner(
         app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
     )
     await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", 0)
-    await site.start()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    return runner
+
+
+def port_of(runner: web.AppRunner) -> int:
+    """Return the port on which an application is served."""
     return runner.addresses[0][1]
--- a/review/support/workers.py
+++ b/review/support/workers.py
@@ -9,18 +9,21 @@
 from aiohttp import web
 
 from support.record import Record
-from support.store import Store, serve
+from support.store import Store, port_of, serve
 
 ATTEMPT_ID = "Lagoonhinge-Attempt-Id"
 EXPECT_INSTANCE = "Lagoonhinge-Expect-Instance"
 NOT_EXECUTED = "Lagoonhinge-Not-Executed"
 RESPONSE_STAMP = "Lagoonhinge-Response-Stamp"
 TOKEN_COUNTS = "Lagoonhinge-Token-Counts"
+PROMPT_PREFIX = "Lagoonhinge-Prompt-Prefix"
 HELPERS = "Lagoonhinge-Helpers"
 LAST_EVENT_ID = "Last-Event-Id"
 AT_SERVER = "At-Server"
 MAX_RESERVATIONS = 64
 KV_TOKENS = 405_000
+BACK_S = 3.0  # from the crash of a worker to its return under another id
+ENTRY_EXPIRY_S = 3.6  # three status reports
 READ_PER_S = 154_000.0
 PAIRS_PER_M_MS = 0.162
 
@@ -62,13 +65,22 @@
         doubly_used: Uses of a ticket by two requests at the same time: the engine, the
             ticket and the two attempts.
         by_address: Workers by address.
+        crashing_part: Part of a prompt that crashes each worker that begins to write an
+            answer on it; `None` for none.
+        arrivals: Requests with this part that reached a worker.
+        crashes: Runs that crashed their worker.
+        returns: Workers that crashed and come back.
     """
 
     store: Store
     record: Record
+    crashing_part: str | None = None
     runs: list[Run] = field(default_factory=list)
     doubly_used: list[tuple[str, str, str, str]] = field(default_factory=list)
     by_address: dict[str, "Worker"] = field(default_factory=dict)
+    arrivals: list[Run] = field(default_factory=list)
+    crashes: list[Run] = field(default_factory=list)
+    returns: set[Task[None]] = field(default_factory=set)
 
 
 class Worker:
@@ -106,9 +118,11 @@
         self.gap_s = gap_s
         self.born = int(time() * 1000)
         self.address = ""
+        self.runner: web.AppRunner | None = None
         self.tickets: dict[str, Ticket] = {}
         self.finishes_closed = False  # goes on when the channel of a request closes
         self.kept: set[Task[None]] = set()
+        self.has_crashed = False
         self.divided = 0  # requests that it works on with the memory of others
 
     async def start(self) -> None:
@@ -122,7 +136,8 @@
                 web.route("*", "/{path:.*}", self._execute),
             ]
         )
-        self.address = f"127.0.0.1:{await serve(app)}"
+        self.runner = await serve(app)
+        self.address = f"127.0.0.1:{port_of(self.runner)}"
         self.site.by_address[self.address] = self
         self.site.store.put("servers", self.instance, dumps(self.entry()).encode())
 
@@ -146,6 +161,45 @@
         """Return whether it works on a request that uses memory of other workers."""
         return self.divided > 0
 
+    def _crash(self, attempt: str) -> None:
+        """End as a process that crashes does, and come back some seconds later."""
+        if self.has_crashed:
+            return
+        self.has_crashed = True
+        self.site.record.write("crashes", worker=self.instance, attempt=attempt)
+        self.site.crashes.append(Run(attempt, self.instance, monotonic()))
+        task = create_task(self._come_back())
+        self.site.returns.add(task)
+
+    async def _come_back(self) -> None:
+        site, runner = self.site, self.runner
+        assert runner is not None and runner.server is not None
+        del site.by_address[self.address]
+        connections = list(runner.server.connections)
+        for listening in list(runner.sites):
+            await listening.stop()
+        for connection in connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        await sleep(BACK_S)
+        name = (
+            f"{self.instance.rpartition('.')[0] or self.instance}.{len(site.crashes)}"
+        )
+        worker = Worker(
+            site,
+            name,
+            self.service,
+            self.zone,
+            self.slots,
+            self.work_s,
+            self.events,
+            self.gap_s,
+        )
+        await worker.start()
+        await sleep(max(0.0, ENTRY_EXPIRY_S - BACK_S))
+        site.store.remove("servers", self.instance)
+        await runner.cleanup()
+
     async def _health(self, _: web.Request) -> web.Response:
         return web.Response(headers={"Lagoonhinge-Instance-Id": self.instance})
 
@@ -203,7 +257,10 @@
         held = self._find_tickets(request)
         if held is None:
             return web.Response(status=503, headers={NOT_EXECUTED: "1"})
-        self.site.runs.append(Run(attempt, self.instance, monotonic()))
+        run = Run(attempt, self.instance, monotonic())
+        self.site.runs.append(run)
+        if self._is_crashing(request):
+            self.site.arrivals.append(run)
         self.site.record.write("runs", attempt=attempt, worker=self.instance)
         if not self.events:
             await sleep(self.work_s)
@@ -286,11 +343,19 @@
         pairs_m = tokens * tokens / 2 / 1e6
         return (tokens / READ_PER_S + pairs_m * PAIRS_PER_M_MS / 1000) / parts
 
+    def _is_crashing(self, request: web.Request) -> bool:
+        entries = request.headers.get(PROMPT_PREFIX, "").split(",")
+        parts = {entry.partition(":")[0] for entry in entries}
+        return self.site.crashing_part in parts
+
     def _headers(self, attempt: str) -> dict[str, str]:
         return {ATTEMPT_ID: attempt, RESPONSE_STAMP: f"stamp.{self.instance}"}
 
     async def _stream(self, request: web.Request, attempt: str) -> web.StreamResponse:
         await sleep(self._prefill_s(request))
+        if self._is_crashing(request):
+            self._crash(attempt)
+            await sleep(BACK_S)  # its channel is reset meanwhile
         response = web.StreamResponse(headers=self._headers(attempt))
         response.content_type = "text/event-stream"
         await response.prepare(request)
