Review: a burst of prompts that crash engines is not held back

Tried: rounds of 18 prompts at the same time with a part that crashes each engine that begins to answer them, 6 s apart, at three nodes with 16 engines.

Ports of the nodes come from below the ephemeral range: one run in an earlier form could not start its nodes, and its record did not say why.

--- a/review/support/nodes.py
+++ b/review/support/nodes.py
@@ -3,6 +3,7 @@
 from asyncio import sleep
 from os import environ
 from pathlib import Path
+from random import randrange
 from signal import SIGCONT, SIGKILL, SIGTERM
 from socket import SOCK_DGRAM, SOCK_STREAM, socket
 from subprocess import Popen
@@ -13,6 +14,7 @@
 
 ROOT = Path(__file__).parents[2]
 COMMAND = ("python3", "-S", "-m", "lagoonhinge_platform")
+FIRST_PORT, LAST_PORT = 14_000, 31_000
 READY_PATH = "/lagoonhinge/readyz"
 BOUNDS = {
     "seedLagS": 3,
@@ -42,12 +44,12 @@
 
 
 def free_port() -> int:
-    """Return a port that is free for TCP and UDP."""
+    """Return a port below the ephemeral range that is free for TCP and UDP."""
     while True:
+        port = randrange(FIRST_PORT, LAST_PORT)
         with socket(type=SOCK_STREAM) as tcp, socket(type=SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
@@ -139,8 +141,13 @@
             self.process.wait()
 
     def record_errors(self) -> None:
-        """Write the first unexpected errors in the node's log to the record."""
+        """Write the end of the process and the first errors in its log."""
+        status = None if self.process is None else self.process.returncode
+        self.record.write("ended", node=self.name, status=status)
         lines = self.log.read_text(errors="replace").splitlines()
+        for line in lines[-3:]:
+            if not line.startswith("{"):
+                self.record.write("log", node=self.name, line=line)
         for line in [text for text in lines if '"level":"error"' in text][:5]:
             self.record.write("log", node=self.name, line=line)
 
--- a/review/support/store.py
+++ b/review/support/store.py
@@ -4,6 +4,7 @@
 from base64 import b64decode, b64encode
 from dataclasses import dataclass
 from json import dumps
+from logging import CRITICAL, getLogger
 from time import monotonic
 from typing import Any
 
@@ -134,6 +135,8 @@
 
 async def serve(app: web.Application) -> web.AppRunner:
     """Serve an application on a free port of loopback."""
+    # A worker that crashes resets its channels, also in the middle of an answer.
+    getLogger("aiohttp.server").setLevel(CRITICAL)
     runner = web.AppRunner(
         app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
     )
