Review: two parts that crash engines end the service for all prompts that share a third

Tried: real nodes, without lost messages and without restarts, first with three parts and 12 engines, then with fewer.

--- a/review/support/case.py
+++ b/review/support/case.py
@@ -1,9 +1,10 @@
 """Runs a case and turns its outcome into the exit status."""
 
-from asyncio import run
+from asyncio import CancelledError, current_task, get_running_loop, run
 from collections.abc import Awaitable, Callable
 from os import environ
 from pathlib import Path
+from signal import SIGTERM
 from tempfile import TemporaryDirectory
 from traceback import format_exc
 
@@ -27,6 +28,10 @@
     record, nodes = Record(folder / "record.txt"), list[Node]()
 
     async def play_and_end(temporary: Path) -> int:
+        task = current_task()
+        assert task is not None
+        # Ends the nodes also if the case takes too long.
+        get_running_loop().add_signal_handler(SIGTERM, task.cancel)
         try:
             return await play(temporary, record, nodes)
         finally:
@@ -37,7 +42,7 @@
     with TemporaryDirectory(prefix="review-") as temporary:
         try:
             status = run(play_and_end(Path(temporary)))
-        except Exception:
+        except (Exception, CancelledError):
             record.write("the case could not run", error=format_exc())
             print(format_exc())
             status = NOT_RUN
--- a/review/support/workers.py
+++ b/review/support/workers.py
@@ -1,6 +1,7 @@
 """Stand-ins for workers: plain services, and model engines with reserved memory."""
 
 from asyncio import CancelledError, Task, create_task, sleep
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from json import dumps
 from time import monotonic, time
@@ -65,16 +66,16 @@
         doubly_used: Uses of a ticket by two requests at the same time: the engine, the
             ticket and the two attempts.
         by_address: Workers by address.
-        crashing_part: Part of a prompt that crashes each worker that begins to write an
-            answer on it; `None` for none.
-        arrivals: Requests with this part that reached a worker.
+        crashing_parts: Parts of a prompt that crash each worker that begins to write an
+            answer on one.
+        arrivals: Requests with such a part that reached a worker.
         crashes: Runs that crashed their worker.
         returns: Workers that crashed and come back.
     """
 
     store: Store
     record: Record
-    crashing_part: str | None = None
+    crashing_parts: Collection[str] = ()
     runs: list[Run] = field(default_factory=list)
     doubly_used: list[tuple[str, str, str, str]] = field(default_factory=list)
     by_address: dict[str, "Worker"] = field(default_factory=dict)
@@ -346,7 +347,7 @@
     def _is_crashing(self, request: web.Request) -> bool:
         entries = request.headers.get(PROMPT_PREFIX, "").split(",")
         parts = {entry.partition(":")[0] for entry in entries}
-        return self.site.crashing_part in parts
+        return not parts.isdisjoint(self.site.crashing_parts)
 
     def _headers(self, attempt: str) -> dict[str, str]:
         return {ATTEMPT_ID: attempt, RESPONSE_STAMP: f"stamp.{self.instance}"}
