--- a/review/support/nodes.py
+++ b/review/support/nodes.py
@@ -14,7 +14,7 @@
 
 ROOT = Path(__file__).parents[2]
 COMMAND = ("python3", "-S", "-m", "lagoonhinge_platform")
-FIRST_PORT, LAST_PORT = 14_000, 31_000
+FIRST_PORT, LAST_PORT = 30_100, 32_700
 READY_PATH = "/lagoonhinge/readyz"
 BOUNDS = {
     "seedLagS": 3,
