Review: the nodes of a script never draw the same port twice

In the runs from a fresh clone, with five scripts beside each other, 3 of 25 could not start their nodes (exit 2). The ports were drawn at random from 2,600, and a port that was drawn but not yet bound could be drawn again. Their records were overwritten, so that this is the cause is by reading, not shown by a run.

--- a/review/support/nodes.py
+++ b/review/support/nodes.py
@@ -15,6 +15,7 @@
 ROOT = Path(__file__).parents[2]
 COMMAND = ("python3", "-S", "-m", "lagoonhinge_platform")
 FIRST_PORT, LAST_PORT = 30_100, 32_700
+TAKEN_PORTS: set[int] = set()  # by the nodes of this case, also before they start
 READY_PATH = "/lagoonhinge/readyz"
 BOUNDS = {
     "seedLagS": 3,
@@ -47,12 +48,15 @@
     """Return a port below the ephemeral range that is free for TCP and UDP."""
     while True:
         port = randrange(FIRST_PORT, LAST_PORT)
+        if port in TAKEN_PORTS:
+            continue
         with socket(type=SOCK_STREAM) as tcp, socket(type=SOCK_DGRAM) as udp:
             try:
                 tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
+            TAKEN_PORTS.add(port)
             return port
 
 
