An entry that is nested too deeply names no upstream

What callers saw: after a row of another writer with deeply nested lists in the list of workers, each node that started said that it was ready and answered every request 503, for as long as no worker's row changed. Running nodes missed the changes that came in one answer with such a row, so requests went on to a worker that had said that it was draining.

Cause: msgspec raises RecursionError for values that are nested deeper than the stack allows, also in a field that the type does not have. The decoders caught only its own errors. The error left the reading task after the rows had been recorded as read and before they were applied.

Ruled out: the store's answer, which is not nested, as it has the value in base64; the row's size, as a row of 64 KB of text is ignored.

Change: DECODING_ERRORS names what bytes of another program can raise, once, for all decoders: rows, messages of nodes, bodies of callers and engines, parts of configurations, log lines.

Before the change failed: platform_adapter "unusable entry" with a nested unknown field, store_watch "A message that can't be read" with nested lists (RecursionError in both), and platform_node "An entry of another writer" @1.2 (a draining worker got requests two seconds later).

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -41,6 +41,7 @@
     When the platform's settings are "new.field=1" alone
     Then the settings errors name node, ip, zone and listen.front
 
+  # A deeply nested entry ended the reading of all entries.
   Scenario Outline: An unusable entry of a worker yields no upstream
     When a worker's entry has <change>
     Then the entry yields <result>
@@ -55,6 +56,8 @@
       | no slots             | none            |
       | invalid JSON         | none            |
       | invalid base64       | none            |
+      | deeply nested lists  | none            |
+      | a deeply nested unknown field | none   |
       | an unknown field     | a ready one     |
       | no start time        | a ready one     |
 
--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -110,6 +110,18 @@
       | a worker of the desk is removed               | only the other worker gets requests |
       | a worker's entry is unreadable                | only the other worker gets requests |
 
+  # After a restart, nodes had no workers; running nodes missed what came with the entry.
+  Scenario Outline: An entry of another writer that can't be read hides no other entry
+    Given a node on the platform with two workers for each service
+    When an entry of another writer <entry> is written as a worker starts to drain
+    Then within two seconds only the other worker gets requests
+    And a node that starts afterwards serves requests
+
+    Examples:
+      | entry                           |
+      | that is deeply nested           |
+      | with a deeply nested field      |
+
   Scenario: A removed worker gets no more requests, also after a time without changes
     Given a node on the platform with two workers for each service
     When nothing changes in the store for 4 seconds
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -56,6 +56,7 @@
     "an unknown field": {"colour": "blue"},
     "no start time": {"born": None},
 }
+NESTING_DEPTH = 30_000  # of lists in a value of 64 KB, the largest of a row
 SOURCE_FOLDERS = (ROOT / "packages", ROOT / "tools", ROOT / "bench")
 # Names that the interface of this system uses too.
 SHARED_NAMES = {names.RETRY_AFTER, names.LAST_EVENT_ID, names.AUTHORIZATION}
@@ -122,6 +123,12 @@
             value = b64encode(b"\xff{").decode()
         case "invalid base64":
             value = "not base64!"
+        case "deeply nested lists":
+            value = b64encode(b"[" * NESTING_DEPTH).decode()
+        case "a deeply nested unknown field":
+            lists = b"[" * NESTING_DEPTH + b"]" * NESTING_DEPTH
+            entry = json.encode(WORKER_ENTRY)[:-1] + b',"notes":' + lists + b"}"
+            value = b64encode(entry).decode()
         case _:
             fields = {**WORKER_ENTRY, **WORKER_ENTRY_CHANGES[change]}
             kept = {key: value for key, value in fields.items() if value is not None}
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -51,6 +51,12 @@
     "a body said to be gzip": {"Content-Encoding": "gzip"},
     "a body of encoding br": {"Content-Encoding": "br"},
 }
+DEEP_LISTS = b"[" * 30_000  # never closed, in a value of at most 64 KB
+OTHER_WRITERS = {
+    "that is deeply nested": DEEP_LISTS,
+    "with a deeply nested field": b'{"service": "desk", "notes": ' + DEEP_LISTS,
+}
+REQUESTS_AFTER_START = 4
 BODIES = {
     "a body over the limit": b"x" * 70_000,
     "a body": BODY,
@@ -293,6 +299,24 @@
     context.fleet.put_row("servers", "d1", b"\xff not an entry")
 
 
+@when("an entry of another writer {entry} is written as a worker starts to drain")
+def step_other_writer(context, entry):
+    fleet = context.fleet
+    # The node pauses after a change, so one answer of the store has both others.
+    fleet.list_worker("d2", "desk", slots=9)
+    fleet.put_row("servers", "other-1", OTHER_WRITERS[entry])
+    fleet.list_worker("d1", "desk", state="draining")
+
+
+@then("a node that starts afterwards serves requests")
+def step_later_node(context):
+    node = context.fleet.start_platform_node()
+    context.fleet.wait_ready(node)
+    for number in range(REQUESTS_AFTER_START):
+        answer = send(node, "GET", f"/read/{number}")
+        assert answer is not None and answer.status == 200, answer
+
+
 @when("nothing changes in the store for {seconds:d} seconds")
 def step_quiet(context, seconds):
     sleep(seconds)
--- a/features/steps/store_watch_steps.py
+++ b/features/steps/store_watch_steps.py
@@ -26,6 +26,7 @@
 CHECK_INTERVAL_S = 0.1
 OUTAGE_S = 8.0
 EVACUATED = "east"
+NESTING_DEPTH = 100_000
 SLOW_CALL_S = 0.3  # as long as the interval of updates, and below the takeover age
 
 
@@ -518,6 +519,9 @@
             data = b"\xc1\x00\x17"
         case ["of", "a", "number"]:
             data = b"\x07"
+        case ["of", "deeply", "nested", "lists"]:
+            # A map of a field that no message has; 0x91 begins a list of one entry.
+            data = compress(b"\x81\xa1x" + b"\x91" * NESTING_DEPTH)
         case [*_, "truncated"]:
             data = data[:-6]
         case [*_, "damaged"]:
--- a/features/store_watch.feature
+++ b/features/store_watch.feature
@@ -156,6 +156,7 @@
       | content                   | reason     |
       | of random bytes           | MessagePack |
       | of a number               | Expected   |
+      | of deeply nested lists    | recursion  |
       | whose data is truncated   | incomplete |
       | whose data is damaged     | incorrect  |
       | that unpacks to 5 MB      | too large  |
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/config_parts.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/config_parts.py
@@ -12,11 +12,12 @@
 from typing import Any
 from zlib import crc32
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.config import AccountConfig, Config, UpstreamConfig
 from lagoonhinge_core.config_decode import TableDecoder
+from lagoonhinge_core.decoding import DECODING_ERRORS
 
 MAX_MEAN_SHARD_ENTRIES = 256
 
@@ -155,7 +156,7 @@
         return Failure(InvalidPart(ref, f"its content has digest {digest}"))
     try:
         return _decode_content(ref, content)
-    except (DecodeError, ValidationError) as error:
+    except DECODING_ERRORS as error:
         return Failure(InvalidPart(ref, str(error)))
 
 
--- a/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/log_files.py
+++ b/packages/lagoonhinge-ctl/src/lagoonhinge_ctl/log_files.py
@@ -5,7 +5,9 @@
 from pathlib import Path
 from typing import Any
 
-from msgspec import DecodeError, json
+from msgspec import json
+
+from lagoonhinge_core.decoding import DECODING_ERRORS
 
 NO_REQUEST = "-"
 COMMON_KEYS = frozenset(
@@ -88,5 +90,5 @@
             str(fields["message"]),
             {name: value for name, value in fields.items() if name not in COMMON_KEYS},
         )
-    except (DecodeError, KeyError, TypeError, ValueError, AttributeError):
+    except (*DECODING_ERRORS, KeyError, TypeError, ValueError, AttributeError):
         return None
--- a/packages/lagoonhinge-http/src/lagoonhinge_http/wire.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/wire.py
@@ -2,7 +2,9 @@
 
 from typing import TypeVar
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
+
+from lagoonhinge_core.decoding import DECODING_ERRORS
 
 MessageT = TypeVar("MessageT")
 
@@ -21,5 +23,5 @@
     """
     try:
         return json.decode(raw, type=message_type)
-    except (ValidationError, DecodeError) as error:
+    except DECODING_ERRORS as error:
         raise BadMessage(f"{message_type.__name__}: {error}") from error
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/engine_stream.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/engine_stream.py
@@ -3,10 +3,10 @@
 from asyncio import TimerHandle, get_running_loop
 
 from aiohttp import ClientError, ClientResponse
-from msgspec import DecodeError, ValidationError
 from msgspec.json import Decoder
 from returns.result import Failure, Result, Success
 
+from lagoonhinge_core.decoding import DECODING_ERRORS
 from lagoonhinge_core.engine_messages import EngineChunk
 from lagoonhinge_core.upstream_errors import Broken, UpstreamError
 from lagoonhinge_http.session import ConnectionLost
@@ -114,5 +114,5 @@
                 [_CHUNK_DECODER.decode(event[DATA_PREFIX_BYTES:]) for event in events]
             )
         )
-    except (ValidationError, DecodeError) as error:
+    except DECODING_ERRORS as error:
         return Failure(Broken(f"bad chunk: {error}"))
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/peer_messages.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/peer_messages.py
@@ -8,8 +8,9 @@
 from zlib import error as ZlibError
 
 from mode import Service
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import msgpack
 
+from lagoonhinge_core.decoding import DECODING_ERRORS
 from lagoonhinge_core.forwarding.crash_trials import TrialReport
 from lagoonhinge_core.forwarding.crashes import AnswerReport, CrashReport
 from lagoonhinge_core.forwarding.load_tracker import CellSummary, LoadUpdate
@@ -107,7 +108,7 @@
             if not stream.eof:
                 raise ValueError("the compressed message is incomplete or too large")
         return _DECODER.decode(data)
-    except (ZlibError, ValidationError, DecodeError) as error:
+    except (ZlibError, *DECODING_ERRORS) as error:
         raise ValueError(str(error)) from error
 
 
