Rows that an error kept from being applied are read again

What callers saw: after any unexpected error while a node applied rows of the store, it never used these rows. With the rows of workers that meant 503 for every request after a start, and requests to a worker that had drained.

Cause: StoreWatch recorded rows in the replica, whose version then says what to read next, and applied them afterwards. An error in between left a replica that counted as read. Besides, one entry that could not be translated kept all others of its answer from being applied, and the error of a poll was never logged.

Ruled out: recording after applying, since the rows to apply depend on what updates of other nodes have recorded meanwhile.

Change: a replica knows whether its rows were applied. If they were not, all rows are read, updates of other nodes count as incomplete, and nothing is confirmed as current. An entry whose translation fails counts as unusable, and both errors are logged.

--- a/features/steps/store_watch_steps.py
+++ b/features/steps/store_watch_steps.py
@@ -8,7 +8,12 @@
 
 from features.support.era_machine import run_era_machine
 from features.support.virtual_time import VirtualLoop
-from features.support.watch_fleet import DRAIN_S, IN_FORCE_S, WatchFleet
+from features.support.watch_fleet import (
+    DRAIN_S,
+    IN_FORCE_S,
+    UNTRANSLATABLE,
+    WatchFleet,
+)
 from lagoonhinge_core.forwarding.missed_changes import MissedChanges
 from lagoonhinge_core.forwarding.site_store import StoreTable, TableRow
 from lagoonhinge_core.forwarding.store_clock import StoreClock
@@ -20,6 +25,7 @@
     decode_message,
     encode_message,
 )
+from lagoonhinge_node.forwarding.site_controllers import UpstreamController
 from lagoonhinge_node.forwarding.store_watch import NODES_PAUSE_S
 
 START_S = 3.5
@@ -209,6 +215,18 @@
         context.loop.run_until_complete(run())
 
 
+def _fail_to_apply(upstreams: UpstreamController, count: int) -> None:
+    apply = upstreams.apply
+    failures = iter(range(count))
+
+    def fail_first(rows: tuple[TableRow, ...], is_complete: bool) -> None:
+        if rows and next(failures, None) is not None:
+            raise RuntimeError("an error of a test")
+        apply(rows, is_complete)
+
+    upstreams.apply = fail_first
+
+
 async def _disturb_polls(fleet: WatchFleet, fault: str) -> None:
     match fault.split():
         case ["the", "store", "is", "silent", "for", duration, "s"]:
@@ -224,6 +242,11 @@
                 (name, table) for name in fleet.watchers() for table in tables
             )
             fleet.store.wake()
+        case [*_, "translated"]:
+            fleet.store.write(StoreTable.UPSTREAMS, UNTRANSLATABLE, False)
+        case ["each", "node", "fails", count, *_]:
+            for upstreams in fleet.upstreams.values():
+                _fail_to_apply(upstreams, int(count))
         case ["the", "store", "loses", *_]:
             fleet.store.forgets = True
         case [*_, "stops"]:
--- a/features/store_watch.feature
+++ b/features/store_watch.feature
@@ -62,6 +62,23 @@
       | 3     | 0    | every poll of the watching node hangs          | 0     | never     |
       | 39    | 0    | every poll of the watching node hangs          | 0     | never     |
 
+  # Rows counted as read although an error had kept them from being applied.
+  Scenario Outline: A draining upstream is known in time although rows can't be applied
+    Given a zone of <nodes> nodes that have started
+    And <loss> of 100 messages are lost, and others are late by up to 0 s
+    When <fault>, an upstream begins to drain 0 s later, and configurations are written <changes>, for 8 seeds
+    Then every node knows within two seconds that it is leaving
+
+    Examples:
+      | nodes | loss | fault                                   | changes   |
+      | 1     | 0    | an entry can't be translated            | never     |
+      | 3     | 0    | an entry can't be translated            | meanwhile |
+      | 39    | 5    | an entry can't be translated            | never     |
+      | 1     | 0    | each node fails 1 time to apply entries | never     |
+      | 3     | 0    | each node fails 1 time to apply entries | meanwhile |
+      | 39    | 5    | each node fails 1 time to apply entries | never     |
+      | 3     | 0    | each node fails 2 times to apply entries | never    |
+
   # Requests reached an evacuated zone 6.7 s after the store had acknowledged it.
   Scenario Outline: An evacuation is known in time and until it is taken back
     Given a zone of <nodes> nodes that have started
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -36,6 +36,7 @@
 IN_FORCE_S = 2.0
 DRAIN_S = 2.0
 ZONE = "north"
+UNTRANSLATABLE = "untranslatable"  # key of a row that no decoder expects
 STORE_CLOCK_S = 70_000.0  # store time minus virtual time
 STORE_DELAY_S = 0.004
 STORE_TIMEOUT_S = 0.8  # beyond the requested wait, as of the platform's client
@@ -57,6 +58,8 @@
     def upstream(self, row: TableRow) -> Upstream | None:
         """Return the upstream in a row."""
         assert row.value is not None
+        if row.key == UNTRANSLATABLE:
+            raise RuntimeError("an error of a test")
         return Upstream(row.key, "desk", "h", 1, ZONE, 8, json.decode(row.value))
 
     def node(self, row: TableRow) -> NodeEntry | None:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/store_replicas.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/store_replicas.py
@@ -69,13 +69,15 @@
         The configuration and the evacuations are read together, and one of them may be
         known up to an earlier version than the other.
         """
-        replica = self.tables[table]
-        if table is not StoreTable.CONFIG:
-            return replica.version
-        other = self.tables[StoreTable.EVACUATIONS]
-        if replica.version is None or other.version is None:
-            return None
-        return min(replica.version, other.version)
+        tables = {table}
+        if table is StoreTable.CONFIG:
+            tables.add(StoreTable.EVACUATIONS)
+        versions: list[int] = []
+        for replica in (self.tables[name] for name in tables):
+            if replica.version is None or not replica.is_applied:
+                return None
+            versions.append(replica.version)
+        return min(versions)
 
     def build_updates(self, now_s: float, repeat_s: float) -> tuple[TableUpdate, ...]:
         """Return the state of all tables for other nodes.
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/table_replica.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/table_replica.py
@@ -83,6 +83,8 @@
         digest: Digest of these versions.
         recent: Recently changed rows by key, with the time at which they were received,
             in seconds.
+        is_applied: Whether the recorded rows were applied; if not, all rows have to be
+            read again.
     """
 
     era: int = 0
@@ -91,6 +93,7 @@
     row_versions: dict[str, int] = field(default_factory=dict)
     digest: int = 0
     recent: dict[str, tuple[TableRow, float]] = field(default_factory=dict)
+    is_applied: bool = True
 
     def record_read(
         self, after: int | None, changes: TableChanges, now_s: float
@@ -131,7 +134,7 @@
         Returns:
             The rows to apply, or why there are none.
         """
-        if self.version is None:
+        if self.version is None or not self.is_applied:
             return MissingRows()
         if update.era < self.era:
             return UpToDate()
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -2,6 +2,7 @@
 
 from asyncio import Event
 from collections.abc import Callable, Iterable
+from typing import TypeVar
 
 from mode import Service
 from returns.result import Failure, Success
@@ -22,9 +23,11 @@
     UpstreamListSection,
 )
 from lagoonhinge_node.forwarding.serving_state import ServingState
-from lagoonhinge_node.forwarding.task_guards import guarded_timer
+from lagoonhinge_node.forwarding.task_guards import guarded_timer, log_unexpected
 from lagoonhinge_node.logs import PartLogger
 
+EntryT = TypeVar("EntryT")
+
 
 def update_cell(serving: ServingState) -> None:
     """Determine the cell of this node from the lists in force."""
@@ -33,6 +36,22 @@
     serving.update_cell(entry.name for entry in services if entry.engine is not None)
 
 
+def _guarded(
+    decode_entry: Callable[[TableRow], EntryT | None],
+) -> Callable[[TableRow], EntryT | None]:
+    """Let an entry whose translation has an unexpected error count as unusable."""
+
+    def decode(row: TableRow) -> EntryT | None:
+        try:
+            return decode_entry(row)
+        except Exception as error:
+            # The other entries hold, whatever this one has.
+            log_unexpected(f"entry {row.key!r}", error)
+            return None
+
+    return decode
+
+
 class ConfigController:
     """Puts the newest configuration into force.
 
@@ -179,7 +198,9 @@
             rows: The rows.
             is_complete: Whether these are all rows, and not changes of some.
         """
-        update: ListUpdate[Upstream] = list_update(rows, self.decoder.upstream)
+        update: ListUpdate[Upstream] = list_update(
+            rows, _guarded(self.decoder.upstream)
+        )
         current = self.serving.directory.by_instance
         removed = set(update.removed)
         if is_complete:
@@ -261,7 +282,7 @@
             rows: The rows.
             is_complete: Whether these are all rows, and not changes of some.
         """
-        update: ListUpdate[NodeEntry] = list_update(rows, self.decoder.node)
+        update: ListUpdate[NodeEntry] = list_update(rows, _guarded(self.decoder.node))
         current = self.serving.board.read(NodeListSection).nodes
         nodes = {} if is_complete else dict(current)
         for name in update.removed:
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/store_watch.py
@@ -47,7 +47,11 @@
     NodeController,
     UpstreamController,
 )
-from lagoonhinge_node.forwarding.task_guards import guarded_task
+from lagoonhinge_node.forwarding.task_guards import (
+    RESTART_PAUSE_S,
+    guarded_task,
+    log_unexpected,
+)
 from lagoonhinge_node.logs import PartLogger
 
 UPSTREAMS_WAIT_S = 3.0
@@ -193,7 +197,9 @@
                 and self.replicas[StoreTable.EVACUATIONS].recent
             ):
                 self.send_update()
-            if self.replicas[table].version != before:
+            if not self.replicas[table].is_applied:
+                await sleep(RESTART_PAUSE_S)
+            elif self.replicas[table].version != before:
                 await sleep(self.pauses_s[table])
 
     async def _read_next_changes(self, table: StoreTable) -> bool:
@@ -243,11 +249,8 @@
                         evacuations = replace(changes, rows=changes.evacuations)
                         self._record_changes(StoreTable.EVACUATIONS, after, evacuations)
                     self._record_changes(table, after, changes)
-                    match table:
-                        case StoreTable.CONFIG:
-                            self._confirm_config(changes.store_time_s)
-                        case StoreTable.UPSTREAMS:
-                            self._confirm_upstreams(changes.store_time_s)
+                    if replica.is_applied:
+                        self._confirm(table, changes.store_time_s)
                     return True
                 case Failure(HistoryLost()):
                     self.log_part.info(
@@ -308,6 +311,23 @@
         rows: tuple[TableRow, ...],
         is_complete: bool,
         is_later_era: bool = False,
+    ) -> None:
+        replica = self.replicas[table]
+        was_applied, replica.is_applied = replica.is_applied, False
+        try:
+            self._apply_rows(table, rows, is_complete, is_later_era)
+        except Exception as error:
+            # The rows are recorded, so only a read of all rows brings them again.
+            log_unexpected(f"rows of {table.value}", error)
+        else:
+            replica.is_applied = was_applied or is_complete
+
+    def _apply_rows(
+        self,
+        table: StoreTable,
+        rows: tuple[TableRow, ...],
+        is_complete: bool,
+        is_later_era: bool,
     ) -> None:
         match table:
             case StoreTable.EVACUATIONS if is_complete:
@@ -410,12 +430,22 @@
                 self._apply(table, rows, False)
             case AllRows(rows):
                 self._apply(table, rows, True, is_later_era=True)
+        if not self.replicas[table].is_applied:
+            return
         match table:
             case StoreTable.CONFIG:
                 self._record_update(sender, known_s)
             case StoreTable.UPSTREAMS:
                 self._confirm_upstreams(update.store_time_s)
 
+    def _confirm(self, table: StoreTable, store_time_s: float) -> None:
+        """Record that a table's state was the newest at a time of the store's clock."""
+        match table:
+            case StoreTable.CONFIG:
+                self._confirm_config(store_time_s)
+            case StoreTable.UPSTREAMS:
+                self._confirm_upstreams(store_time_s)
+
     def _confirm_config(self, store_time_s: float) -> None:
         """Record that no newer configuration existed at a time of the store."""
         known_s = self.clock.local_s(store_time_s, self.serving.clock())
