A stopping node refuses requests that it may not finish

What callers saw: around planned restarts, streams that were sent 3.00 to 3.06 s after a node's SIGTERM began, and were broken off 6.7 s after it.

Cause: a stopping node took every request until it found its connection idle. The listeners were closed after 3 s, the connections looked at 50 ms later and then every 50 ms, and the answers that had begun before SIGTERM did not end their connections. So requests were taken at any moment of the stop, for instance 3.5 s after SIGTERM at the end of a stream, whatever time they needed, and all were ended 1.3 s before the kill.

Ruled out: a slow signal alone (the time between SIGTERM and the log line "Stopping." was milliseconds), and closing idle connections sooner, as a request can cross the close.

Change: a schedule of the stop. From 2.5 s on, a request is taken only if its time limit ends before the node ends its requests; others are refused as not run, with Retry-After, at relays too. A stream that ends in the stop ends its connection. With a grace period below 7.8 s, requests were ended before its last sixth; now they are not.

Before the change failed: caller_connections "A request that a stopping node may not finish" @1.2, @1.3, @1.4 (the request was run) and @1.6 (run 3.5 s after SIGTERM). The feature's 22 scenarios pass, and the 90 of forwarding_decisions.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -45,6 +45,23 @@
       | /order/1  |
       | /stream/1 |
 
+  # Requests that were taken after the load balancer's delay were broken off by the stop.
+  Scenario Outline: A request that a stopping node may not finish is refused as not run
+    Given a node on the platform with two workers for each service
+    And its routes have a time limit of 8 s
+    When the node is stopped, and a client sends <target> with <limit> ms on a kept connection <moment>
+    Then it gets <answer>, and the connection is closed
+    And the node exits with status 0
+
+    Examples:
+      | target         | limit | moment                 | answer                 |
+      | /order/1       | 8000  | 1 s later              | the worker's answer    |
+      | /order/1       | 8000  | 2.7 s later            | a refusal              |
+      | /stream/1      | 8000  | 2.9 s later            | a refusal              |
+      | /stream/once/1 | 8000  | 2.9 s later            | a refusal              |
+      | /order/1       | 2000  | 2.9 s later            | the worker's answer    |
+      | /read/1        | 8000  | at the end of a stream | a refusal or no answer |
+
   # The next request on the connection was taken for the body.
   Scenario Outline: A refusal before a caller was told to send its body closes the connection
     Given a node on the platform with two workers for each service
--- a/features/forwarding_decisions.feature
+++ b/features/forwarding_decisions.feature
@@ -45,6 +45,38 @@
     When its attempt ends with lost and 0.01 s are left
     Then the action is fail
 
+  # A request that was taken late in a stop was ended by it although its caller had time.
+  Scenario Outline: A request that arrives while a node stops
+    When a request with a limit of <limit> s arrives <arrival> s after the signal to stop within <grace> s
+    Then the stopping node <effect>
+
+    Examples:
+      | grace | arrival | limit | effect     |
+      | 8     | 0       | 10    | takes it   |
+      | 8     | 2.5     | 10    | takes it   |
+      | 8     | 2.6     | 10    | refuses it |
+      | 8     | 2.6     | 4     | takes it   |
+      | 8     | 5       | 2     | refuses it |
+      | 20    | 2.6     | 10    | takes it   |
+      | 20    | 9       | 10    | refuses it |
+      | 4     | 1.4     | 10    | takes it   |
+      | 4     | 1.6     | 10    | refuses it |
+      | 0.5   | 0       | 10    | takes it   |
+      | 0.5   | 0.1     | 10    | refuses it |
+
+  # With a grace period below 7.8 s, running requests were ended before its last sixth.
+  Scenario Outline: Running requests are ended in the last sixth of the grace period
+    Then a node that must stop within <grace> s ends requests in the last sixth of that
+
+    Examples:
+      | grace |
+      | 0.5   |
+      | 4     |
+      | 6     |
+      | 8     |
+      | 20    |
+      | 60    |
+
   Scenario Outline: Staleness of a configuration by the age of its confirmation
     Given limits of 2.6 s to deny and 4.5 s to serve
     When the configuration was confirmed <age> s ago
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -4,13 +4,14 @@
 from signal import SIGTERM
 from time import monotonic, sleep
 
-from behave import then, when
+from behave import given, then, when
 
 from features.steps.platform_node_steps import WHOLE_STREAM
 from features.support.fleet import STOP_TIMEOUT_S
 from features.support.platform_fleet import BOUNDS, config
 from features.support.raw_callers import RawCaller
 from features.support.waiting import eventually
+from lagoonhinge_platform.names import RETRY_AFTER
 from stand_ins.platform_worker import (
     LARGE_BODY,
     LARGE_EVENT_COUNT,
@@ -21,6 +22,7 @@
 PIECES = 10
 PIECE = b"x" * 200
 LIMIT_MS = 8000
+STREAM_PAUSE_S = 1.0  # before each of 5 events, so the stream ends late in the stop
 RECEIVE_BYTES = 1 << 18
 QUIET_S = 0.5  # time in which a second answer would arrive
 
@@ -99,20 +101,71 @@
     assert len(context.fleet.runs()) == 1, context.node.log.read_text()
 
 
-@when("the node is stopped while a client's {target} takes longer than the stop")
-def step_outlast_stop(context, target):
-    fleet = context.fleet
+def _put_time_limit(context, limit_s: float) -> None:
     routes = config()["routes"]
-    limits = {"timeoutMs": LONG_S * 1000, "targetLatencyMs": LONG_S * 1000}
-    fleet.put_config(version=2, routes=[{**route, **limits} for route in routes])
-    for worker in fleet.workers.values():
-        worker.put_faults(pause_s=LONG_S)
+    limits = {"timeoutMs": limit_s * 1000, "targetLatencyMs": limit_s * 1000}
+    routes = [{**route, **limits} for route in routes]
+    context.fleet.put_config(version=2, routes=routes)
 
     def in_force() -> None:
         log = context.node.log.read_text()
         assert '"A configuration is in force.","version":2' in log, log
 
     eventually(in_force)
+
+
+@given("its routes have a time limit of {limit:g} s")
+def step_time_limit(context, limit):
+    _put_time_limit(context, limit)
+
+
+@when(
+    "the node is stopped, and a client sends {target} with {limit:d} ms"
+    " on a kept connection {moment}"
+)
+def step_late_request(context, target, limit, moment):
+    context.target = target
+    context.caller = caller = RawCaller(context.node)
+    caller.send_head("GET", "/read/first")
+    assert caller.read_answer().status == 200
+    if moment == "at the end of a stream":
+        for worker in context.fleet.workers.values():
+            worker.put_faults(pause_s=STREAM_PAUSE_S)
+        caller.send_head("GET", "/stream/once/first", LIMIT_MS)
+        sleep(1.5 * STREAM_PAUSE_S)  # the head of the answer keeps the connection
+        context.node.popen.send_signal(SIGTERM)
+        assert caller.read_answer().status == 200
+    else:
+        context.node.popen.send_signal(SIGTERM)
+        sleep(float(moment.split()[0]))
+    context.runs_before = len(context.fleet.runs())
+    with suppress(OSError):
+        caller.send_head("GET", target, limit)
+
+
+@then("it gets {answer}, and the connection is closed")
+def step_late_answer(context, answer):
+    got, log = context.caller.read_answer(), context.node.log.read_text()
+    runs = len(context.fleet.runs()) - context.runs_before
+    match answer:
+        case "the worker's answer":
+            assert got is not None and got.status == 200 and runs == 1, (got, log)
+        case "a refusal or no answer" if got is None:
+            assert runs == 0, log
+            return
+        case _:
+            assert got is not None and got.status == 503 and runs == 0, (got, log)
+            assert float(got.headers[RETRY_AFTER]) > 0, got
+    assert got.headers["Connection"] == "close", got
+    assert context.caller.read_rest() == b""
+
+
+@when("the node is stopped while a client's {target} takes longer than the stop")
+def step_outlast_stop(context, target):
+    fleet = context.fleet
+    for worker in fleet.workers.values():
+        worker.put_faults(pause_s=LONG_S)
+    _put_time_limit(context, LONG_S)
     context.caller = RawCaller(context.node)
     context.caller.send_head("GET", target, int(LONG_S * 1000))
 
--- a/features/steps/forwarding_decisions_steps.py
+++ b/features/steps/forwarding_decisions_steps.py
@@ -24,6 +24,7 @@
     Route,
     WeightedService,
 )
+from lagoonhinge_core.forwarding.stop_schedule import plan_stop
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_core.forwarding.zone_partitions import (
     ZoneObservation,
@@ -48,6 +49,30 @@
 ENDINGS = {"lf": "\n", "crlf": "\r\n"}
 
 
+@when(
+    "a request with a limit of {limit:g} s arrives {arrival:g} s after the signal to"
+    " stop within {grace:g} s"
+)
+def step_arrives_in_stop(context, limit, arrival, grace):
+    arrived_s = NOW_S + arrival
+    context.taken = plan_stop(NOW_S, grace).may_take(arrived_s, arrived_s + limit)
+
+
+@then("the stopping node {effect}")
+def step_stop_effect(context, effect):
+    assert context.taken == (effect == "takes it"), effect
+
+
+@then(
+    "a node that must stop within {grace:g} s ends requests in the last sixth of that"
+)
+def step_stop_end(context, grace):
+    stop = plan_stop(NOW_S, grace)
+    assert NOW_S + grace * 5 / 6 <= stop.end_s < NOW_S + grace, stop
+    assert stop.late_s <= stop.close_s <= stop.end_s <= stop.exit_s, stop
+    assert stop.exit_s < NOW_S + grace, stop
+
+
 @given("a {kind} request with {runs:d} runs and {declined:d} declined attempts")
 def step_request(context, kind, runs, declined):
     services = (WeightedService("desk", 1.0),)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/caller_interface.py
@@ -22,6 +22,7 @@
 from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
 from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.request_context import Refusal, RequestContext
+from lagoonhinge_node.forwarding.request_ending import SHORT_RETRY_AFTER_S
 from lagoonhinge_node.forwarding.request_quarantine import RequestQuarantine
 from lagoonhinge_node.forwarding.request_runner import RequestRunner
 from lagoonhinge_node.forwarding.serving_state import ServingState
@@ -44,6 +45,13 @@
 )
 
 
+STOPPING = Refusal(
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    "the node stops before it might end",
+    SHORT_RETRY_AFTER_S,
+)
+
+
 class HttpResponseWriter:
     """Writes the answer to one HTTP request.
 
@@ -93,6 +101,7 @@
     async def finish(self) -> None:
         """Complete a stream."""
         assert self.response is not None
+        self._close_if_due(self.response)  # the node may have been told to stop since
         await self.response.write_eof()
 
     async def reply(self, head: AnswerHead, body: bytes) -> None:
@@ -194,7 +203,7 @@
     ) -> web.StreamResponse:
         self.serving.open_requests += 1
         writer = HttpResponseWriter(
-            http_request, self.codec, lambda: self.serving.is_stopping
+            http_request, self.codec, lambda: self.serving.stop is not None
         )
         try:
             await self._serve(http_request, writer, relayed_runs)
@@ -298,6 +307,11 @@
                 return Failure(refusal)
             case Success((route, account)):
                 context = self._build_context(request, route, account, arrived_s)
+                stop = self.serving.stop
+                if stop is not None and not stop.may_take(
+                    arrived_s, context.deadline_s
+                ):
+                    return Failure(STOPPING)
                 return self.quarantine.admit(context)
         raise AssertionError("not a result")
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
@@ -15,6 +15,7 @@
 from lagoonhinge_core.forwarding.freshness import Freshness, Staleness
 from lagoonhinge_core.forwarding.messages import EngineMemory, HeaderCodec
 from lagoonhinge_core.forwarding.site_store import NodeEntry, RowDecoder, SiteStore
+from lagoonhinge_core.forwarding.stop_schedule import plan_stop
 from lagoonhinge_core.forwarding.watch_role import watch_times
 from lagoonhinge_http.session import open_session
 from lagoonhinge_node.addresses import Address
@@ -52,12 +53,6 @@
 from lagoonhinge_node.forwarding.upstream_notices import UpstreamNotices
 from lagoonhinge_node.logs import PartLogger
 
-# Time until the load balancer detects that the node is not ready, in seconds: two
-# checks one second apart, and one second for their answers.
-LOAD_BALANCER_DELAY_S = 3.0
-STOP_MARGIN_S = 1.2  # for the exit of the process before it is killed
-END_MARGIN_S = 0.1  # for the answers to requests that are ended before that
-
 
 def boot_time_s() -> float:
     """Return a monotonic time that includes suspension of the VM, in seconds."""
@@ -231,21 +226,17 @@
 
     async def on_stop(self) -> None:
         """Wait until the load balancer stops sending, then drain running requests."""
-        deadline_s = (
-            self.serving.clock()
-            + self.settings_controller.current.grace_s
-            - STOP_MARGIN_S
-        )
-        self.serving.is_stopping = True
+        now_s = self.serving.clock()
+        stop = plan_stop(now_s, self.settings_controller.current.grace_s)
+        self.serving.stop = stop
         self.log_part.info("Stopping.", open=self.serving.open_requests)
         if self.caller_listener is not None and self.relay_listener is not None:
-            await sleep(
-                min(LOAD_BALANCER_DELAY_S, self.settings_controller.current.grace_s / 2)
-            )
+            await sleep(stop.close_s - now_s)
             # Idle connections are closed now, the others after their answers.
-            limit_s = max(0.0, deadline_s - self.serving.clock())
+            now_s = self.serving.clock()
+            limit_s = max(0.0, stop.exit_s - now_s)
             end = get_running_loop().call_later(
-                max(0.0, limit_s - END_MARGIN_S), self.runner.end_all
+                max(0.0, stop.end_s - now_s), self.runner.end_all
             )
             await gather(
                 self.caller_listener.stop(limit_s), self.relay_listener.stop(limit_s)
@@ -270,7 +261,7 @@
         """Return whether the load balancer should send callers to this node."""
         staleness = self.serving.freshness.staleness(self.serving.clock())
         is_usable = staleness in (Staleness.CURRENT, Staleness.DOUBTFUL)
-        return is_usable and not self.serving.is_stopping
+        return is_usable and self.serving.stop is None
 
     async def _handle_readiness_check(
         self, request: web.BaseRequest
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -29,6 +29,7 @@
 from lagoonhinge_core.forwarding.retry_window import RetryBound, RetryWindow
 from lagoonhinge_core.forwarding.sender_permits import SenderPermits
 from lagoonhinge_core.forwarding.site_config import ServiceProfile
+from lagoonhinge_core.forwarding.stop_schedule import StopSchedule
 from lagoonhinge_core.forwarding.store_contact import StoreContact
 from lagoonhinge_core.forwarding.upstream_reach import ReachTracker
 from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamDirectory
@@ -99,7 +100,7 @@
         self.cell_peers = 0  # other nodes of the cell
         self.rotation_index = 0
         self.open_requests = 0
-        self.is_stopping = False
+        self.stop: StopSchedule | None = None  # once the node was told to stop
         self.log_part = PartLogger("health")
 
     def upstreams_age_s(self) -> float:
