Entries with impossible numbers or addresses name no upstream and no node

What callers saw: status 500 for requests that were placed on an upstream whose entry had a host name of over 63 letters; 502 for requests that may run once, on an upstream with an abbreviated address, as they counted as run.

Cause: the address of an entry could be any text before a port, which was looked up as a host name. The name was encoded outside of what counts as a failed connection. A node's entry with such a name would have closed the socket for messages to all nodes. Numbers had no bounds: a start time of over 64 bits can't be sent to other nodes, and slots beyond the range of floats can't be compared.

Shown not to happen here: a port out of range or of 5,000 digits, and a number of 400 digits, ended no process and hid no other entry.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -58,9 +58,32 @@
       | invalid base64       | none            |
       | deeply nested lists  | none            |
       | a deeply nested unknown field | none   |
+      | slots too large      | none            |
+      | negative slots       | none            |
+      | a start time too large | none          |
+      | a cold time too large | none           |
+      | a port out of range  | none            |
+      | a port of 5000 digits | none           |
+      | a port in other digits | none          |
+      | a host name          | none            |
+      | a host name too long | none            |
+      | an abbreviated address | none          |
+      | base64 beyond ASCII  | none            |
       | an unknown field     | a ready one     |
       | no start time        | a ready one     |
 
+  # A message to a host name that is too long closes the socket for messages to all nodes.
+  Scenario Outline: An unusable entry of a node yields no node
+    When a node's entry has the address <address>
+    Then the entry yields <result>
+
+    Examples:
+      | address          | result       |
+      | 10.0.0.1:80      | a node       |
+      | 10.0.0.1:70000   | none         |
+      | a.node:80        | none         |
+      | 300 letters:80   | none         |
+
   Scenario Outline: An invalid configuration is refused with the location of the error
     When a configuration has <change>
     Then the configuration is refused with "<reason>"
--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -111,7 +111,7 @@
       | a worker's entry is unreadable                | only the other worker gets requests |
 
   # After a restart, nodes had no workers; running nodes missed what came with the entry.
-  Scenario Outline: An entry of another writer that can't be read hides no other entry
+  Scenario Outline: An odd entry of another writer hides no other entry
     Given a node on the platform with two workers for each service
     When an entry of another writer <entry> is written as a worker starts to drain
     Then within two seconds only the other worker gets requests
@@ -121,6 +121,9 @@
       | entry                           |
       | that is deeply nested           |
       | with a deeply nested field      |
+      | with a start time too large     |
+      | with a port out of range        |
+      | with a host name too long       |
 
   Scenario: A removed worker gets no more requests, also after a time without changes
     Given a node on the platform with two workers for each service
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -55,8 +55,21 @@
     "no slots": {"slots": None},
     "an unknown field": {"colour": "blue"},
     "no start time": {"born": None},
+    "negative slots": {"slots": -8},
+    "a port out of range": {"address": "10.0.0.1:70000"},
+    "a port of 5000 digits": {"address": "10.0.0.1:" + "9" * 5000},
+    "a port in other digits": {"address": "10.0.0.1:\u0668\u0660"},
+    "a host name": {"address": "worker.example:80"},
+    "a host name too long": {"address": "x" * 300 + ":80"},
+    "an abbreviated address": {"address": "10.1:80"},
 }
 NESTING_DEPTH = 30_000  # of lists in a value of 64 KB, the largest of a row
+# Fields whose numbers the encoder refuses.
+WORKER_ENTRY_NUMBERS = {
+    "slots too large": b',"slots":' + b"9" * 400,
+    "a start time too large": b',"born":' + b"9" * 400,
+    "a cold time too large": b',"coldLeftMs":1e300',
+}
 SOURCE_FOLDERS = (ROOT / "packages", ROOT / "tools", ROOT / "bench")
 # Names that the interface of this system uses too.
 SHARED_NAMES = {names.RETRY_AFTER, names.LAST_EVENT_ID, names.AUTHORIZATION}
@@ -129,6 +142,12 @@
             lists = b"[" * NESTING_DEPTH + b"]" * NESTING_DEPTH
             entry = json.encode(WORKER_ENTRY)[:-1] + b',"notes":' + lists + b"}"
             value = b64encode(entry).decode()
+        case "base64 beyond ASCII":
+            value = "\xe9" * 8
+        case _ if change in WORKER_ENTRY_NUMBERS:
+            # The last of several fields of one name holds.
+            entry = json.encode(WORKER_ENTRY)[:-1] + WORKER_ENTRY_NUMBERS[change]
+            value = b64encode(entry + b"}").decode()
         case _:
             fields = {**WORKER_ENTRY, **WORKER_ENTRY_CHANGES[change]}
             kept = {key: value for key, value in fields.items() if value is not None}
@@ -136,10 +155,19 @@
     context.upstream = PlatformRows().upstream(table_row(StoreRow("i-1", value, 7)))
 
 
+@when("a node's entry has the address {address}")
+def step_node_entry(context, address):
+    address = address.replace("300 letters", "x" * 300)
+    value = b64encode(json.encode({"address": address, "zone": "north"})).decode()
+    context.upstream = PlatformRows().node(table_row(StoreRow("n-1", value, 7)))
+
+
 @then("the entry yields {result}")
 def step_entry_yields(context, result):
     upstream = context.upstream
     match result:
+        case "a node":
+            assert upstream is not None and upstream.name == "n-1", upstream
         case "none":
             assert upstream is None, upstream
         case "a ready one":
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -52,9 +52,22 @@
     "a body of encoding br": {"Content-Encoding": "br"},
 }
 DEEP_LISTS = b"[" * 30_000  # never closed, in a value of at most 64 KB
+OTHER_ENTRY = {
+    "service": "desk",
+    "address": "127.0.0.1:1",
+    "zone": "north",
+    "slots": 8,
+    "state": "ready",
+    "born": 1,
+}
+TOO_LARGE = "9" * 400
+# Bytes, or changed fields of an entry, in JSON.
 OTHER_WRITERS = {
     "that is deeply nested": DEEP_LISTS,
     "with a deeply nested field": b'{"service": "desk", "notes": ' + DEEP_LISTS,
+    "with a start time too large": {"born": TOO_LARGE, "state": '"draining"'},
+    "with a port out of range": {"address": '"127.0.0.1:70000"'},
+    "with a host name too long": {"address": f'"{"x" * 300}:80"'},
 }
 REQUESTS_AFTER_START = 4
 BODIES = {
@@ -299,12 +312,24 @@
     context.fleet.put_row("servers", "d1", b"\xff not an entry")
 
 
+def _other_entry(content: bytes | dict[str, str]) -> bytes:
+    match content:
+        case bytes():
+            return content
+        case changes:
+            fields = {key: json.encode(value) for key, value in OTHER_ENTRY.items()}
+            fields |= {key: value.encode() for key, value in changes.items()}
+            return b"{%s}" % b",".join(
+                b'"%s":%s' % (k.encode(), v) for k, v in fields.items()
+            )
+
+
 @when("an entry of another writer {entry} is written as a worker starts to drain")
 def step_other_writer(context, entry):
     fleet = context.fleet
     # The node pauses after a change, so one answer of the store has both others.
     fleet.list_worker("d2", "desk", slots=9)
-    fleet.put_row("servers", "other-1", OTHER_WRITERS[entry])
+    fleet.put_row("servers", "other-1", _other_entry(OTHER_WRITERS[entry]))
     fleet.list_worker("d1", "desk", state="draining")
 
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/addresses.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/addresses.py
@@ -41,6 +41,7 @@
         ValueError: If the host is missing or the port is not between 1 and 65535.
     """
     host, _, port = raw.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    is_number = port.isascii() and port.isdigit()
+    if not host or not is_number or not 0 < int(port) < 65536:
         raise ValueError("is not HOST:PORT")
     return Address(host, int(port))
