Only what follows a broken stream becomes a part of it

What callers saw: a stream broke off, and the next upstream answered with status 200 and an error page, an event without ID, or an event that the caller had. The text stood in the middle of the caller's stream, or an event came twice, and the stream ended as if it were complete.

Cause: bytes without a new event are kept until the next event or the end of the answer, and were written at the end whatever they were. IDs were only compared with the last one for being equal.

Shown not to happen here: answers with an error status, refusals and resets after a stream broke off; the caller sees a broken stream.

Change: an answer that continues a stream must begin with an event whose ID follows the last one. Only comments may come instead, before its end.

The ten rows of forwarding_decisions "Whether an answer continues a stream" are new.

--- a/features/forwarding_decisions.feature
+++ b/features/forwarding_decisions.feature
@@ -45,6 +45,24 @@
     When its attempt ends with lost and 0.01 s are left
     Then the action is fail
 
+  # An older event or an error page became a part of a stream that was continued.
+  Scenario Outline: Whether an answer continues a stream
+    When a stream that broke off after event <last> is followed by "<events>"
+    Then the second answer <effect>
+
+    Examples:
+      | last | events                     | effect            |
+      | 2    | id: 3\ndata: x             | continues it      |
+      | 9    | data: x\nid: 10            | continues it      |
+      | 09   | id: 10\ndata: x            | continues it      |
+      | 2    | id: 2\ndata: x             | is another answer |
+      | 10   | id: 9\ndata: x             | is another answer |
+      | b    | id: a\ndata: x             | continues it      |
+      | b    | id: b\ndata: x             | is another answer |
+      | 2    | <p>out of order</p>        | is another answer |
+      | 2    | data: out of order         | is another answer |
+      | 2    | : still here               | continues it      |
+
   # A request that was taken late in a stop was ended by it although its caller had time.
   Scenario Outline: A request that arrives while a node stops
     When a request with a limit of <limit> s arrives <arrival> s after the signal to stop within <grace> s
--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -65,6 +65,23 @@
       | unframed break | POST   | /stream/1 | a whole stream   | 2    |
       | unframed break | POST   | /stream/once/1 | no whole answer | 1 |
 
+  # An error page was written into the stream, which ended as if it were complete.
+  Scenario Outline: An error after a stream broke off never becomes a part of it
+    Given a node on the platform with two workers for each service
+    When a client's stream breaks off and its next worker answers with the fault <fault>
+    Then the client gets the first two events and sees that the rest is missing
+
+    Examples:
+      | fault            |
+      | error            |
+      | not found        |
+      | shed             |
+      | refusal twice    |
+      | cut              |
+      | page             |
+      | event without id |
+      | old event        |
+
   # The fault was noticed only at the deadline, or at the timeout for a silent worker.
   Scenario Outline: A garbled answer ends the attempt at once
     Given a node on the platform with two workers for each service
--- a/features/steps/forwarding_decisions_steps.py
+++ b/features/steps/forwarding_decisions_steps.py
@@ -13,7 +13,11 @@
     RequestHistory,
     decide_after_failure,
 )
-from lagoonhinge_core.forwarding.event_splitter import EventSplitter
+from lagoonhinge_core.forwarding.event_splitter import (
+    EventSplitter,
+    has_fields,
+    may_follow,
+)
 from lagoonhinge_core.forwarding.freshness import Freshness, FreshnessLimits
 from lagoonhinge_core.forwarding.health import HealthTracker
 from lagoonhinge_core.forwarding.retry_window import RetryBound, RetryWindow
@@ -49,6 +53,20 @@
 ENDINGS = {"lf": "\n", "crlf": "\r\n"}
 
 
+@when('a stream that broke off after event {last} is followed by "{events}"')
+def step_continuation(context, last, events):
+    text = f"{events}\n\n".replace("\\n", "\n").encode()
+    complete = EventSplitter().feed(text)
+    context.continues = (
+        may_follow(complete.ids[0], last) if complete.ids else not has_fields(text)
+    )
+
+
+@then("the second answer {effect}")
+def step_continues(context, effect):
+    assert context.continues == (effect == "continues it"), effect
+
+
 @when(
     "a request with a limit of {limit:g} s arrives {arrival:g} s after the signal to"
     " stop within {grace:g} s"
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -17,6 +17,7 @@
     config,
     send,
 )
+from features.support.raw_callers import RawCaller
 from features.support.waiting import eventually
 from lagoonhinge_platform.names import (
     ATTEMPT_ID,
@@ -35,9 +36,8 @@
 APPLIED_S = 1.0  # half of the time in which a change must be in force
 MAX_TRIES = 10
 MARGIN_S = 0.3  # for the test's own calls
-WHOLE_STREAM = "".join(
-    f"id: {n}\ndata: token {n}\n\n" for n in range(1, EVENT_COUNT + 1)
-)
+EVENTS = [f"id: {n}\ndata: token {n}\n\n" for n in range(1, EVENT_COUNT + 1)]
+WHOLE_STREAM = "".join(EVENTS)
 CHANGES = {
     "nothing changed": {},
     "an unknown host": {"Host": "other.example"},
@@ -211,6 +211,41 @@
     raise AssertionError("no request met the fault")
 
 
+@when("a client's stream breaks off and its next worker answers with the fault {fault}")
+def step_break_and_fault(context, fault):
+    workers = [context.fleet.workers[name] for name in ("m1", "m2")]
+    for _ in range(MAX_TRIES):
+        workers[0].put_faults(how="break", count=1)
+        workers[1].put_faults(how=fault, count=1)
+        context.caller = caller = RawCaller(context.node)
+        caller.send_head("POST", "/stream/1", Content_Length="0", Connection="close")
+        context.received = caller.read_rest()
+        first, second = (worker.get_json("control/seen") for worker in workers)
+        if first["arrivals_s"][-1] < second["arrivals_s"][-1]:
+            return
+    raise AssertionError("the worker whose stream breaks off was never the first one")
+
+
+@then("the client gets the first two events and sees that the rest is missing")
+def step_broken_off(context):
+    head, _, chunks = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 "), head
+    body, is_complete = _join_chunks(chunks)
+    assert body.decode() == "".join(EVENTS[:2]) and not is_complete, body
+
+
+def _join_chunks(data: bytes) -> tuple[bytes, bool]:
+    """Return the body in chunks, and whether it is complete."""
+    body = b""
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        if not int(size, 16):
+            return body, True
+        body += data[: int(size, 16)]
+        data = data[int(size, 16) + 2 :]
+    return body, False
+
+
 @then("it gets {answer} after {runs:d} runs")
 def step_answer_after(context, answer, runs):
     got = context.answer
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/event_splitter.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/event_splitter.py
@@ -54,6 +54,24 @@
         return CompleteEvents(raw, tuple(ids), count)
 
 
+def may_follow(event_id: str, last_id: str) -> bool:
+    """Return whether an event may come after the one with the last ID.
+
+    IDs increase. Those that aren't numbers can only be told from the last one.
+    """
+    ids = (event_id, last_id)
+    if all(text.isascii() and text.isdigit() for text in ids):
+        # Numbers of any length, which `int` would refuse.
+        number, last = (text.lstrip("0") for text in ids)
+        return (len(number), number) > (len(last), last)
+    return event_id != last_id
+
+
+def has_fields(events: bytes) -> bool:
+    """Return whether events have more than comments."""
+    return any(line and not line.startswith(b":") for line in events.splitlines())
+
+
 def _last_end(received: bytearray, text: bytes, start: int) -> int:
     """Return the position after the last occurrence of a text, or 0 without one."""
     index = received.rfind(text, start)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/answer_forwarder.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/answer_forwarder.py
@@ -11,6 +11,8 @@
     MAX_EVENT_BYTES,
     MAX_STALE_EVENTS,
     EventSplitter,
+    has_fields,
+    may_follow,
 )
 from lagoonhinge_core.forwarding.routes import EventStream
 from lagoonhinge_core.forwarding.timeouts import event_gap_timeout_s
@@ -126,6 +128,8 @@
         last_event_s: float | None = None
         # Forwarded with the next new event, as another attempt may be forwarding.
         waiting, stale_events = b"", 0
+        # The caller has the events up to the last ID, from an earlier attempt.
+        must_follow = writer.started
         while True:
             match await answer.next_data():
                 case Failure(lost):
@@ -137,6 +141,12 @@
             events = splitter.feed(data)
             waiting += events.raw
             stale_events += events.count
+            if must_follow and events.ids:
+                last_id = context.last_event_id or ""
+                if not may_follow(events.ids[0], last_id):
+                    text = f"event {events.ids[0]!r} does not follow {last_id!r}"
+                    return Failure(Lost(text))
+                must_follow = False
             # Comments and repetitions don't show that the upstream makes progress.
             if events.ids and events.ids[-1] != context.last_event_id:
                 attempt.begin_write()
@@ -162,6 +172,8 @@
                 return Failure(Lost(f"too large, {held_bytes} bytes"))
         if splitter.buffer:
             return Failure(Lost("the stream ended within an event"))
+        if must_follow and has_fields(waiting):
+            return Failure(Lost("no part of the stream, but other text"))
         attempt.begin_write()
         self._record_success(attempt)
         self._record_stream_end(attempt)
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -32,6 +32,7 @@
 
 EVENT_COUNT = 5
 EVENT_GAP_S = 0.02
+REPEAT_DELAY_S = 0.01  # of an answer that is written again
 HANG_DURATION_S = 3600.0
 CRASH_EXIT_STATUS = 70
 BAD_CHUNK = b"not a size\r\n"
@@ -40,6 +41,12 @@
 LARGE_BODY = b"Batch dossier. " * 500_000
 LARGE_EVENT_DATA = b"Batch dossier. " * 12_500
 LARGE_EVENT_COUNT = 40
+# Answers with status 200 to a request for a stream.
+ERROR_PAGES = {
+    "page": ("text/html", b"<p>out of order</p>\n\n"),
+    "event without id": ("text/event-stream", b"data: out of order\n\n"),
+    "old event": ("text/event-stream", b"id: 2\ndata: token 2\n\n"),
+}
 ORDER_FAULT = "order "  # before the name of a fault of orders
 
 
@@ -114,6 +121,13 @@
         if state.faults.retry_after:
             headers[RETRY_AFTER] = state.faults.retry_after
         return web.Response(status=503, headers=headers)
+    if fault == "refusal twice":
+        assert request.transport is not None
+        head = f"HTTP/1.1 503 Busy\r\n{NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n"
+        request.transport.write(head.encode())
+        await sleep(REPEAT_DELAY_S)
+        request.transport.write(head.encode())
+        await sleep(HANG_DURATION_S)
     if fault in ("503 body", "421 body"):
         return await _write_endless(request, fault, {NOT_EXECUTED: "1"})
     if fault == "cut":
@@ -263,6 +277,9 @@
         return web.Response(status=500, body=b"failed", headers=headers)
     if fault == "not found":
         return web.Response(status=404, body=b"no such answer", headers=headers)
+    if fault in ERROR_PAGES:
+        content_type, page = ERROR_PAGES[fault]
+        return web.Response(body=page, headers=headers, content_type=content_type)
     if fault in ("unframed", "unframed break"):
         return await _write_unframed_stream(request, headers, fault)
     response = web.StreamResponse(headers=headers)
