An answer that is written again is not taken for the next one

What callers saw, of engines and plain services of the product's own node: an upstream that wrote an earlier refusal once more on a kept connection made the next attempt count as not run while it ran, so it could run at a second engine too, or the caller was told that it had not run. A repeated answer of a plain service was given to the next caller.

Cause: the HTTP library takes what arrives on an idle connection for the answer to the next request on it, and attempts of engines used kept connections.

Shown not to happen on the platform: there each attempt has a connection of its own (platform_node "A worker's fault", two new rows, passed before).

Change: a connection that gets bytes after a whole answer is aborted. An attempt of an engine has a connection of its own, since a repetition that crosses the next request can't be told from its answer. Calls of plain services that run once had that already.

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -42,6 +42,8 @@
       | fault          | method | target    | answer           | runs |
       | shed           | GET    | /read/1   | a whole answer   | 1    |
       | shed           | POST   | /order/1  | a whole answer   | 1    |
+      | refusal twice  | GET    | /read/1   | a whole answer   | 1    |
+      | refusal twice  | POST   | /order/1  | a whole answer   | 1    |
       | cut            | GET    | /read/1   | a whole answer   | 1    |
       | cut            | POST   | /order/1  | status 502       | 0    |
       | silent         | GET    | /read/1   | a whole answer   | 2    |
--- a/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
@@ -3,6 +3,7 @@
 from asyncio import AbstractEventLoop, BaseTransport, get_running_loop
 from collections.abc import Awaitable, Callable
 from functools import partial
+from http import HTTPStatus
 from pathlib import Path
 from ssl import create_default_context
 from time import thread_time
@@ -43,11 +44,12 @@
 
 
 class BoundedHandler(ResponseHandler):
-    """Aborts the connection if an answer's head or framing has no end.
+    """Aborts the connection if an answer's head or framing has no end, or after it.
 
     The HTTP library limits neither the informational answers before an answer nor the
-    sizes, extensions and trailers of chunks. A connection whose sender is faster than
-    this process takes turns with others.
+    sizes, extensions and trailers of chunks. What arrives between two requests it takes
+    for the answer to the second one. A connection whose sender is faster than this
+    process takes turns with others.
 
     Args:
         loop: The event loop.
@@ -59,6 +61,7 @@
         self.turns = turns
         self.received_bytes = 0
         self.heads = 0
+        self.has_final_head = False
         self.read_bytes = FIRST_READ_BYTES
         self.full_reads = 0  # in a row
         self.awaits_turn = False
@@ -90,6 +93,7 @@
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the answer to the next request."""
         self.received_bytes = self.heads = 0
+        self.has_final_head = False
         super().set_response_params(**params)
 
     def feed_data(
@@ -97,10 +101,14 @@
     ) -> None:
         """Receive a parsed head."""
         self.heads += 1
+        self.has_final_head = data[0].code >= HTTPStatus.OK
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; none if parsing resumes after a pause."""
+        if data and self._is_answered():
+            self._abort_answer("bytes after a whole answer")
+            return
         if len(data) >= self.read_bytes:
             started_s = thread_time()
             super().data_received(data)
@@ -118,6 +126,11 @@
         elif self.received_bytes > MAX_HEAD_BYTES + FRAMING_FACTOR * body_bytes:
             self._abort_answer(f"{self.received_bytes} bytes with little or no body")
 
+    def _is_answered(self) -> bool:
+        """Return whether the answer to the last request is whole."""
+        payload = self._payload
+        return self.has_final_head and payload is not None and payload.is_eof()
+
     def _record_full_read(self, took_s: float) -> None:
         self._set_read_bytes(next_read_bytes(self.read_bytes, took_s))
         self.full_reads += 1
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/engine_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/engine_client.py
@@ -41,9 +41,13 @@
     async def open_stream(
         self, url: str, call: EngineCall, timeout_s: float
     ) -> Result[EngineStream, UpstreamError]:
-        """Send an attempt and return its answer once the engine has accepted it."""
+        """Send an attempt and return its answer once the engine has accepted it.
+
+        It has a connection of its own, as a refusal that is written again on a kept one
+        would count as the refusal of this attempt.
+        """
         return await self._open(
-            self.pools.acquire(url),
+            self.pools.acquire_new(),
             "POST",
             url + "/v1/completions",
             encode(call),
