A node that starts again numbers its prompts anew

What callers saw: after a node was killed and started again, a long prompt used memory that an engine held for a prompt of the killed process, and the leases of the new process kept it from expiring.

Cause: the name of a reservation is the node's name and the number of the prompt, which each process counted from 1. Peers know assigned prefills by the same pair, so updates of the new process ended those of the old one.

Change: the first prompt of a process has a random number of 31 bits. A time was ruled out, as clocks of VMs jump back.

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -199,6 +199,14 @@
       | 500000 | and disconnects before the end |
       | 500000 | while a worker cuts its stream |
 
+  # After a restart, a prompt used the memory that a request of the killed process used.
+  Scenario: A node that starts again reserves memory under other names
+    Given a node on the platform with four workers for models
+    When a client sends a prompt of 500000 tokens and reads the whole stream
+    And the node is killed and starts again
+    And a client sends a prompt of 500000 tokens and reads the whole stream
+    Then no two requests used memory of one name
+
   Scenario: A prompt whose prefill can't end before the deadline is refused at once
     Given a node on the platform with four workers for models
     When a prompt of 900000 tokens arrives at the node with 1100 ms left
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -481,6 +481,22 @@
     assert "/" in run["helpers"], run
 
 
+@when("the node is killed and starts again")
+def step_kill_and_start(context):
+    context.node.popen.kill()
+    context.node.popen.wait()
+    context.node = context.fleet.start_platform_node(node=context.node.name)
+    context.fleet.wait_ready(context.node)
+
+
+@then("no two requests used memory of one name")
+def step_other_names(context):
+    helpers = [run["helpers"].split(",") for run in context.fleet.runs()]
+    names = [{h.partition("/")[2] for h in entries} - {""} for entries in helpers]
+    assert len(names) == 2 and all(names), helpers
+    assert not names[0] & names[1], helpers
+
+
 @given("another node beside it")
 def step_another_node(context):
     context.second = context.fleet.start_platform_node()
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/load_tracker.py
@@ -190,6 +190,8 @@
 
     Args:
         node: Name of the node.
+        first_prompt: Number of its first prompt. Peers and engines may still know
+            prompts of an earlier process of the node.
 
     Attributes:
         peers: Last update of each peer that is not silent.
@@ -197,7 +199,7 @@
         peer_timeout_s: Silence after which the load of a peer is ignored, in seconds.
     """
 
-    def __init__(self, node: str = ""):
+    def __init__(self, node: str = "", first_prompt: int = 1):
         self.node = node
         self.peer_work: dict[str, OpenWork] = {}
         self.peer_timeout_s = PEER_TIMEOUT_S
@@ -207,7 +209,7 @@
         self.peers: dict[str, PeerLoad] = {}
         self.unsent_prefills: list[Prefill] = []
         self.unsent_finished: list[int] = []
-        self.prompt_count = 0
+        self.next_prompt = first_prompt
         # Summary of each other zone, and the time at which it held.
         self.summaries: dict[str, tuple[CellSummary, float]] = {}
 
@@ -225,8 +227,9 @@
 
     def next_prompt_number(self) -> int:
         """Return the number of the next prompt."""
-        self.prompt_count += 1
-        return self.prompt_count
+        number = self.next_prompt
+        self.next_prompt += 1
+        return number
 
     def add_prefill(self, prefill: Prefill, now_s: float) -> None:
         """Count a prefill that this node assigns to an upstream."""
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
@@ -53,6 +53,9 @@
 from lagoonhinge_node.forwarding.upstream_notices import UpstreamNotices
 from lagoonhinge_node.logs import PartLogger
 
+# Two processes of a node hardly ever number prompts alike, and messages stay short.
+FIRST_PROMPT_BITS = 31
+
 
 def boot_time_s() -> float:
     """Return a monotonic time that includes suspension of the VM, in seconds."""
@@ -124,15 +127,16 @@
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """Create the components; return the services among them."""
-        settings = self.settings
+        settings, random = self.settings, Random()
         self.serving = ServingState(
             Blackboard(),
             Freshness(settings.live.freshness),
             settings.live.retries,
-            Random(),
+            random,
             boot_time_s,
             settings.entry.name,
             settings.entry.zone,
+            random.getrandbits(FIRST_PROMPT_BITS),
         )
         store = self.adapters.open_store(self._register_session(open_session()))
         socket = PeerSocket(settings.entry)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -53,6 +53,7 @@
         clock: Returns the time, in seconds; includes the time that the VM is suspended.
         node: Name of the node.
         zone: Availability zone of the node.
+        first_prompt: Number of the first prompt.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         clock: Callable[[], float],
         node: str,
         zone: str,
+        first_prompt: int = 1,
     ):
         self.board = board
         self.freshness = freshness
@@ -73,7 +75,7 @@
         self.directory = UpstreamDirectory()
         # Latest time at which the list of upstreams was the store's.
         self.upstreams_known_s = float("-inf")
-        self.load = LoadTracker(node)
+        self.load = LoadTracker(node, first_prompt)
         self.background_tasks: set[Task[None]] = set()
         self.health = HealthTracker()
         self.request_limits = RequestLimits(node)
