The time of a trial does not move as nodes pass it on

Cause: a trial is told with its age, and a node took each report of a trial that it knew for newer.

Change: the earliest time of a trial holds.

Evidence: the row "peer tries a on 4, 4 s pass, peer tries a on 4, 2 s pass" of crashes failed before (due 3 s later) and passes now.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -130,6 +130,7 @@
     Given a fleet of 3 trackers that know the same crashes of a and b
     When <claims> are claimed, and the claims are told to all but <lost>
     Then <begin> begins first, and then <later>
+      | a and b crash 1 to 3, peer tries a on 4, 4 s pass, peer tries a on 4, 2 s pass                     | a, b  | none |
 
     Examples:
       | claims             | lost | begin    | later    |
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_trials.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_trials.py
@@ -52,6 +52,10 @@
     at_s: float
     number: int
 
+    def is_same(self, node: str, number: int) -> bool:
+        """Return whether it is the trial of this number by a node."""
+        return (self.node, self.number) == (node, number)
+
     def next_due_s(self, has_crashed: bool = False) -> float:
         """Return from when another one may be made.
 
@@ -157,14 +161,18 @@
         """Add the trials that a peer reports."""
         for report in reports:
             at_s = now_s - report.age_s
+            known = self.newest.get(report.cause)
+            if known is not None and known.is_same(report.node, report.number):
+                # Each peer that passes it on adds the delay of a message.
+                at_s = min(at_s, known.at_s)
             trial = Trial(report.node, report.instance, at_s, report.number)
-            if self._supersedes(trial, self.newest.get(report.cause), now_s):
+            if self._supersedes(trial, known, now_s):
                 self._put(report.cause, trial, now_s)
 
     def _supersedes(self, trial: Trial, known: Trial | None, now_s: float) -> bool:
         if known is None:
             return True
-        if (trial.node, trial.number) == (known.node, known.number):
+        if known.is_same(trial.node, trial.number):
             return bool(trial.instance) and trial.node != self.node
         if known.node == self.node and now_s - known.at_s < CLAIM_S:
             # Of nodes that claim one at the same time, the first by name has it.
