A trial that found no engine running has ended none

What callers saw: two parts of prompts ended all engines of a service. A part that all prompts share was refused, and no sound prompt was served for 20 s and more, though the engines were back after 3 s.

Cause, of one part of it: the shared part's trial came while all engines were down and still listed. It noted an engine that refused the connection, and as that one had ended before, under the same part, the trial counted as one that had ended an engine: the next one was due after 45 s.

Change: an engine of a trial counts as ended by it only if it ended after the trial was claimed.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -109,6 +109,14 @@
       | a+x+p crashes 1, 0.3 s pass, b+x+q crashes 2, 0.3 s pass, c+x+p crashes 3, 0.3 s pass, d+x+q crashes 4, 0.3 s pass, e+x+p crashes 5, 0.3 s pass, f+x+q crashes 6, 1 s pass | s+x | t+x+p |
       | a+x+p crashes 1, 0.3 s pass, b+x+q crashes 2, 0.3 s pass, c+x+r crashes 3, 0.3 s pass, d+x+s crashes 4, 1 s pass | none | s+x |
 
+    # A trial that found no engine running counted as one that had ended an engine.
+    Examples: the engine of a trial had ended before
+      | events                                                                                             | tried | held |
+      | a crashes 1, a crashes 2, a crashes 3, 61 s pass, a is tried on 3, 4 s pass                        | none  | a    |
+      | a crashes 1, a crashes 2, a crashes 3, 61 s pass, a is tried on 3, 6 s pass                        | a     | none |
+      | a crashes 1, a crashes 2, a crashes 3, 61 s pass, a is tried on 4, a crashes 4, 44 s pass          | none  | a    |
+      | a+p crashes 1, 1 s pass, b+p crashes 2, 1 s pass, c+p crashes 3, 11 s pass, d+p is tried on 3, 6 s pass | d+p | none |
+
     Examples: after the same crashes of a and b on 1, 2 and 3
       | events                                                                                             | tried | held |
       | a and b crash 1 to 3, a is tried on 4                                                              | b     | a    |
@@ -122,6 +130,7 @@
       | a and b crash 1 to 3, a is tried on 4, 6 s pass, a is tried on 5, 16 s pass                        | a, b  | none |
       | a and b crash 1 to 3, peer tries a on 4                                                            | b     | a    |
       | a and b crash 1 to 3, peer tries a on 4, peer reports a on 4 0 s ago, 44 s pass                    | b     | a    |
+      | a and b crash 1 to 3, peer tries a on 4, 4 s pass, peer tries a on 4, 2 s pass                     | a, b  | none |
       | a and b crash 1 to 3, peer claims a                                                                | b     | a    |
       | a and b crash 1 to 3, peer tries a on 4 as number 1000000                                          | b     | a    |
       | a and b crash 1 to 3, peer claims a, 3 s pass                                                      | a, b  | none |
@@ -130,7 +139,6 @@
     Given a fleet of 3 trackers that know the same crashes of a and b
     When <claims> are claimed, and the claims are told to all but <lost>
     Then <begin> begins first, and then <later>
-      | a and b crash 1 to 3, peer tries a on 4, 4 s pass, peer tries a on 4, 2 s pass                     | a, b  | none |
 
     Examples:
       | claims             | lost | begin    | later    |
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
@@ -318,7 +318,13 @@
 
     def _crashed_in_trial(self, found: FoundCause, trial: Trial, now_s: float) -> bool:
         """Return whether a trial's upstream ended, and no other cause explains that."""
-        return trial.instance in found.upstreams and not any(
+        ended_s = max(
+            self.confirmed.get(Crash(cause, trial.instance), float("-inf"))
+            for cause in found.causes
+        )
+        # One that had ended before was only tried because it was still listed.
+        has_ended = trial.instance in found.upstreams and ended_s >= trial.at_s
+        return has_ended and not any(
             trial.instance in other.upstreams
             for other in self._find_causes(now_s)
             if other.causes != found.causes
