--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -80,13 +80,14 @@
   Scenario: What crashes engines is told from sound requests, whatever comes together
     When fleets whose truth is known run with 60 examples
 
-  # Drawn by hand: three parts crash engines at the same time.
+  # Drawn by hand: three parts or requests crash engines at the same time.
   Scenario Outline: What crashes engines is told from sound requests, in fleets that were drawn
     When a fleet of <nodes> nodes and <engines> engines runs with <sound> sound and <bad> bad prompts a second, <lost> of 100 messages lost, half of the nodes restarting at <restart>, seed <seed>
-    Then 3 guilty parts are held back, and what is sound is served
+    Then <parts> guilty parts and <guilty> requests beside <beside> others are held back, and what is sound is served
 
     Examples:
-      | nodes | engines | sound | bad | lost | restart | seed |
-      | 3     | 12      | 2     | 3   | 20   | 25 s    | 23   |
-      | 9     | 23      | 20    | 3   | 5    | 15 s    | 2141 |
-      | 3     | 27      | 2     | 1   | 0    | 12 s    | 3008 |
+      | nodes | engines | sound | bad | lost | restart | seed       | parts | guilty | beside |
+      | 3     | 12      | 2     | 3   | 20   | 25 s    | 23         | 3     | 0      | 0      |
+      | 9     | 23      | 20    | 3   | 5    | 15 s    | 2141       | 3     | 0      | 0      |
+      | 3     | 27      | 2     | 1   | 0    | 12 s    | 3008       | 3     | 0      | 0      |
+      | 9     | 12      | 2     | 1   | 20   | 99 s    | 1560817386 | 2     | 1      | 1      |
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -313,6 +313,10 @@
     )
 
 
-@then("{parts:d} guilty parts are held back, and what is sound is served")
-def step_drawn_fleet_checked(context, parts):
-    check_run(replace(context.truth, bad_parts=parts))
+@then(
+    "{parts:d} guilty parts and {guilty:d} requests beside {beside:d} others are held "
+    "back, and what is sound is served"
+)
+def step_drawn_fleet_checked(context, parts, guilty, beside):
+    truth = replace(context.truth, bad_parts=parts, guilty=guilty, companions=beside)
+    check_run(truth)
