--- a/features/steps/cut_off_nodes_steps.py
+++ b/features/steps/cut_off_nodes_steps.py
@@ -21,6 +21,7 @@
 STABLE_S = 3.0
 SENDERS = 16
 ORDER_LIMIT_MS = 1000
+LOG_CHARACTERS = 3000  # of each node, in the text of a failure
 SLOW_EVENT_S = 0.5
 GONE_S = 0.5
 BACK_S = 2.0
@@ -158,10 +159,13 @@
 
 @then("it gets status {status:d}, and the order ran once")
 def step_order_ran(context, status):
+    runs = len(context.fleet.runs()) - context.runs_before
     assert context.answer is not None and context.answer.status == status, (
-        context.answer
+        context.answer,
+        runs,
+        *(node.log.read_text()[-LOG_CHARACTERS:] for node in context.fleet.nodes),
     )
-    assert len(context.fleet.runs()) == context.runs_before + 1
+    assert runs == 1, runs
 
 
 @when("a client leaves it during a stream")
