One place says up to which version a table's rows were applied

"Known and applied" was derived in the merge of updates and again, with a loop over a set, in the choice of what to read. TableReplica.applied_version says it for both.

--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/store_replicas.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/store_replicas.py
@@ -69,15 +69,11 @@
         The configuration and the evacuations are read together, and one of them may be
         known up to an earlier version than the other.
         """
-        tables = {table}
-        if table is StoreTable.CONFIG:
-            tables.add(StoreTable.EVACUATIONS)
-        versions: list[int] = []
-        for replica in (self.tables[name] for name in tables):
-            if replica.version is None or not replica.is_applied:
-                return None
-            versions.append(replica.version)
-        return min(versions)
+        version = self.tables[table].applied_version()
+        if table is not StoreTable.CONFIG:
+            return version
+        other = self.tables[StoreTable.EVACUATIONS].applied_version()
+        return None if version is None or other is None else min(version, other)
 
     def build_updates(self, now_s: float, repeat_s: float) -> tuple[TableUpdate, ...]:
         """Return the state of all tables for other nodes.
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/table_replica.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/table_replica.py
@@ -95,6 +95,10 @@
     recent: dict[str, tuple[TableRow, float]] = field(default_factory=dict)
     is_applied: bool = True
 
+    def applied_version(self) -> int | None:
+        """Return the version whose rows were all applied; `None` if they were not."""
+        return self.version if self.is_applied else None
+
     def record_read(
         self, after: int | None, changes: TableChanges, now_s: float
     ) -> tuple[TableRow, ...] | None:
@@ -134,15 +138,16 @@
         Returns:
             The rows to apply, or why there are none.
         """
-        if self.version is None or not self.is_applied:
+        version = self.applied_version()
+        if version is None:
             return MissingRows()
         if update.era < self.era:
             return UpToDate()
         if update.era > self.era:
             return self._replace(update, now_s)
-        if update.version < self.version:
+        if update.version < version:
             return UpToDate()
-        rows = tuple(row for row in update.rows if row.version > self.version)
+        rows = tuple(row for row in update.rows if row.version > version)
         if self.digest ^ self._digest_change(rows) != update.digest:
             return MissingRows()
         self._record(rows)
