--- /dev/null
+++ b/review/stands/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the cases of the second review, with the standard library only."""
