--- a/review/stands/http.py
+++ b/review/stands/http.py
@@ -7,6 +7,7 @@
     StreamReader,
     StreamWriter,
     open_connection,
+    sleep,
     start_server,
 )
 from collections.abc import Awaitable, Callable
@@ -14,6 +15,7 @@
 from urllib.parse import parse_qsl, urlsplit
 
 HEAD_LIMIT = 1 << 17
+PART_S = 0.05  # between two parts of a body that is sent slowly
 
 
 class Cut(Exception):
@@ -109,10 +111,22 @@
         self.writer: StreamWriter | None = None
 
     async def send(
-        self, method: str, target: str, headers: dict[str, str], body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes = b"",
+        upload_s: float = 0.0,
     ) -> Message:
         """Send a request and return its whole answer.
 
+        Args:
+            method: The method.
+            target: The target.
+            headers: The headers.
+            body: The body.
+            upload_s: How long its sending takes, at an even rate, in seconds.
+
         Raises:
             Cut: If the channel ended before the answer was whole.
         """
@@ -121,8 +135,14 @@
                 self.reader, self.writer = await open_connection(
                     "127.0.0.1", self.port, limit=HEAD_LIMIT
                 )
-            self.writer.write(encode(f"{method} {target} HTTP/1.1", headers, body))
-            await self.writer.drain()
+            raw = encode(f"{method} {target} HTTP/1.1", headers, body)
+            parts = int(upload_s / PART_S) + 1
+            size = len(raw) // parts + 1
+            for start in range(0, len(raw), size):
+                self.writer.write(raw[start : start + size])
+                await self.writer.drain()
+                if start + size < len(raw):
+                    await sleep(PART_S)
         except OSError as error:
             self.close()
             raise Cut(repr(error)) from error
--- a/review/stands/workers.py
+++ b/review/stands/workers.py
@@ -143,7 +143,10 @@
             "Lagoonhinge-Response-Stamp": f"{self.instance}.{len(self.runs)}",
             "Lagoonhinge-Weight-Versions": "1",
         }
+        born = self.born
         await sleep(self.work.first_s)
+        if writer.transport.is_closing() or self.born != born:
+            raise Cut("crashed meanwhile")
         if self.crashes_on(request):
             self.crash()
             raise Cut("crashed")
