--- a/review/stands/node.py
+++ b/review/stands/node.py
@@ -17,7 +17,7 @@
 
 ROOT = Path(__file__).parents[2]
 COMMAND = ("python3", "-S", "-m", "lagoonhinge_platform")
-PORTS = range(20_100, 30_000)
+PORTS = range(30_100, 32_700)  # not those of the features, below the ephemeral ones
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HAS_TROUBLE = environ.get("TROUBLE", "1") != "0"
 # As on the sheet of `wapso-tubeline`.
