Review: workers of the cases keep a port below the ephemeral ones

A worker that comes back takes the port that it had; one of the ephemeral range may be taken meanwhile.

--- a/review/stands/workers.py
+++ b/review/stands/workers.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from stands.http import Cut, Message, encode, port_of, serve
-from stands.node import Record
+from stands.node import Record, free_port
 from stands.store import Store
 
 HEARTBEAT_S = 1.2
@@ -76,7 +76,7 @@
     async def start(self, store: Store) -> None:
         """Start, also after a crash, and register in the store."""
         self.store, self.born, self.seq = store, int(time() * 1000), 0
-        self.server = await serve(self._handle, self.port)
+        self.server = await serve(self._handle, self.port or free_port())
         self.port = port_of(self.server)
         self.beating = create_task(self._beat())
 
