Crashes belong to a run of an upstream, not to its name

Cause: a crash was identified by its cause and the name of its upstream. A crash of a later run replaced the earlier one, so three were never counted. Ruled out: undetected crashes (each is logged with its evidence) and contradicting answers.

Change: crashes, suspicions and trials belong to a run, name and start. On related paths: a row with a later start confirms the crashes of earlier runs, and a probe that reaches a later run doesn't clear the earlier one. Reports of nodes of an earlier version, which have no start, are not counted twice.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -22,6 +22,43 @@
       | bad fails on 1, 1 ended, bad fails on 2, 2 ended, bad fails on 3, 3 ended, 601 s pass      | served  |
       | good fails on 1, bad fails on 1, 1 ended, bad fails on 2, 2 ended, bad fails on 3, 3 ended | refused |
 
+  # A part was never found if the engines that it crashed came back under their names: a
+  # crash of a later run replaced that of the earlier one. A run is written NAME@START.
+  Scenario Outline: Each run of an upstream that starts again under its name is another crash
+    Given the crash tracker of a node
+    When these events come: <events>
+    Then the request "bad" is <result>
+
+    Examples:
+      | events                                                                                         | result  |
+      | bad crashes 1@1, bad crashes 1@2, bad crashes 1@3                                              | refused |
+      | bad crashes 1@1, bad crashes 1@1, bad crashes 1@1                                              | served  |
+      | bad crashes 1@1, peer reports crash 1@2, peer reports crash 1@3                                | refused |
+      | bad crashes 1@1, bad crashes 1@2, bad fails on 1@3, 1@3 running, 1 ended                       | served  |
+      | bad crashes 1@1, bad crashes 1@2, bad fails on 1@3, 1@4 running, 1 ended                       | refused |
+      | bad crashes 1@1, bad crashes 1@2, bad fails on 1@3, 1@3 took its place                         | served  |
+      | bad crashes 1@1, bad crashes 1@2, bad fails on 1@3, 1@4 took its place                         | refused |
+
+    Examples: peers of an earlier version report no start
+      | events                                                                                         | result  |
+      | bad crashes 1@1, bad crashes 2@1, peer reports crash 1, peer reports crash 2                   | served  |
+      | peer reports crash 1, peer reports crash 2, bad crashes 1@1, bad crashes 2@1                   | served  |
+      | bad crashes 1@1, bad crashes 2@1, peer reports crash 3                                         | refused |
+
+  # An engine that was back before a probe found it down was taken for one that had run on.
+  Scenario Outline: The row of an upstream that started again confirms its crashes
+    Given a node that lists an upstream with the start <listed>
+    When a request breaks off on it, and its row has the start <started>
+    Then <count> crashes are confirmed
+
+    Examples: 0 is not reported
+      | listed | started | count |
+      | 5      | 6       | 1     |
+      | 5      | 5       | 0     |
+      | 5      | 4       | 0     |
+      | 5      | 0       | 0     |
+      | 0      | 6       | 0     |
+
   Scenario Outline: A request is retried until its attempts failed on three upstreams
     Given the crash tracker of a node
     When these events come: <events>
@@ -42,6 +79,7 @@
 
     Examples: the part is in all crashes
       | events                                                                                             | refused    | served       |
+      | a+p crashes 1@1, 1 s pass, b+p crashes 1@2, 1 s pass, c+p crashes 1@3, 1 s pass                    | d+p, d+w+p | d+x          |
       | a+p+x crashes 1, 1 s pass, b+p+y crashes 2, 1 s pass, c+p+z crashes 3, 1 s pass                    | d+p, d+w+p | d+x, d+y+z   |
       | a+p+x crashes 1, 1 s pass, b+p+y crashes 2, 1 s pass                                               | none       | d+p          |
       | a+p crashes 1, 1 s pass, b+p crashes 1, 1 s pass, c+p crashes 1, 1 s pass                          | none       | d+p          |
--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -29,6 +29,9 @@
       | 9     | 23      | 5    | 20    | 3   | a third of the engines ends each 5 s |
       | 64    | 120     | 5    | 60    | 5   | nothing else happens                 |
       | 64    | 120     | 5    | 60    | 5   | half of the nodes restart at 15 s    |
+      | 1     | 2       | 0    | 20    | 1   | engines keep their names             |
+      | 9     | 2       | 5    | 20    | 3   | engines keep their names             |
+      | 9     | 23      | 5    | 20    | 3   | engines keep their names             |
 
   # Both run on the only worker each time, so the same crashes count for both.
   Scenario Outline: A request that crashes workers is held back beside a sound one that is always with it
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -1,9 +1,11 @@
 """Steps about requests that crash upstreams."""
 
 from dataclasses import replace
+from types import SimpleNamespace
 
 from behave import given, then, when
 
+from features.support.serving import build_serving_state
 from lagoonhinge_core.forwarding.crash_causes import (
     PART_PREFIX,
     PossibleCauses,
@@ -17,6 +19,10 @@
     CrashTracker,
 )
 from lagoonhinge_core.forwarding.messages import CallerRequest
+from lagoonhinge_core.forwarding.site_store import TableRow
+from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamRun
+from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
+from lagoonhinge_node.forwarding.site_controllers import UpstreamController
 
 
 def _causes(request: str) -> PossibleCauses:
@@ -25,17 +31,25 @@
     return PossibleCauses(digest, tuple(PART_PREFIX + part for part in parts))
 
 
+def _run(name: str) -> UpstreamRun:
+    """Return the run of an upstream that is written `INSTANCE` or `INSTANCE@START`."""
+    instance, _, started_ms = name.partition("@")
+    return UpstreamRun(instance, int(started_ms or 0))
+
+
 def _crash_three_times(tracker: CrashTracker, names: list[str], now_s: float) -> None:
     """Record that requests were on the same three upstreams as these ended."""
     for instance in ("1", "2", "3"):
         for name in names:
-            tracker.add_suspect(_causes(name), instance, now_s)
+            tracker.add_suspect(_causes(name), _run(instance), now_s)
         tracker.confirm_crashes(instance, now_s)
 
 
-def _all_reported(age_s: float, request: str, instance: str) -> tuple[CrashReport, ...]:
+def _all_reported(age_s: float, request: str, name: str) -> tuple[CrashReport, ...]:
+    run = _run(name)
     return tuple(
-        CrashReport(Crash(cause, instance), age_s) for cause in _causes(request).all()
+        CrashReport(Crash(cause, run.instance, run.started_ms), age_s)
+        for cause in _causes(request).all()
     )
 
 
@@ -50,15 +64,17 @@
     tracker = context.tracker
     for event in events.split(", "):
         match event.split():
-            case [request, "fails", "on", instance]:
-                tracker.add_suspect(_causes(request), instance, context.now_s)
-            case [request, "crashes", instance]:
-                tracker.add_suspect(_causes(request), instance, context.now_s)
-                tracker.confirm_crashes(instance, context.now_s)
-            case [instance, "ended"]:
-                tracker.confirm_crashes(instance, context.now_s)
-            case [instance, "running"]:
-                tracker.clear_instance(instance)
+            case [request, "fails", "on", name]:
+                tracker.add_suspect(_causes(request), _run(name), context.now_s)
+            case [request, "crashes", name]:
+                tracker.add_suspect(_causes(request), _run(name), context.now_s)
+                tracker.confirm_crashes(_run(name).instance, context.now_s)
+            case [name, "ended"]:
+                tracker.confirm_crashes(_run(name).instance, context.now_s)
+            case [name, "took", "its", "place"]:
+                tracker.confirm_crashes(_run(name).instance, context.now_s, _run(name))
+            case [name, "running"]:
+                tracker.clear_run(_run(name))
             case [seconds, "s", "pass"]:
                 context.now_s += float(seconds)
             case ["peer", "reports", "crash", instance]:
@@ -76,7 +92,7 @@
                 _crash_three_times(tracker, [first, second], context.now_s)
             case [request, "is", "tried", "on", instance]:
                 tracker.claim_trial(_causes(request), context.now_s)
-                tracker.record_trial(_causes(request), instance, context.now_s)
+                tracker.record_trial(_causes(request), _run(instance), context.now_s)
             case ["peer", "claims", cause]:
                 report = TrialReport(cause, "peer", "", 1, 0.0)
                 tracker.merge((), (), context.now_s, (report,))
@@ -166,7 +182,7 @@
         assert names == ([] if expected == "nothing" else [expected]), names
         for request, node in beginning:
             tracker, causes = context.trackers[node], _causes(request)
-            tracker.record_trial(causes, f"m{request}", context.now_s)
+            tracker.record_trial(causes, _run(f"m{request}"), context.now_s)
             started.append((request, node))
         context.now_s += 0.1
         _tell_trials(context)
@@ -186,6 +202,38 @@
     step_refused_and_served(context, refused, served)
 
 
+def _list_upstream(context, started_ms: int) -> None:
+    context.started_ms = started_ms
+    context.controller.apply((TableRow("u1", b"", 1),), False)
+
+
+@given("a node that lists an upstream with the start {started_ms:d}")
+def step_listed(context, started_ms):
+    context.serving = build_serving_state(lambda: 100.0)
+    context.serving.board.writer(SiteConfigSection(), "test")
+
+    def upstream(row: TableRow) -> Upstream:
+        return Upstream(
+            row.key, "desk", "h", 1, "north", 8, started_ms=context.started_ms
+        )
+
+    decoder = SimpleNamespace(upstream=upstream)
+    context.controller = UpstreamController(context.serving, decoder)
+    _list_upstream(context, started_ms)
+
+
+@when("a request breaks off on it, and its row has the start {started_ms:d}")
+def step_row_changes(context, started_ms):
+    run = context.serving.directory.by_instance["u1"].run()
+    context.serving.crashes.add_suspect(PossibleCauses("bad"), run, 100.0)
+    _list_upstream(context, started_ms)
+
+
+@then("{count:d} crashes are confirmed")
+def step_confirmed(context, count):
+    assert len(context.serving.crashes.confirmed) == count
+
+
 @then('"bad" {may} be retried')
 def step_may_retry(context, may):
     assert context.tracker.may_retry(_causes("bad"), context.now_s) == (may == "may")
@@ -199,10 +247,10 @@
 @when("{count:d} requests crash an upstream each, and then bad crashes {crashes:d}")
 def step_many_crashes(context, count, crashes):
     for number in range(count):
-        context.tracker.add_suspect(_causes(f"r{number}"), "0", context.now_s)
+        context.tracker.add_suspect(_causes(f"r{number}"), _run("0"), context.now_s)
         context.tracker.confirm_crashes("0", context.now_s)
     for number in range(1, crashes + 1):
-        context.tracker.add_suspect(_causes("bad"), str(number), context.now_s)
+        context.tracker.add_suspect(_causes("bad"), _run(str(number)), context.now_s)
         context.tracker.confirm_crashes(str(number), context.now_s)
 
 
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -235,6 +235,9 @@
         match event.split(" of the "):
             case ["nothing else happens"]:
                 fleet.run(duration)
+            case ["engines keep their names"]:
+                fleet.keeps_names = True
+                fleet.run(duration)
             case [share, restart] if restart.startswith("nodes restart at"):
                 at_s = float(restart.split()[-2])
                 fleet.run(at_s)
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -22,6 +22,7 @@
     CrashReport,
     CrashTracker,
 )
+from lagoonhinge_core.forwarding.upstreams import UpstreamRun
 
 STEP_S = 0.02
 MESSAGE_DELAY_S = 0.02
@@ -69,7 +70,8 @@
     """An engine.
 
     Attributes:
-        name: Name of its present run.
+        name: Its name.
+        started_ms: Start of its present run, in milliseconds.
         open: The requests that it runs, and when each ends, in seconds.
         down_until_s: Until when it is down, in seconds.
     """
@@ -77,6 +79,11 @@
     name: str
     open: list[tuple[float, Request]] = field(default_factory=list)
     down_until_s: float = 0.0
+    started_ms: int = 1
+
+    def run(self) -> UpstreamRun:
+        """Return its present run."""
+        return UpstreamRun(self.name, self.started_ms)
 
 
 @dataclass
@@ -95,6 +102,7 @@
         strangers: Sound requests of a group that share a part and differ each time.
         bad_parts: Number of parts that crash engines.
         ends_per_s: Engines that end for another reason, a second.
+        keeps_names: Whether engines that ended come back under their names.
     """
 
     nodes: int
@@ -108,6 +116,7 @@
     strangers: int = 0
     bad_parts: int = 1
     ends_per_s: float = 0.0
+    keeps_names: bool = False
     now_s: float = 0.0
 
     def __post_init__(self) -> None:
@@ -116,7 +125,6 @@
             for name in (f"n{n}" for n in range(self.nodes))
         }
         self.numbers = iter(range(10**9))
-        # Each run of an engine has a name of its own.
         self.upstreams = [Engine(f"e{next(self.numbers)}") for _ in range(self.engines)]
         self.messages: deque[
             tuple[
@@ -246,7 +254,7 @@
         engine = self._choose_engine(request, live)
         engine.open.append((self.now_s + duration_s, request))
         if request.is_trial:
-            tracker.record_trial(request.causes, engine.name, self.now_s)
+            tracker.record_trial(request.causes, engine.run(), self.now_s)
 
     def _choose_engine(self, request: Request, live: list[Engine]) -> Engine:
         if request.group is None:
@@ -285,13 +293,16 @@
 
     def _crash(self, engine: Engine) -> None:
         broken, engine.open = [request for _, request in engine.open], []
-        ended, engine.name = engine.name, f"e{next(self.numbers)}"
+        ended = engine.run()
+        if not self.keeps_names:
+            engine.name = f"e{next(self.numbers)}"
         engine.down_until_s = self.now_s + RESTART_S
+        engine.started_ms = round(engine.down_until_s * 1000)
         for request in broken:
             tracker = self.trackers[request.node]
             tracker.add_suspect(request.causes, ended, self.now_s)
             due_s = self.now_s + DETECTION_S * self.random.random()
-            self.detections.append((due_s, request.node, ended))
+            self.detections.append((due_s, request.node, ended.instance))
             may_retry = tracker.may_retry(request.causes, self.now_s)
             if may_retry and request.attempts < MAX_ATTEMPTS:
                 self._send(request)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_causes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_causes.py
@@ -17,6 +17,7 @@
 from hashlib import blake2b
 
 from lagoonhinge_core.forwarding.messages import CallerRequest
+from lagoonhinge_core.forwarding.upstreams import UpstreamRun
 
 CRASHES_TO_QUARANTINE = 3  # a harmless request rarely has so many
 # Parts with the same crashes are refused only together until so many; from then on
@@ -77,13 +78,13 @@
 
     Attributes:
         causes: Possible causes, all of which a request must have to be refused.
-        upstreams: The upstreams that ended.
+        upstreams: The runs of upstreams that ended.
         is_disputed: Whether another one, or several narrower parts, explain so many of
             the crashes that the rest is not enough; a trial can tell them apart.
     """
 
     causes: frozenset[str]
-    upstreams: frozenset[str]
+    upstreams: frozenset[UpstreamRun]
     is_disputed: bool = False
 
     def is_part(self) -> bool:
@@ -92,7 +93,7 @@
 
 
 def find_causes(
-    crashes_s: Mapping[str, Mapping[str, float]], now_s: float
+    crashes_s: Mapping[str, Mapping[UpstreamRun, float]], now_s: float
 ) -> tuple[FoundCause, ...]:
     """Return what crashes upstreams.
 
@@ -102,7 +103,8 @@
     crashes don't count for others.
 
     Args:
-        crashes_s: When each upstream ended, in seconds, for each possible cause.
+        crashes_s: When each run of an upstream ended, in seconds, for each possible
+            cause.
         now_s: The time, in seconds.
 
     Returns:
@@ -113,7 +115,7 @@
         for cause, times_s in crashes_s.items()
         if not _is_part(cause) and len(times_s) >= CRASHES_TO_QUARANTINE
     ]
-    by_requests = frozenset[str]().union(*(entry.upstreams for entry in found))
+    by_requests = frozenset[UpstreamRun]().union(*(entry.upstreams for entry in found))
     found += _find_parts(crashes_s, by_requests, now_s)
     return tuple(
         replace(
@@ -125,8 +127,8 @@
 
 
 def _find_parts(
-    crashes_s: Mapping[str, Mapping[str, float]],
-    by_requests: frozenset[str],
+    crashes_s: Mapping[str, Mapping[UpstreamRun, float]],
+    by_requests: frozenset[UpstreamRun],
     now_s: float,
 ) -> list[FoundCause]:
     """Return the parts of prompts that explain more crashes than anything else.
@@ -136,11 +138,12 @@
     the cause. Where a request has the same crashes as parts, the parts are not causes.
 
     Args:
-        crashes_s: When each upstream ended, in seconds, for each possible cause.
+        crashes_s: When each run of an upstream ended, in seconds, for each possible
+            cause.
         by_requests: Upstreams that ended under requests that are causes.
         now_s: The time, in seconds.
     """
-    ends_s: dict[str, float] = {}
+    ends_s: dict[UpstreamRun, float] = {}
     for times_s in crashes_s.values():
         for upstream, at_s in times_s.items():
             ends_s[upstream] = min(at_s, ends_s.get(upstream, at_s))
@@ -206,11 +209,11 @@
 
 def _attributable(
     cause: str,
-    times_s: Mapping[str, float],
+    times_s: Mapping[UpstreamRun, float],
     open_ends_s: Sequence[float],
-    explained: Collection[str],
+    explained: Collection[UpstreamRun],
     now_s: float,
-) -> Set[str]:
+) -> Set[UpstreamRun]:
     """Return the upstreams whose end a cause may explain; none if too few.
 
     Args:
@@ -224,7 +227,7 @@
         return times_s.keys()
     own_s = sorted(times_s.values())
     own_open_s = sorted(at_s for name, at_s in times_s.items() if name not in explained)
-    attributed_s: dict[str, float] = {}
+    attributed_s: dict[UpstreamRun, float] = {}
     for upstream, at_s in times_s.items():
         own = _count_near(own_s, at_s)
         others = _count_near(open_ends_s, at_s) - _count_near(own_open_s, at_s)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_trials.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_trials.py
@@ -18,6 +18,7 @@
     MAX_GOSSIPED,
     QUARANTINE_S,
 )
+from lagoonhinge_core.forwarding.upstreams import UpstreamRun
 
 # From the claim of a trial to its start: nodes that claim one at the same time learn of
 # each other. The reports of large fleets go out each third of a second.
@@ -45,12 +46,19 @@
         at_s: When it was claimed, in seconds.
         number: Number of the trial of this cause, from 1; claims that were left before
             an upstream was chosen don't count.
+        started_ms: Start of the upstream's run, in milliseconds since the epoch; 0 if
+            it or a peer does not report it.
     """
 
     node: str
     instance: str
     at_s: float
     number: int
+    started_ms: int = 0
+
+    def run(self) -> UpstreamRun:
+        """Return the run of the upstream."""
+        return UpstreamRun(self.instance, self.started_ms)
 
     def is_same(self, node: str, number: int) -> bool:
         """Return whether it is the trial of this number by a node."""
@@ -79,6 +87,8 @@
         instance: The upstream; empty until it is chosen.
         number: Number of the trial of this cause, from 1.
         age_s: Time since it was claimed, in seconds.
+        started_ms: Start of the upstream's run, in milliseconds since the epoch; 0 if
+            it is not reported.
     """
 
     cause: str
@@ -86,6 +96,7 @@
     instance: str
     number: int
     age_s: float
+    started_ms: int = 0
 
 
 @dataclass
@@ -131,12 +142,13 @@
             if cause not in causes
         )
 
-    def set_instance(self, causes: Iterable[str], instance: str, now_s: float) -> None:
+    def set_run(self, causes: Iterable[str], run: UpstreamRun, now_s: float) -> None:
         """Record the upstream of this node's trial of causes."""
         for cause in causes:
             trial = self.newest.get(cause)
             if trial is not None and trial.node == self.node:
-                self._put(cause, replace(trial, instance=instance), now_s)
+                begun = replace(trial, instance=run.instance, started_ms=run.started_ms)
+                self._put(cause, begun, now_s)
                 self.reported_s[cause] = now_s
 
     def reports(self, now_s: float) -> tuple[TrialReport, ...]:
@@ -151,7 +163,14 @@
     ) -> tuple[TrialReport, ...]:
         """Return the trials of causes, of any node."""
         return tuple(
-            TrialReport(cause, trial.node, trial.instance, trial.number, age_s)
+            TrialReport(
+                cause,
+                trial.node,
+                trial.instance,
+                trial.number,
+                age_s,
+                trial.started_ms,
+            )
             for cause in causes
             if (trial := self.newest.get(cause)) is not None
             and (age_s := now_s - trial.at_s) <= QUARANTINE_S
@@ -165,7 +184,9 @@
             if known is not None and known.is_same(report.node, report.number):
                 # Each peer that passes it on adds the delay of a message.
                 at_s = min(at_s, known.at_s)
-            trial = Trial(report.node, report.instance, at_s, report.number)
+            trial = Trial(
+                report.node, report.instance, at_s, report.number, report.started_ms
+            )
             if self._supersedes(trial, known, now_s):
                 self._put(report.cause, trial, now_s)
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
@@ -29,6 +29,7 @@
     TrialLedger,
     TrialReport,
 )
+from lagoonhinge_core.forwarding.upstreams import UpstreamRun
 
 # Detecting that an upstream ended takes less: its row expires after some seconds, and a
 # connection is refused sooner.
@@ -50,10 +51,17 @@
     Attributes:
         cause: A possible cause in the request.
         instance: The upstream.
+        started_ms: Start of its run, in milliseconds since the epoch, as an upstream
+            may start again under its name; 0 if it or a peer does not report it.
     """
 
     cause: str
     instance: str
+    started_ms: int = 0
+
+    def run(self) -> UpstreamRun:
+        """Return the run of the upstream that ended."""
+        return UpstreamRun(self.instance, self.started_ms)
 
 
 @dataclass(frozen=True)
@@ -115,26 +123,42 @@
         """Return whether there is something to send to all peers."""
         return bool(self.gossiped or self.gossiped_answers or self.trials.reported_s)
 
-    def add_suspect(self, causes: PossibleCauses, instance: str, now_s: float) -> None:
+    def add_suspect(
+        self, causes: PossibleCauses, run: UpstreamRun, now_s: float
+    ) -> None:
         """Record an attempt that broke off while its upstream ran it."""
         self._expire(now_s)
         for cause in causes.all():
-            _put_last(self.suspected, Crash(cause, instance), now_s)
+            crash = Crash(cause, run.instance, run.started_ms)
+            _put_last(self.suspected, crash, now_s)
 
-    def confirm_crashes(self, instance: str, now_s: float) -> tuple[Crash, ...]:
+    def confirm_crashes(
+        self, instance: str, now_s: float, successor: UpstreamRun | None = None
+    ) -> tuple[Crash, ...]:
         """Confirm the suspected crashes of an upstream that has ended.
 
+        Args:
+            instance: The upstream.
+            now_s: The time, in seconds.
+            successor: The run that took its place, if it started again; that one has
+                not ended.
+
         Returns:
             The crashes confirmed by this call.
         """
         self._expire(now_s)
-        ended = [crash for crash in self.suspected if crash.instance == instance]
+        ended = [
+            crash
+            for crash in self.suspected
+            if crash.instance == instance and crash.run() != successor
+        ]
         times_s = {crash: self.suspected.pop(crash) for crash in ended}
         confirmed = tuple(
             crash for crash in ended if not self._is_contradicted(crash, times_s[crash])
         )
         for crash in confirmed:
-            _put_last(self.confirmed, crash, times_s[crash])
+            self.confirmed.pop(crash, None)
+            self._add_confirmed(crash, times_s[crash])
             _put_last(self.gossiped, crash, now_s)
         self._forget_causes()
         return confirmed
@@ -144,9 +168,9 @@
         self._expire(now_s)
         return frozenset(crash.instance for crash in self.suspected)
 
-    def clear_instance(self, instance: str) -> None:
+    def clear_run(self, run: UpstreamRun) -> None:
         """Drop the suspected crashes of an upstream that is still running."""
-        for crash in [crash for crash in self.suspected if crash.instance == instance]:
+        for crash in [crash for crash in self.suspected if crash.run() == run]:
             del self.suspected[crash]
 
     def merge(
@@ -163,7 +187,7 @@
         for report in crashes:
             crash, at_s = report.crash, now_s - report.age_s
             if not self._is_contradicted(crash, at_s):
-                self.confirmed.setdefault(crash, at_s)
+                self._add_confirmed(crash, at_s)
             elif crash.cause not in self.gossiped_answers:
                 self.gossiped_answers[crash.cause] = now_s
         self._expire(now_s)
@@ -240,10 +264,12 @@
         held = self._causes_held_by(causes, now_s)
         return self.trials.holds(held) and self.trials.is_next(held, now_s)
 
-    def record_trial(self, causes: PossibleCauses, instance: str, now_s: float) -> None:
+    def record_trial(
+        self, causes: PossibleCauses, run: UpstreamRun, now_s: float
+    ) -> None:
         """Record the upstream on which a request is tried."""
         held = self._causes_held_by(causes, now_s)
-        self.trials.set_instance(held, instance, now_s)
+        self.trials.set_run(held, run, now_s)
 
     def trial_instances(self, now_s: float) -> frozenset[str]:
         """Return the upstreams on which a trial may still run."""
@@ -319,13 +345,15 @@
     def _crashed_in_trial(self, found: FoundCause, trial: Trial, now_s: float) -> bool:
         """Return whether a trial's upstream ended, and no other cause explains that."""
         ended_s = max(
-            self.confirmed.get(Crash(cause, trial.instance), float("-inf"))
+            self.confirmed.get(
+                Crash(cause, trial.instance, trial.started_ms), float("-inf")
+            )
             for cause in found.causes
         )
         # One that had ended before was only tried because it was still listed.
-        has_ended = trial.instance in found.upstreams and ended_s >= trial.at_s
+        has_ended = trial.run() in found.upstreams and ended_s >= trial.at_s
         return has_ended and not any(
-            trial.instance in other.upstreams
+            trial.run() in other.upstreams
             for other in self._find_causes(now_s)
             if other.causes != found.causes
         )
@@ -333,9 +361,9 @@
     def _find_causes(self, now_s: float) -> tuple[FoundCause, ...]:
         self._expire(now_s)
         if now_s - self.causes_found_s >= CAUSES_MAX_AGE_S:
-            crashes_s: dict[str, dict[str, float]] = {}
+            crashes_s: dict[str, dict[UpstreamRun, float]] = {}
             for crash, at_s in self.confirmed.items():
-                crashes_s.setdefault(crash.cause, {})[crash.instance] = at_s
+                crashes_s.setdefault(crash.cause, {})[crash.run()] = at_s
             self.causes = find_causes(crashes_s, now_s)
             self.causes_found_s = now_s
         return self.causes
@@ -343,6 +371,21 @@
     def _forget_causes(self) -> None:
         self.causes_found_s = float("-inf")
 
+    def _add_confirmed(self, crash: Crash, at_s: float) -> None:
+        """Add a crash, unless it is known.
+
+        Nodes of an earlier version report no start, so their reports may be of a crash
+        that is known with it, or the reverse.
+        """
+        if crash.started_ms:
+            self.confirmed.pop(Crash(crash.cause, crash.instance), None)
+        elif any(
+            (known.cause, known.instance) == (crash.cause, crash.instance)
+            for known in self.confirmed
+        ):
+            return
+        self.confirmed.setdefault(crash, at_s)
+
     def _is_contradicted(self, crash: Crash, at_s: float) -> bool:
         return self.answered.get(crash.cause, float("-inf")) >= at_s
 
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/upstreams.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/upstreams.py
@@ -5,17 +5,17 @@
 from hashlib import blake2b
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, order=True)
 class UpstreamRun:
     """Identity of one run of an upstream, which may start again under its name.
 
     Attributes:
         instance: Name of the upstream.
-        started_ms: Start, in milliseconds since the epoch.
+        started_ms: Start, in milliseconds since the epoch; 0 if it is not reported.
     """
 
     instance: str
-    started_ms: int
+    started_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/reachability.py
@@ -110,7 +110,7 @@
             self.serving.record_exit(upstream.instance, "no connection")
             return False
         writer.close()
-        self.serving.crashes.clear_instance(upstream.instance)
+        self.serving.crashes.clear_run(upstream.run())
         self.serving.record_contact(upstream)
         if self.serving.health.record_connect(upstream.instance):
             self.serving.unsent_reachable.append(upstream.instance)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/request_runner.py
@@ -161,7 +161,7 @@
             self.serving.record_send(upstream)
         if context.is_trial:
             self.serving.crashes.record_trial(
-                context.crash_causes, choice.upstream.instance, self.serving.clock()
+                context.crash_causes, choice.upstream.run(), self.serving.clock()
             )
         silence_timeout = SilenceTimeout(
             partial(self._may_fail_over, context, attempts, choice),
@@ -295,7 +295,9 @@
                 context.declined += 1
                 self._record_decline_fault(context, choice, failure)
             case Lost():
-                self.serving.crashes.add_suspect(context.crash_causes, instance, now_s)
+                self.serving.crashes.add_suspect(
+                    context.crash_causes, choice.upstream.run(), now_s
+                )
                 self.serving.health.record_loss(instance, now_s)
             case Failed():
                 self.serving.health.record_answer(instance, True, now_s)
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/serving_state.py
@@ -32,7 +32,11 @@
 from lagoonhinge_core.forwarding.stop_schedule import StopSchedule
 from lagoonhinge_core.forwarding.store_contact import StoreContact
 from lagoonhinge_core.forwarding.upstream_reach import ReachTracker
-from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamDirectory
+from lagoonhinge_core.forwarding.upstreams import (
+    Upstream,
+    UpstreamDirectory,
+    UpstreamRun,
+)
 from lagoonhinge_core.forwarding.zone_partitions import (
     PartitionTracker,
     ZoneObservation,
@@ -316,17 +320,21 @@
             if name != self.load.node
         )
 
-    def record_exit(self, instance: str, evidence: str) -> None:
+    def record_exit(
+        self, instance: str, evidence: str, successor: UpstreamRun | None = None
+    ) -> None:
         """Record that an upstream ended; a request that it ran may be the cause.
 
         Args:
             instance: The upstream.
             evidence: What shows that it ended, for the log.
+            successor: The run that took its place, if it started again.
         """
-        for crash in self.crashes.confirm_crashes(instance, self.clock()):
+        for crash in self.crashes.confirm_crashes(instance, self.clock(), successor):
             self.log_part.warning(
                 "A request may have crashed an upstream.",
                 upstream=instance,
+                started_ms=crash.started_ms,
                 cause=crash.cause,
                 evidence=evidence,
             )
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/site_controllers.py
@@ -209,7 +209,11 @@
         removed &= set(current)
         for entry in update.changed:
             self.pending_removals.pop(entry.instance, None)
-            self._log_change(current.get(entry.instance), entry)
+            old = current.get(entry.instance)
+            self._log_change(old, entry)
+            # A row of an earlier run may come back with an older copy of the store.
+            if old is not None and 0 < old.started_ms < entry.started_ms:
+                self.serving.record_exit(entry.instance, "started again", entry.run())
             self.serving.record_cold(entry, entry.cold_s)
             if entry.leaving:
                 # Holds for this run even if an older copy of its row comes back.
