Events of a stream clear the parts of its prompt of crashes

Cause: an answer contradicted crashes only when its stream had ended. While streams of 9.4 s were written, the shared part had the same crashes as the bad one and was refused, and its trial took a whole stream. Ruled out: too few engines, and a late trial.

Change: an event half a second after the first one, and each half second later, counts for the parts of the prompt, since a part crashes engines as they begin to write. The request itself is cleared only at the end, as before.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -188,6 +188,20 @@
       | b by n0, a by n1   | none | a by n1  | b by n0  |
       | b by n2, a by n1   | n0   | a by n1  | b by n2  |
 
+  # A part that all prompts share was refused until a trial's whole stream had ended.
+  Scenario Outline: The events of a stream show that the parts of its prompt crash nothing
+    Given a node at which three upstreams ended under prompts with a part
+    When one with it is answered with events after <gaps> s, and <end>
+    Then the part is <state> after <at> s
+
+    Examples:
+      | gaps               | end                       | at  | state   |
+      | 0.1, 0.4, 0.4, 0.6 | goes on                   | 0.7 | refused |
+      | 0.1, 0.4, 0.4, 0.6 | goes on                   | 1   | served  |
+      | 0.1, 0.6, 0.6, 0.6 | goes on                   | 0.8 | served  |
+      | 0.1, 0.6, 0.6, 0.6 | breaks off before event 2 | 3   | refused |
+      | 0.1, 0.1, 0.1, 0.1 | ends                      | 1   | served  |
+
   Scenario Outline: Peers are told of answers that contradict their crashes
     Given the crash tracker of a node
     When these events come: <events>
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -1,11 +1,19 @@
 """Steps about requests that crash upstreams."""
 
+from asyncio import sleep
 from dataclasses import replace
 from types import SimpleNamespace
 
 from behave import given, then, when
 
 from features.support.serving import build_serving_state
+from features.support.silence_fuzz import (
+    RecordingWriter,
+    ScriptedClient,
+    UpstreamScript,
+    run_request,
+)
+from features.support.virtual_time import VirtualLoop
 from lagoonhinge_core.forwarding.crash_causes import (
     PART_PREFIX,
     PossibleCauses,
@@ -19,6 +27,7 @@
     CrashTracker,
 )
 from lagoonhinge_core.forwarding.messages import CallerRequest
+from lagoonhinge_core.forwarding.routes import EventStream
 from lagoonhinge_core.forwarding.site_store import TableRow
 from lagoonhinge_core.forwarding.upstreams import Upstream, UpstreamRun
 from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
@@ -234,6 +243,42 @@
     assert len(context.serving.crashes.confirmed) == count
 
 
+@given("a node at which three upstreams ended under prompts with a part")
+def step_part_refused(context):
+    context.loop = VirtualLoop()
+    context.serving = build_serving_state(context.loop.time)
+    crashes, now_s = context.serving.crashes, context.loop.time()
+    for number in range(3):
+        run, at_s = UpstreamRun(f"ended{number}"), now_s - 4.0 + number
+        crashes.add_suspect(_causes(f"bad{number}+base"), run, at_s)
+        crashes.confirm_crashes(run.instance, at_s)
+
+
+@when("one with it is answered with events after {gaps} s, and {end}")
+def step_answered(context, gaps, end):
+    break_at = int(end.split()[-1]) if end.startswith("breaks off") else 0
+    gaps_s = tuple(float(gap) for gap in gaps.split(", "))
+    script = UpstreamScript("ok", 0.0, gaps_s, break_at)
+    running = run_request(
+        context.serving,
+        EventStream(False, 0.25),
+        ScriptedClient((script,)),
+        RecordingWriter(0.0),
+        ("base",),
+    )
+    context.running = context.loop.create_task(running)
+
+
+@then("the part is {state} after {at_s:g} s")
+def step_part_state(context, state, at_s):
+    context.loop.run_until_complete(sleep(at_s))
+    crashes, now_s = context.serving.crashes, context.loop.time()
+    remaining_s = crashes.remaining_quarantine_s(_causes("other+base"), now_s)
+    context.loop.run_until_complete(context.running)
+    context.loop.close()
+    assert (remaining_s > 0) == (state == "refused"), remaining_s
+
+
 @then('"bad" {may} be retried')
 def step_may_retry(context, may):
     assert context.tracker.may_retry(_causes("bad"), context.now_s) == (may == "may")
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -235,6 +235,9 @@
         match event.split(" of the "):
             case ["nothing else happens"]:
                 fleet.run(duration)
+            case [event] if event.startswith("answers take"):
+                fleet.answer_s = float(event.split()[-2])
+                fleet.run(duration)
             case ["engines keep their names"]:
                 fleet.keeps_names = True
                 fleet.run(duration)
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -10,7 +10,11 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from lagoonhinge_core.forwarding.crash_causes import PART_PREFIX, PossibleCauses
+from lagoonhinge_core.forwarding.crash_causes import (
+    PART_PREFIX,
+    PROGRESS_INTERVAL_S,
+    PossibleCauses,
+)
 from lagoonhinge_core.forwarding.crash_trials import (
     CLAIM_S,
     MAX_TURN_WAIT_S,
@@ -55,6 +59,7 @@
         attempts: Its attempts so far.
         group: Number of the group in which it came; `None` if alone.
         is_trial: Whether it is tried although it is in quarantine.
+        progress_s: When the next event shows that its parts crash nothing, in seconds.
     """
 
     node: str
@@ -63,6 +68,7 @@
     attempts: int = 0
     group: int | None = None
     is_trial: bool = False
+    progress_s: float = float("inf")
 
 
 @dataclass
@@ -103,6 +109,7 @@
         bad_parts: Number of parts that crash engines.
         ends_per_s: Engines that end for another reason, a second.
         keeps_names: Whether engines that ended come back under their names.
+        answer_s: Time that the stream of a sound prompt takes, in seconds.
     """
 
     nodes: int
@@ -117,6 +124,7 @@
     bad_parts: int = 1
     ends_per_s: float = 0.0
     keeps_names: bool = False
+    answer_s: float = ANSWER_S
     now_s: float = 0.0
 
     def __post_init__(self) -> None:
@@ -248,7 +256,8 @@
         if not live:
             return
         request.attempts += 1
-        duration_s = BEGIN_S if request.is_bad else ANSWER_S
+        duration_s = BEGIN_S if request.is_bad else self.answer_s
+        request.progress_s = self.now_s + BEGIN_S + PROGRESS_INTERVAL_S
         for cause in self._true_causes(request):
             self.sent_s.setdefault(cause, []).append(self.now_s)
         engine = self._choose_engine(request, live)
@@ -273,6 +282,11 @@
             self._crash(engine)
             return
         engine.open = [entry for entry in engine.open if entry[0] > self.now_s]
+        for _, request in engine.open:
+            if self.now_s >= request.progress_s and not request.is_bad:
+                request.progress_s += PROGRESS_INTERVAL_S
+                tracker = self.trackers[request.node]
+                tracker.record_answer(request.causes.parts, self.now_s)
         for request in due:
             tracker = self.trackers[request.node]
             tracker.record_answer(request.causes.all(), self.now_s)
--- a/features/support/silence_fuzz.py
+++ b/features/support/silence_fuzz.py
@@ -1,7 +1,7 @@
 """Random attempts of one request at upstreams that may be silent, in virtual time."""
 
 from asyncio import all_tasks, sleep
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hypothesis import strategies as st
 from returns.result import Failure, Result, Success
@@ -25,6 +25,7 @@
 from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.request_context import RequestContext, RequestLog
 from lagoonhinge_node.forwarding.request_runner import RequestRunner
+from lagoonhinge_node.forwarding.serving_state import ServingState
 from lagoonhinge_node.forwarding.upstream_choice import UpstreamChooser
 
 EVENTS = 4
@@ -186,6 +187,33 @@
         self.ended = "aborted"
 
 
+async def run_request(
+    serving: ServingState,
+    kind: RouteKind,
+    client: ScriptedClient,
+    writer: RecordingWriter,
+    shared_parts: tuple[str, ...] = (),
+) -> None:
+    """Run one request at a node with `UPSTREAMS` upstreams."""
+    serving.board.writer(SiteConfigSection(), "test")
+    names = [f"u{number}" for number in range(UPSTREAMS)]
+    serving.directory.update(
+        [Upstream(name, "desk", name, 1, "north", 8) for name in names], ()
+    )
+    log, metrics = RequestLog(serving), ForwardingMetrics()
+    sender = AttemptSender(serving, client, None, metrics, log)
+    runner = RequestRunner(serving, UpstreamChooser(serving), sender, metrics, log)
+    service = (WeightedService("desk", 1.0),)
+    route = Route("r", "h", "/", kind, service, TIMEOUT_S, TARGET_S, MAX_UPSTREAMS)
+    request = CallerRequest("a", "POST", "/", "h", (), b"", None, None, None, None)
+    request = replace(request, shared_parts=shared_parts)
+    arrived_s = serving.clock()
+    context = RequestContext(
+        request, route, "desk", None, arrived_s + TIMEOUT_S, arrived_s
+    )
+    await runner.run(context, writer)
+
+
 def check_request(
     kind: RouteKind,
     scripts: tuple[UpstreamScript, ...],
@@ -202,23 +230,8 @@
     """
     loop = VirtualLoop()
     serving = build_serving_state(loop.time, retries=RetryBound(10.0, 0.0, retry_extra))
-    serving.board.writer(SiteConfigSection(), "test")
-    names = [f"u{number}" for number in range(UPSTREAMS)]
-    serving.directory.update(
-        [Upstream(name, "desk", name, 1, "north", 8) for name in names], ()
-    )
     client, writer = ScriptedClient(scripts), RecordingWriter(write_s)
-    log, metrics = RequestLog(serving), ForwardingMetrics()
-    sender = AttemptSender(serving, client, None, metrics, log)
-    runner = RequestRunner(serving, UpstreamChooser(serving), sender, metrics, log)
-    service = (WeightedService("desk", 1.0),)
-    route = Route("r", "h", "/", kind, service, TIMEOUT_S, TARGET_S, MAX_UPSTREAMS)
-    request = CallerRequest("a", "POST", "/", "h", (), b"", None, None, None, None)
-    arrived_s = loop.time()
-    context = RequestContext(
-        request, route, "desk", None, arrived_s + TIMEOUT_S, arrived_s
-    )
-    loop.run_until_complete(runner.run(context, writer))
+    loop.run_until_complete(run_request(serving, kind, client, writer))
     open_tasks = all_tasks(loop)
     loop.close()
     assert not open_tasks, open_tasks
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_causes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_causes.py
@@ -36,6 +36,10 @@
 # Sound prompts with the same part are answered meanwhile, and other nodes report what
 # else ran on the upstream.
 SETTLE_S = 1.0
+# A part crashes upstreams as they begin to write, and a first event may still get out.
+# An event this long after it shows that the parts of its prompt crash nothing, and so
+# does each further one after the same time. Two fit into the time until a crash counts.
+PROGRESS_INTERVAL_S = SETTLE_S / 2
 DIGEST_BYTES = 12
 PART_PREFIX = "part "
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/answer_forwarder.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/answer_forwarder.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.forwarding.attempts import AttemptFailure, Failed, Lost
-from lagoonhinge_core.forwarding.crash_causes import part_causes
+from lagoonhinge_core.forwarding.crash_causes import PROGRESS_INTERVAL_S, part_causes
 from lagoonhinge_core.forwarding.event_splitter import (
     MAX_EVENT_BYTES,
     MAX_STALE_EVENTS,
@@ -49,6 +49,8 @@
         claim_answer: Called when this attempt has a part of the answer; cancels the
             request's other open attempts.
         longest_gap_s: Longest gap between events so far, in seconds.
+        progress_due_s: From when an event shows that the parts of its prompt crash no
+            upstream, in seconds of the node's clock.
         sent_s: When it was sent to an upstream, in seconds of the node's clock; `None`
             for one that another node makes.
     """
@@ -60,6 +62,7 @@
     silence_timeout: SilenceTimeout
     claim_answer: Callable[[], None]
     longest_gap_s: float = 0.0
+    progress_due_s: float = float("inf")
     sent_s: float | None = None
 
     def begin_write(self) -> None:
@@ -153,9 +156,11 @@
                 now_s = self.serving.clock()
                 if last_event_s is None:
                     self._record_first_event(attempt, "First event.")
+                    attempt.progress_due_s = now_s + PROGRESS_INTERVAL_S
                 else:
                     gap_s = now_s - last_event_s
                     attempt.longest_gap_s = max(attempt.longest_gap_s, gap_s)
+                    self._record_progress(attempt, now_s)
                 last_event_s = context.last_event_s = now_s
                 context.last_event_id = events.ids[-1]
                 if not writer.started:
@@ -193,6 +198,17 @@
             crashes.record_answer((context.crash_causes.digest,), now_s)
         crashes.record_answer(part_causes(context.request), now_s)
 
+    def _record_progress(self, attempt: Attempt, now_s: float) -> None:
+        """Record that a stream goes on, long before its end for long answers.
+
+        The digest is left out: a request may crash its upstream at any time.
+        """
+        if now_s >= attempt.progress_due_s:
+            attempt.progress_due_s = now_s + PROGRESS_INTERVAL_S
+            self.serving.crashes.record_answer(
+                part_causes(attempt.context.request), now_s
+            )
+
     def _record_first_event(self, attempt: Attempt, message: str) -> None:
         """Record the end of the prefill and the time to the first event."""
         context, choice = attempt.context, attempt.choice
