Quarantines outlast the end of all nodes

Cause: the crashes behind a quarantine were only in the memory of the nodes. Ruled out: a node that starts and is not told; there was none left to tell it.

Change: the node that watches the store for its zone keeps these crashes and the trials in a row of the store, written when they change and at most once a second, and reads the rows of all zones when it begins to watch. It tells all nodes what it read. Without quarantines that is one read for each watch.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -12,6 +12,14 @@
       | 1     | 12      | first |
       | 3     | 12      | later |
 
+  # Nodes that had all lost power took prompts again that had crashed engines.
+  Scenario: Nodes that are all killed know which part crashes workers when they start again
+    Given 3 nodes on the platform with 12 workers for models
+    When sound prompts and ones with a later part that crashes workers are sent for 6 s
+    And all nodes are killed, and others are in touch in place of them
+    And sound prompts and ones with a later part that crashes workers are sent for 5 s
+    Then at most 3 workers crash since then
+
   Scenario Outline: The nodes of a fleet find the part in each other's crashes
     Given a fleet of <nodes> nodes and <engines> engines, of whose messages <loss> of 100 are lost
     When <sound> sound and <bad> bad prompts a second come for 40 s, <event>, with 3 seeds
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -15,6 +15,7 @@
 from features.support.fleet import Process
 from features.support.fuzz import run_examples
 from features.support.platform_fleet import PlatformFleet, send
+from features.support.waiting import eventually
 from lagoonhinge_platform.names import ATTEMPT_ID, PROMPT_PARTS
 
 BAD_PART = "bad0"
@@ -51,6 +52,14 @@
         context.fleet.wait_ready(node)
 
 
+def _running_workers(fleet: PlatformFleet) -> dict[str, Process]:
+    return {
+        name: worker
+        for name, worker in fleet.workers.items()
+        if worker.popen.poll() is None
+    }
+
+
 class CrashRecorder:
     """Records when workers crash, and starts others in their place.
 
@@ -61,7 +70,7 @@
     def __init__(self, fleet: PlatformFleet):
         self.fleet = fleet
         self.exits_s: list[float] = []
-        self.running = set(fleet.workers)
+        self.running = set(_running_workers(fleet))
         self.restarts_s: dict[str, float] = {}  # by the worker that crashed
         self.starting: set[str] = set()
 
@@ -146,7 +155,7 @@
     context, send_one: Callable[[int, float], SentPrompt], count: int, per_s: float
 ) -> None:
     """Send prompts, each given its number and when it is due, and record crashes."""
-    for worker in context.fleet.workers.values():
+    for worker in _running_workers(context.fleet).values():
         worker.put_faults(crashing_part=BAD_PART)
     context.recorder = CrashRecorder(context.fleet)
     stopped = Event()
@@ -176,6 +185,27 @@
     return SentPrompt(sent_s, is_bad, None if answer is None else answer.status)
 
 
+@when("all nodes are killed, and others are in touch in place of them")
+def step_nodes_replaced(context):
+    fleet = context.fleet
+    killed, fleet.nodes = fleet.nodes, []
+    for node in killed:
+        node.kill()
+    for node in [fleet.start_platform_node() for _ in killed]:
+        eventually(lambda node=node: _check_ready(fleet, node))
+    sleep(STABLE_S)
+
+
+def _check_ready(fleet: PlatformFleet, node: Process) -> None:
+    assert fleet.is_ready(node), node.log.read_text()[-2000:]
+
+
+@then("at most {most:d} workers crash since then")
+def step_crashes_since(context, most):
+    exits_s = context.recorder.exits_s
+    assert len(exits_s) <= most, len(exits_s)
+
+
 def _stable_s(context, crashes: int = CRASHES_TO_STABLE) -> float:
     """Return when crashes have to stop; with fewer than so many, the last counts."""
     return context.recorder.exits_s[:crashes][-1] + STABLE_S
--- a/features/steps/store_watch_steps.py
+++ b/features/steps/store_watch_steps.py
@@ -12,12 +12,15 @@
     DRAIN_S,
     IN_FORCE_S,
     UNTRANSLATABLE,
+    ZONE,
     WatchFleet,
 )
+from lagoonhinge_core.forwarding.crash_causes import PART_PREFIX, PossibleCauses
 from lagoonhinge_core.forwarding.missed_changes import MissedChanges
 from lagoonhinge_core.forwarding.site_store import StoreTable, TableRow
 from lagoonhinge_core.forwarding.store_clock import StoreClock
 from lagoonhinge_core.forwarding.store_contact import StoreContact
+from lagoonhinge_core.forwarding.upstreams import UpstreamRun
 from lagoonhinge_node.forwarding.forwarding_metrics import ForwardingMetrics
 from lagoonhinge_node.forwarding.peer_messages import (
     PeerMessage,
@@ -29,6 +32,10 @@
 from lagoonhinge_node.forwarding.store_watch import NODES_PAUSE_S
 
 START_S = 3.5
+CRASHING_PART = f"{PART_PREFIX}bad"
+CRASH_INTERVAL_S = 0.5
+# Until a crash counts, all nodes know it and it is stored, or stored after a failure.
+QUARANTINES_STORED_S = 4.5
 CHECK_INTERVAL_S = 0.1
 OUTAGE_S = 8.0
 EVACUATED = "east"
@@ -36,11 +43,13 @@
 SLOW_CALL_S = 0.3  # as long as the interval of updates, and below the takeover age
 
 
-def _new_fleet(context, seed: int) -> WatchFleet:
+def _new_fleet(context, seed: int, keeps_quarantines: bool = False) -> WatchFleet:
     if hasattr(context, "loop"):
         context.loop.close()
     context.loop = loop = VirtualLoop()
-    context.zone = fleet = WatchFleet(loop, Random(seed))
+    context.zone = fleet = WatchFleet(
+        loop, Random(seed), keeps_quarantines=keeps_quarantines
+    )
 
     async def start() -> None:
         fleet.put_config(1)
@@ -67,6 +76,12 @@
     _new_fleet(context, 1)
 
 
+@given("a zone of {count:d} nodes that keep quarantines")
+def step_zone_with_quarantines(context, count):
+    context.node_count = count
+    _new_fleet(context, 1, keeps_quarantines=True)
+
+
 @when("{seconds:d} seconds pass with a change of the configuration each {gap:d} s")
 def step_pass(context, seconds, gap):
     fleet = context.zone
@@ -83,6 +98,74 @@
     context.loop.run_until_complete(run())
 
 
+@when("{crashes:d} upstreams end under prompts with a part, {event}, and all nodes end")
+def step_crashes_and_end(context, crashes, event):
+    fleet = context.zone
+    copy = fleet.store.copy()
+
+    async def run() -> None:
+        for number in range(crashes):
+            name = f"n{number % context.node_count:02}"
+            _crash(fleet, name, PossibleCauses(f"bad{number}", (CRASHING_PART,)))
+            await sleep(CRASH_INTERVAL_S)
+        if event == "the store is away for 2 s":
+            fleet.store.refused.update(fleet.watches)
+            await sleep(2.0)
+            fleet.store.refused.clear()
+        await sleep(QUARANTINES_STORED_S)
+        match event:
+            case "one with the part is answered":
+                serving = fleet.watches["n00"].serving
+                serving.crashes.record_answer((CRASHING_PART,), serving.clock())
+            case "the store has an older copy":
+                fleet.store.restore(copy)
+            case "the stored values are overwritten":
+                fleet.store.quarantines[ZONE] = b"\xc1"
+            case "a thousand parts crash one more":
+                parts = tuple(f"{PART_PREFIX}{n:099}" for n in range(1000))
+                _crash(fleet, "n00", PossibleCauses("large", parts))
+        await sleep(QUARANTINES_STORED_S)
+        for name in tuple(fleet.watches):
+            await fleet.stop_node(name)
+
+    context.loop.run_until_complete(run())
+
+
+def _crash(fleet: WatchFleet, node: str, causes: PossibleCauses) -> None:
+    """Let an upstream end under a request at a node."""
+    serving = fleet.watches[node].serving
+    run = UpstreamRun(f"ended by {causes.digest}", 1)
+    serving.crashes.add_suspect(causes, run, serving.clock())
+    serving.crashes.confirm_crashes(run.instance, serving.clock())
+
+
+@when("they start again after {down:d} s")
+def step_start_again(context, down):
+    async def run() -> None:
+        await sleep(down)
+        for number in range(context.node_count):
+            await context.zone.start_node(f"n{number:02}")
+
+    context.loop.run_until_complete(run())
+
+
+@then("3 s later the part is {state} at every node")
+def step_part_state(context, state):
+    context.loop.run_until_complete(sleep(3.0))
+    prompt = PossibleCauses("another", (CRASHING_PART,))
+    for name, watch in context.zone.watches.items():
+        crashes, now_s = watch.serving.crashes, context.loop.time()
+        remaining_s = crashes.remaining_quarantine_s(prompt, now_s)
+        assert (remaining_s > 0) == (state == "refused"), (name, remaining_s)
+
+
+@then("the store was called at most {most:d} times for quarantines")
+def step_quarantine_calls(context, most):
+    assert context.zone.store.quarantine_calls <= most, (
+        context.zone.store.quarantine_calls
+    )
+
+
 @then("the zone made at most {most:d} calls a second, and one node watches the store")
 def step_call_rate(context, most):
     calls = len(context.zone.store.calls) - context.calls_before
--- a/features/store_watch.feature
+++ b/features/store_watch.feature
@@ -140,6 +140,30 @@
     When the store loses its history, and 3 seconds pass with a change each second
     Then every node that watched the store could send updates at any time
 
+  # Nodes that all lost power at once served prompts again that had crashed engines. Two
+  # nodes may begin to watch the store at the same time, and each reads quarantines once.
+  Scenario Outline: Quarantines outlast the end of all nodes
+    Given a zone of <nodes> nodes that keep quarantines
+    When <crashes> upstreams end under prompts with a part, <event>, and all nodes end
+    And they start again after <down> s
+    Then 3 s later the part is <state> at every node
+    And the store was called at most <calls> times for quarantines
+
+    Examples:
+      | nodes | crashes | event                              | down | state   | calls |
+      | 1     | 5       | nothing else happens               | 3    | refused | 10    |
+      | 3     | 5       | nothing else happens               | 3    | refused | 10    |
+      | 39    | 5       | nothing else happens               | 3    | refused | 10    |
+      | 3     | 0       | nothing else happens               | 3    | served  | 4     |
+      | 3     | 1       | nothing else happens               | 3    | served  | 4     |
+      | 3     | 5       | one with the part is answered      | 3    | served  | 10    |
+      | 3     | 5       | the store is away for 2 s          | 3    | refused | 14    |
+      | 3     | 5       | the store has an older copy        | 3    | refused | 14    |
+      | 3     | 5       | the stored values are overwritten  | 3    | served  | 14    |
+      | 3     | 5       | a thousand parts crash one more    | 3    | refused | 14    |
+      | 3     | 5       | nothing else happens               | 580  | refused | 10    |
+      | 3     | 5       | nothing else happens               | 610  | served  | 10    |
+
   Scenario Outline: While the store fails, the calls of a zone are limited
     Given a zone of <nodes> nodes that have started
     When the calls of all nodes are <fault> for 8 seconds
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
+from typing import TypeAlias
 
 from msgspec import json
 from returns.result import Failure, Result, Success
@@ -15,6 +16,7 @@
 from lagoonhinge_core.forwarding.site_store import (
     HistoryLost,
     NodeEntry,
+    QuarantineRows,
     StoreFault,
     StoreTable,
     TableChanges,
@@ -23,8 +25,10 @@
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_core.forwarding.watch_role import watch_times
 from lagoonhinge_node.forwarding.board_sections import SiteConfigSection
+from lagoonhinge_node.forwarding.crash_exchange import CrashExchange
 from lagoonhinge_node.forwarding.node_announcer import NodeAnnouncer
 from lagoonhinge_node.forwarding.peer_messages import decode_message
+from lagoonhinge_node.forwarding.quarantine_store import QuarantineStore
 from lagoonhinge_node.forwarding.site_controllers import (
     ConfigController,
     EvacuationController,
@@ -68,6 +72,11 @@
         return NodeEntry(row.key, row.key, json.decode(row.value), ZONE)
 
 
+StoreCopy: TypeAlias = tuple[
+    int, dict[tuple[StoreTable, str], TableRow], dict[str, bytes]
+]
+
+
 @dataclass
 class FakeStore:
     """The store's tables, with faults for single nodes.
@@ -83,6 +92,8 @@
         era: Number of times that it came back from an older copy.
         delay_s: Time that a call takes without waiting, in seconds.
         calls: Times of all calls.
+        quarantines: Values of quarantines.
+        quarantine_calls: Number of the calls for these.
     """
 
     loop: VirtualLoop
@@ -95,6 +106,8 @@
     era: int = 0
     delay_s: float = STORE_DELAY_S
     calls: list[float] = field(default_factory=list)
+    quarantines: dict[str, bytes] = field(default_factory=dict)
+    quarantine_calls: int = 0
     changed: Event = field(default_factory=Event)
 
     def write(self, table: StoreTable, key: str, value: object) -> None:
@@ -112,14 +125,14 @@
             if name is table and row.value is not None
         }
 
-    def copy(self) -> tuple[int, dict[tuple[StoreTable, str], TableRow]]:
+    def copy(self) -> StoreCopy:
         """Return a copy of all rows, with its version."""
-        return self.version, dict(self.rows)
+        return self.version, dict(self.rows), dict(self.quarantines)
 
-    def restore(self, copy: tuple[int, dict[tuple[StoreTable, str], TableRow]]) -> None:
+    def restore(self, copy: StoreCopy) -> None:
         """Come back from an older copy."""
-        self.version, rows = copy
-        self.rows = dict(rows)
+        self.version, rows, quarantines = copy
+        self.rows, self.quarantines = dict(rows), dict(quarantines)
         self.era += 1
         self.wake()
 
@@ -188,6 +201,29 @@
         self.store.write(StoreTable.NODES, entry.name, entry.port)
         return Success(None)
 
+    async def read_quarantines(self) -> Result[QuarantineRows, StoreFault]:
+        """Return the values of quarantines."""
+        if await self._call_for_quarantines():
+            time_s = self.store.loop.time() + STORE_CLOCK_S
+            return Success(QuarantineRows(dict(self.store.quarantines), time_s))
+        return Failure(StoreFault("refused"))
+
+    async def store_quarantines(
+        self, name: str, value: bytes
+    ) -> Result[None, StoreFault]:
+        """Write a value of quarantines."""
+        if await self._call_for_quarantines():
+            self.store.quarantines[name] = value
+            return Success(None)
+        return Failure(StoreFault("refused"))
+
+    async def _call_for_quarantines(self) -> bool:
+        """Make a call; return whether the store serves it."""
+        self.store.calls.append(self.store.loop.time())
+        self.store.quarantine_calls += 1
+        await sleep(self.store.delay_s)
+        return self.node not in self.store.refused | self.store.silent
+
 
 @dataclass
 class FakeSocket:
@@ -215,16 +251,21 @@
         random: Random numbers of network and nodes.
         loss: Share of lost messages.
         lateness_s: Greatest random delay of a message, in seconds.
+        keeps_quarantines: Whether its nodes exchange crashes and keep quarantines,
+            which takes most of the time of a test.
     """
 
     loop: VirtualLoop
     random: Random
     loss: float = 0.0
     lateness_s: float = 0.0
+    keeps_quarantines: bool = False
     watches: dict[str, StoreWatch] = field(default_factory=dict)
     announcers: dict[str, NodeAnnouncer] = field(default_factory=dict)
     upstreams: dict[str, UpstreamController] = field(default_factory=dict)
     evacuations: dict[str, EvacuationController] = field(default_factory=dict)
+    crashes: dict[str, CrashExchange] = field(default_factory=dict)
+    quarantines: dict[str, QuarantineStore] = field(default_factory=dict)
     sent_messages: list[bytes] = field(default_factory=list)
     changed_s: dict[int, float] = field(default_factory=dict)
 
@@ -244,7 +285,8 @@
         entry = NodeEntry(name, name, 1, ZONE)
         rows = FakeRows()
         upstreams = UpstreamController(serving, rows)
-        nodes = NodeController(serving, rows, entry, ())
+        crashes = CrashExchange(serving, FakeSocket(self, name))
+        nodes = NodeController(serving, rows, entry, (crashes.set_peers,))
         evacuations = EvacuationController(serving)
         client = StoreClient(self.store, name)
         announcer = NodeAnnouncer(serving, client, nodes)
@@ -263,10 +305,15 @@
         self.announcers[name] = announcer
         self.upstreams[name] = upstreams
         self.evacuations[name] = evacuations
+        self.crashes[name] = crashes
+        self.quarantines[name] = QuarantineStore(serving, client, watch)
         await upstreams.start()
         await evacuations.start()
         await watch.start()
         await announcer.start()
+        if self.keeps_quarantines:
+            await crashes.start()
+            await self.quarantines[name].start()
 
     async def stop_node(self, name: str) -> None:
         """Stop a node without notice."""
@@ -274,11 +321,15 @@
         await self.announcers.pop(name).stop()
         await self.upstreams.pop(name).stop()
         await self.evacuations.pop(name).stop()
+        await self.crashes.pop(name).stop()
+        await self.quarantines.pop(name).stop()
 
     def deliver(self, name: str, data: bytes) -> None:
         """Hand a message to a node, if it runs."""
         if name in self.watches:
-            self.watches[name].receive(decode_message(data))
+            message = decode_message(data)
+            self.watches[name].receive(message)
+            self.crashes[name].receive(message)
 
     def watchers(self) -> list[str]:
         """Return the nodes that watch the store."""
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
@@ -193,6 +193,24 @@
         self._expire(now_s)
         self._forget_causes()
 
+    def restore(
+        self,
+        crashes: Iterable[CrashReport],
+        trials: Iterable[TrialReport],
+        now_s: float,
+    ) -> int:
+        """Add what the store kept, and tell the peers what is new of it.
+
+        Returns:
+            The number of crashes that were not known.
+        """
+        known = set(self.confirmed)
+        self.merge(crashes, (), now_s, trials)
+        restored = [crash for crash in self.confirmed if crash not in known]
+        for crash in restored:
+            _put_last(self.gossiped, crash, now_s)
+        return len(restored)
+
     def crash_reports(self, now_s: float) -> tuple[CrashReport, ...]:
         """Return the crashes to send to peers."""
         self._expire(now_s)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_store.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/site_store.py
@@ -1,6 +1,6 @@
 """Interface to the platform's store, for what a node reads and announces there."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Generic, Protocol, TypeVar
@@ -44,6 +44,8 @@
     EVACUATIONS = "evacuations"
 
 
+# Of a stored value: half of what a row of the platform's store takes.
+MAX_QUARANTINE_BYTES = 32 << 10
 POLLED_TABLES = (StoreTable.CONFIG, StoreTable.UPSTREAMS, StoreTable.NODES)
 
 
@@ -121,6 +123,19 @@
     )
 
 
+@dataclass(frozen=True)
+class QuarantineRows:
+    """What nodes stored of quarantines.
+
+    Attributes:
+        values: The stored values, by the name under which they are stored.
+        store_time_s: Time of the store's clock at which they were read, in seconds.
+    """
+
+    values: Mapping[str, bytes]
+    store_time_s: float
+
+
 class RowDecoder(Protocol):
     """Translation of the store's rows."""
 
@@ -151,3 +166,16 @@
 
     async def announce(self, entry: NodeEntry) -> Result[None, StoreFault]:
         """Announce this node to the other nodes; may be repeated."""
+
+    async def read_quarantines(self) -> Result[QuarantineRows, StoreFault]:
+        """Return what was stored of quarantines."""
+
+    async def store_quarantines(
+        self, name: str, value: bytes
+    ) -> Result[None, StoreFault]:
+        """Store what is known of quarantines in place of an earlier value.
+
+        Args:
+            name: Name of the value.
+            value: At most `MAX_QUARANTINE_BYTES` bytes.
+        """
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/store_clock.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/store_clock.py
@@ -39,6 +39,18 @@
         self.least_offset_s = max(self.least_offset_s, least_s)
         self.most_offset_s = min(self.most_offset_s, most_s)
 
+    def store_s(self, now_s: float) -> float | None:
+        """Return the store's time, at the latest.
+
+        Args:
+            now_s: Local time, in seconds.
+
+        Returns:
+            The time of the store's clock, in seconds; `None` if it is unknown.
+        """
+        store_s = now_s - self.least_offset_s
+        return store_s if store_s < float("inf") else None
+
     def local_s(self, store_s: float, now_s: float) -> float | None:
         """Return the earliest local time at which the store's clock read a time.
 
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/forwarding_node.py
@@ -28,6 +28,7 @@
 from lagoonhinge_node.forwarding.node_announcer import NodeAnnouncer
 from lagoonhinge_node.forwarding.operator_interface import OperatorInterface
 from lagoonhinge_node.forwarding.peer_messages import PeerSocket
+from lagoonhinge_node.forwarding.quarantine_store import QuarantineStore
 from lagoonhinge_node.forwarding.reachability import ReachabilityController
 from lagoonhinge_node.forwarding.request_context import RequestLog
 from lagoonhinge_node.forwarding.request_runner import RequestRunner
@@ -163,6 +164,7 @@
             evacuations,
         )
         cells = CellExchange(self.serving, socket, watch)
+        quarantines = QuarantineStore(self.serving, store, watch)
         socket.handlers += [
             exchange.receive,
             crashes.receive,
@@ -181,6 +183,7 @@
             exchange,
             crashes,
             cells,
+            quarantines,
             ReachabilityController(self.serving),
             self.settings_controller,
         ]
