An answer without length that is reset is not whole, at any client

Other operators saw a worker answer a long upload at once with 200 and no length, send a part of the body and reset the connection; clients got the part as whole.

The product's own node has it: the HTTP library ends a body without length with its connection, also if that is reset. Calls to plain services gave the part to callers as a whole answer, with and without an upload.

Change: the handler of all client connections reports a reset.

The step of platform_node that waits for a request to meet a fault gives it to each worker twice, as a node that sends in turn never met it.

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -67,6 +67,42 @@
       | unframed break | POST   | /stream/1 | a whole stream   | 2    |
       | unframed break | POST   | /stream/once/1 | no whole answer | 1 |
 
+  # Seen at other systems: part of an answer without length, whose connection is reset
+  # while the upload is still being written, was taken for the whole answer.
+  Scenario Outline: An answer that breaks off during an upload is not complete
+    Given a node on the platform that takes bodies of 16 MB
+    When the next request meets the fault <fault>, and a client uploads 8 MB to <target>
+    Then it gets <answer> after <runs> runs
+
+    Examples:
+      | fault                    | target         | answer          | runs |
+      | early reset              | /order/1       | status 502      | 1    |
+      | early reset              | /read/1        | a whole answer  | 2    |
+      | early answer, then reset | /order/1       | status 502      | 1    |
+      | early answer, then reset | /read/1        | a whole answer  | 2    |
+      | early answer, then reset | /stream/once/1 | status 502      | 1    |
+
+  # Seen at other systems: a status that is none was passed on, and a head that broke off
+  # became an answer that was empty or short.
+  Scenario Outline: What is no whole head is no answer
+    Given a node on the platform with two workers for each service
+    When the next request meets the fault <fault>, and a client sends <method> <target>
+    Then it gets <answer> after <runs> runs
+
+    Examples:
+      | fault                            | method | target         | answer         | runs |
+      | status 000                       | POST   | /order/1       | status 502     | 1    |
+      | status 000                       | GET    | /read/1        | a whole answer | 2    |
+      | head cut in its first line       | POST   | /order/1       | status 502     | 1    |
+      | head cut after its first line    | POST   | /order/1       | status 502     | 1    |
+      | head cut after its first line    | POST   | /stream/once/1 | status 502     | 1    |
+      | head cut in a header             | POST   | /order/1       | status 502     | 1    |
+      | head cut after a header          | POST   | /order/1       | status 502     | 1    |
+      | head cut after a header          | GET    | /read/1        | a whole answer | 2    |
+      | head cut before the empty line   | POST   | /order/1       | status 502     | 1    |
+      | head cut before the empty line   | POST   | /stream/1      | a whole stream | 2    |
+      | head reset before the empty line | POST   | /order/1       | status 502     | 1    |
+
   # An error page was written into the stream, which ended as if it were complete.
   Scenario Outline: An error after a stream broke off never becomes a part of it
     Given a node on the platform with two workers for each service
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -70,6 +70,7 @@
     "with a host name too long": {"address": f'"{"x" * 300}:80"'},
 }
 REQUESTS_AFTER_START = 4
+UPLOAD = b"x" * (8 << 20)  # more than the kernel buffers of a connection hold
 BODIES = {
     "a body over the limit": b"x" * 70_000,
     "a body": BODY,
@@ -118,6 +119,19 @@
     start_nodes(context, 1)
 
 
+@given("a node on the platform that takes bodies of 16 MB")
+def step_large_bodies(context):
+    start_nodes(context, 1)
+    limits = {"maxHeaderBytes": 4096, "maxBodyBytes": 16 << 20}
+    context.fleet.put_config(version=2, limits=limits)
+
+    def check() -> None:
+        answer = send(context.node, "POST", "/read/1", BODIES["a body over the limit"])
+        assert answer is not None and answer.status == 200, answer
+
+    eventually(check)
+
+
 @given("a node on the platform that started before the store answered")
 def step_late_store(context):
     workers = {"d1": "desk", "d2": "desk", "m1": "models", "m2": "models"}
@@ -192,12 +206,22 @@
 
 @when("the next request meets the fault {fault}, and a client sends {method} {target}")
 def step_send_with_fault(context, fault, method, target):
+    _send_with_fault(context, fault, method, target, BODY if method == "POST" else b"")
+
+
+@when("the next request meets the fault {fault}, and a client uploads 8 MB to {target}")
+def step_upload_with_fault(context, fault, target):
+    _send_with_fault(context, fault, "POST", target, UPLOAD)
+
+
+def _send_with_fault(context, fault, method, target, body) -> None:
     fleet = context.fleet
     services = ("m1", "m2") if target.startswith("/stream/") else ("d1", "d2")
-    context.sent = (method, target, BODY if method == "POST" else b"")
+    context.sent = (method, target, body)
     # Only one worker has the fault; requests that the other one gets do not count.
     for tried in range(MAX_TRIES):
-        worker = services[tried % 2]
+        # Twice each, as the node may send to them in turn.
+        worker = services[tried // 2 % 2]
         fleet.workers[worker].put_faults(how=fault, count=1)
         runs_before = len(fleet.runs(services))
         sent_s = monotonic()
@@ -208,7 +232,7 @@
         if had_fault:
             context.run_count = len(fleet.runs(services)) - runs_before
             return
-    raise AssertionError("no request met the fault")
+    raise AssertionError(f"no request met the fault: {context.answer}")
 
 
 @when("a client's stream breaks off and its next worker answers with the fault {fault}")
--- a/features/steps/repeated_answers_steps.py
+++ b/features/steps/repeated_answers_steps.py
@@ -1,10 +1,12 @@
-"""Steps about upstreams that write an earlier answer again."""
+"""Steps about upstreams that write an answer again, or not to its end."""
 
 from asyncio import StreamReader, StreamWriter, run, sleep, start_server
 from dataclasses import dataclass, field
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 
 from behave import given, then, when
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from lagoonhinge_core.engine_messages import EngineCall
 from lagoonhinge_core.plain_messages import CallLimits, PlainCall
@@ -19,6 +21,12 @@
     "a refusal": b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
     "an answer": b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nearlier",
 }
+BROKEN_ANSWERS = {
+    "without length": b"HTTP/1.1 200 OK\r\n\r\npart",
+    "with status 000": b"HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\npart",
+    "with a cut head": b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+}
+RESET_ON_CLOSE = pack("ii", 1, 0)
 CHUNK = b'data: {"attempt":"b","seq":0,"text":"own"}\n\n'
 SECOND_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(CHUNK), CHUNK)
 
@@ -124,3 +132,44 @@
     assert isinstance(second, Success), second
     assert second.unwrap() in (CHUNK, b"own"), second
     assert len(context.upstream.requests) == 2, context.upstream.requests
+
+
+@given("an upstream that answers {answer}, before it reads the request, and then {end}")
+def step_breaks_off(context, answer, end):
+    async def serve(_: StreamReader, writer: StreamWriter) -> None:
+        writer.write(BROKEN_ANSWERS[answer])
+        await sleep(REPEAT_DELAY_S)
+        if end == "resets":
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+        writer.close()
+
+    context.serve = serve
+
+
+@when("a {call} of {size:d} KB is sent to it")
+def step_send_one(context, call, size):
+    async def send() -> Result:
+        server = await start_server(context.serve, "127.0.0.1", 0)
+        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        session = open_session()
+        client = HttpPlainClient(session)
+        limits = CallLimits(TIMEOUT_S, 1 << 16, call == "call that runs once")
+        plain_call = PlainCall("POST", "/", (), bytes(size << 10))
+        try:
+            return await client.send(url, plain_call, limits)
+        finally:
+            await client.close()
+            await session.close()
+            server.close()
+
+    context.result = run(send())
+
+
+@then("the call {result}")
+def step_call_result(context, result):
+    if result == "fails":
+        assert isinstance(context.result, Failure), context.result
+    else:
+        assert context.result.unwrap().body == b"part", context.result
--- a/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
@@ -46,6 +46,9 @@
 class BoundedHandler(ResponseHandler):
     """Aborts the connection if an answer's head or framing has no end, or after it.
 
+    An answer without a length ends with its connection. A reset is reported as an
+    error, which the HTTP library does not tell from an end.
+
     The HTTP library limits neither the informational answers before an answer nor the
     sizes, extensions and trailers of chunks. What arrives between two requests it takes
     for the answer to the second one. A connection whose sender is faster than this
@@ -126,6 +129,13 @@
         elif self.received_bytes > MAX_HEAD_BYTES + FRAMING_FACTOR * body_bytes:
             self._abort_answer(f"{self.received_bytes} bytes with little or no body")
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Report a reset to the reader of the body."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f"connection reset: {exc}"))
+        super().connection_lost(exc)
+
     def _is_answered(self) -> bool:
         """Return whether the answer to the last request is whole."""
         payload = self._payload
@@ -175,7 +185,6 @@
     max_connections: int = 0,
     tls_ca: Path | None = None,
     reuse: bool = True,
-    handler: type[BoundedHandler] = BoundedHandler,
 ) -> ClientSession:
     """Return a client session.
 
@@ -184,7 +193,6 @@
             bounds the calls.
         tls_ca: File of CA certificates to trust instead of the system's.
         reuse: Whether to keep idle connections for later calls.
-        handler: Handler of the connections.
     """
     ssl_context = True if tls_ca is None else create_default_context(cafile=tls_ca)
     connector = TCPConnector(
@@ -194,7 +202,7 @@
         ssl=ssl_context,
     )
     loop = get_running_loop()
-    factory: Any = partial(handler, loop=loop, turns=ReadTurns(loop))
+    factory: Any = partial(BoundedHandler, loop=loop, turns=ReadTurns(loop))
     connector._factory = factory
     return ClientSession(
         connector=connector,
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/upstream_client.py
@@ -14,7 +14,6 @@
 from aiohttp import (
     ClientConnectorError,
     ClientError,
-    ClientPayloadError,
     ClientResponse,
     ClientSession,
     ConnectionTimeoutError,
@@ -40,7 +39,6 @@
 from lagoonhinge_core.forwarding.site_store import NodeEntry
 from lagoonhinge_core.forwarding.upstreams import Upstream
 from lagoonhinge_http.session import (
-    BoundedHandler,
     ConnectionLost,
     call_timeout,
     open_session,
@@ -64,19 +62,9 @@
 )
 
 
-class _ResetAwareHandler(BoundedHandler):
-    """Reports a reset as an error, as opposed to an end of the connection."""
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(f"reset by the upstream: {exc}"))
-        super().connection_lost(exc)
-
-
 def open_upstream_session() -> ClientSession:
     """Return a session that uses each connection for one request."""
-    return open_session(reuse=False, handler=_ResetAwareHandler)
+    return open_session(reuse=False)
 
 
 @dataclass
--- a/stand_ins/platform_worker.py
+++ b/stand_ins/platform_worker.py
@@ -47,6 +47,17 @@
     "event without id": ("text/event-stream", b"data: out of order\n\n"),
     "old event": ("text/event-stream", b"id: 2\ndata: token 2\n\n"),
 }
+# Answers that are written before the request's body is read, and then reset.
+EARLY_FAULTS = {"early reset": 0.0, "early answer, then reset": 0.05}
+# Where an answer's head ends, and whether its connection is reset or closed then.
+CUT_HEADS = {
+    "head cut in its first line": (b"HTTP/1.1 200", False),
+    "head cut after its first line": (b"HTTP/1.1 200 OK\r\n", False),
+    "head cut in a header": (b"\r\nContent-Le", False),
+    "head cut after a header": (b"\r\nContent-Length: 0\r\n", False),
+    "head cut before the empty line": (b"\r\n\r", False),
+    "head reset before the empty line": (b"\r\n\r", True),
+}
 ORDER_FAULT = "order "  # before the name of a fault of orders
 
 
@@ -110,7 +121,8 @@
 
 async def _execute(request: web.Request) -> web.StreamResponse:
     state = request.app[STATE]
-    body = await request.read()
+    is_early = state.faults.how in EARLY_FAULTS and state.faults.count != 0
+    body = b"" if is_early else await request.read()
     headers = request.headers
     if headers.get(EXPECT_INSTANCE, state.instance) != state.instance:
         return web.Response(status=421)
@@ -155,6 +167,10 @@
         if fault.removeprefix(TRICKLE) in ANSWERS:
             headers = _response_headers(request, fault)
             return await _write_endless(request, fault, headers)
+        if fault in EARLY_FAULTS:
+            return await _answer_early(request, EARLY_FAULTS[fault])
+        if fault in CUT_HEADS:
+            return _cut_head(request, *CUT_HEADS[fault])
         if request.path.startswith("/stream/"):
             return await _stream(request, state, fault)
         return await _call(request, state, fault)
@@ -207,6 +223,8 @@
         return web.Response(status=503, body=b"ran, though", headers=headers)
     if fault == "garbled":
         return await _write_garbled(request, headers, body)
+    if fault == "status 000":
+        return _write_status_000(request, headers, body)
     if fault in ("unframed", "truncated", "unframed reset", "extra"):
         return await _write_raw(request, headers, body, fault)
     return web.Response(body=body, headers=headers)
@@ -245,6 +263,39 @@
     raise web.HTTPInternalServerError
 
 
+async def _answer_early(request: web.Request, reset_after_s: float) -> web.Response:
+    """Write a part of an answer without length, and reset the connection."""
+    assert request.transport is not None
+    lines = [f"{k}: {v}" for k, v in _response_headers(request, "").items()]
+    request.transport.write(_raw_head(lines) + b"answer of")
+    await sleep(reset_after_s)
+    reset_connection(request)
+    raise web.HTTPInternalServerError
+
+
+def _cut_head(request: web.Request, end: bytes, is_reset: bool) -> web.Response:
+    """Write an answer's head up to the end of some bytes, and end the connection."""
+    assert request.transport is not None
+    lines = [f"{k}: {v}" for k, v in _response_headers(request, "").items()]
+    head = _raw_head([*lines, "Content-Length: 0"])
+    request.transport.write(head[: head.index(end) + len(end)])
+    if is_reset:
+        reset_connection(request)
+    request.transport.close()
+    raise web.HTTPInternalServerError
+
+
+def _write_status_000(
+    request: web.Request, headers: dict[str, str], body: bytes
+) -> web.Response:
+    assert request.transport is not None
+    lines = [f"{k}: {v}" for k, v in headers.items()]
+    head = _raw_head([*lines, f"Content-Length: {len(body)}"])
+    request.transport.write(head.replace(b"200 OK", b"000 Trouble", 1) + body)
+    request.transport.close()
+    raise web.HTTPInternalServerError
+
+
 def _raw_head(lines: list[str]) -> bytes:
     return "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
 
