A status below 100 is no answer, at any client

Other operators saw a worker answer with status 000, and clients got it as an answer. The product's own node passed it on to callers of plain services, as the HTTP library takes any three digits for a status.

Change: the handler of all client connections ends such an answer with an error.

Test: a row of repeated_answers 'An answer that breaks off' failed before ('Success: PlainAnswer(status=0, ...)').

--- a/features/repeated_answers.feature
+++ b/features/repeated_answers.feature
@@ -28,5 +28,6 @@
       | without length     | resets  | call that may repeat | 8000 | fails                     |
       | without length     | resets  | call that runs once  | 8000 | fails                     |
       | without length     | closes  | call that runs once  | 1    | gets the part as it ended |
+      | with status 000    | closes  | call that runs once  | 1    | fails                     |
       | with a cut head    | closes  | call that runs once  | 1    | fails                     |
       | with a cut head    | resets  | call that may repeat | 1    | fails                     |
--- a/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
+++ b/packages/lagoonhinge-http/src/lagoonhinge_http/session.py
@@ -103,6 +103,10 @@
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
         """Receive a parsed head."""
+        if data[0].code < HTTPStatus.CONTINUE:
+            # The parser takes any three digits for a status.
+            self._abort_answer(f"status {data[0].code:03}, which is none")
+            return
         self.heads += 1
         self.has_final_head = data[0].code >= HTTPStatus.OK
         super().feed_data(data, size)
