Test: a prompt that is tried is not counted as refused

The fleets of crashing_parts counted a sound prompt in quarantine as refused also if it became the trial, which is sent 0.6 s later and answered.

A prompt whose trial is left counts as refused, as before. The check that none is refused stays.

--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -224,13 +224,22 @@
         if request.causes.digest.startswith("companion"):
             if is_refused:
                 self.refused_since_s.setdefault(request.causes.digest, self.now_s)
-        elif not request.is_bad:
-            self.sound_s.append((self.now_s, is_refused))
         if not is_refused:
+            self._count_sound(request, self.now_s, False)
             self._send(request)
         elif tracker.trial_due_in_s(request.causes, self.now_s) == 0:
             tracker.claim_trial(request.causes, self.now_s)
             self.claims.append((self.now_s + CLAIM_S, request))
+        else:
+            self._count_sound(request, self.now_s, True)
+
+    def _count_sound(
+        self, request: Request, arrived_s: float, is_refused: bool
+    ) -> None:
+        """Count whether a sound prompt was refused; one that is tried is served."""
+        is_companion = request.causes.digest.startswith("companion")
+        if not request.is_bad and not is_companion:
+            self.sound_s.append((arrived_s, is_refused))
 
     def _begin_trials(self) -> None:
         claims, self.claims = self.claims, []
@@ -240,12 +249,16 @@
             if due_s > self.now_s:
                 self.claims.append(claim)
             elif not tracker.remaining_quarantine_s(request.causes, self.now_s):
+                self._count_sound(request, due_s - CLAIM_S, False)
                 self._send(request)
             elif tracker.may_begin_trial(request.causes, self.now_s):
                 request.is_trial = True
+                self._count_sound(request, due_s - CLAIM_S, False)
                 self._send(request)
             elif self.now_s < due_s + MAX_TURN_WAIT_S:
                 self.claims.append(claim)
+            else:
+                self._count_sound(request, due_s - CLAIM_S, True)
 
     def _send(self, request: Request) -> None:
         tracker = self.trackers[request.node]
