Five crashes in one burst are found if other upstreams went on

Cause: upstreams that end within 0.2 s may have lost power together, so a part needed crashes at two such moments. What tells a power failure of all engines from prompts was missing: whether another upstream answered soon after.

Change: five crashes at one moment are enough if every upstream that ended then ran a prompt with the part and an answer came 0.2 to 1 s later, at this node or at one that reported it. The part is tried at once, as it may only run where a rack lost power.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -107,6 +107,18 @@
       | a+p crashes 1, b+p crashes 2, 1 s pass, c+p crashes 3, 1 s pass, d+p crashes 4, 1 s pass           | e+p        | d+x          |
       | a+p crashes 1, b+x crashes 2, c+y crashes 3, 1 s pass, d+p crashes 4, 1 s pass, e+p crashes 5, 1 s pass | none  | f+p, f+x     |
 
+    # Five upstreams that ended within 0.2 s were taken for a common failure, whatever went on.
+    Examples: five upstreams end in one burst
+      | events                                                                                             | refused    | served       |
+      | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, 0.5 s pass, s+x is answered, 1 s pass | f+p | f+x |
+      | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, 2 s pass                | none       | f+p          |
+      | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, 0.1 s pass, s+x is answered, 2 s pass | none | f+p |
+      | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, 1.5 s pass, s+x is answered, 1 s pass | none | f+p |
+      | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, 0.5 s pass, s+p is answered, 1 s pass | none | f+p |
+      | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, 0.5 s pass, s+x is answered, 1 s pass  | none       | f+p          |
+      | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, f+y crashes 6, 0.5 s pass, s+x is answered, 1 s pass | none | g+p |
+      | a+p+x crashes 1, b+p+x crashes 2, c+p+x crashes 3, d+p+x crashes 4, e+p+x crashes 5, 0.5 s pass, s+x is answered, 1 s pass | f+p | f+x |
+
     Examples: two parts crash upstreams
       | events                                                                                             | refused    | served       |
       | a+p crashes 1, 1 s pass, b+q crashes 2, 1 s pass, c+p crashes 3, 1 s pass, d+q crashes 4, 1 s pass, e+p crashes 5, 1 s pass, f+q crashes 6, 1 s pass | g+p, g+q | g+x |
@@ -143,6 +155,11 @@
       | s+x fails on 1, a+p crashes 1, 1 s pass, s+x fails on 2, b+p crashes 2, 1 s pass, s+x fails on 3, c+p crashes 3, 1 s pass, d+p crashes 4, 1 s pass | s+x, e+p | s+p |
       | s+x fails on 1, a+p crashes 1, 1 s pass, s+x fails on 2, b+p crashes 2, 1 s pass, s+x fails on 3, c+p crashes 3, 1 s pass, d+p crashes 4, 1 s pass, e+p crashes 5, 1 s pass, f+p crashes 6, 1 s pass | s+x | g+p |
 
+    Examples: five upstreams end in one burst
+      | events                                                                                             | tried | held |
+      | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, 0.5 s pass, s+x is answered, 1 s pass | f+p | none |
+      | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, 0.5 s pass, s+x is answered, 1 s pass, f+p is tried on 6, f+p crashes 6, 9 s pass | none | f+p |
+
     Examples: a part that other parts share explains the crashes of both
       | events                                                                                             | tried | held |
       | a+x+p crashes 1, 0.3 s pass, b+x+q crashes 2, 0.3 s pass, c+x+p crashes 3, 0.3 s pass, d+x+q crashes 4, 0.3 s pass, e+x+p crashes 5, 0.3 s pass, f+x+q crashes 6, 1 s pass | s+x | t+x+p |
@@ -216,10 +233,15 @@
       | d+p is answered, peer reports a+p on 1 0.3 s ago, peer answered d+p 0 s ago      | 1     |
       | d+p is answered, peer reports a+p on 1 0.3 s ago, 0.1 s pass, peer answered e+p 0 s ago | 0 |
 
-  Scenario: A node that starts learns of the quarantines from its peers
+  Scenario Outline: A node that starts learns of the quarantines from its peers
     Given the crash tracker of a node
-    When these events come: a+p crashes 1, 1 s pass, b+p+x crashes 2, 1 s pass, c+p crashes 3, 9 s pass
-    Then a node that hears the evidence refuses d+p and serves d+x
+    When these events come: <events>
+    Then a node that hears the evidence refuses f+p and serves f+x
+
+    Examples:
+      | events                                                                             |
+      | a+p crashes 1, 1 s pass, b+p+x crashes 2, 1 s pass, c+p crashes 3, 9 s pass        |
+      | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, 0.5 s pass, s+x is answered, 1 s pass |
 
   Scenario: A crash is sent to peers for a second
     Given the crash tracker of a node
--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -42,6 +42,10 @@
       | 9     | 23      | 5    | 20    | 3   | engines keep their names             |
       | 3     | 6       | 0    | 5     | 1   | answers take 9.4 s                   |
       | 9     | 23      | 5    | 20    | 3   | answers take 9.4 s                   |
+      | 1     | 16      | 0    | 6     | 0   | 18 bad ones together each 6 s        |
+      | 3     | 16      | 0    | 6     | 0   | 18 bad ones together each 6 s        |
+      | 9     | 23      | 5    | 20    | 0   | 18 bad ones together each 6 s        |
+      | 1     | 16      | 0    | 6     | 0   | 6 bad ones together each 6 s         |
 
   # Both run on the only worker each time, so the same crashes count for both.
   Scenario Outline: A request that crashes workers is held back beside a sound one that is always with it
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -277,6 +277,10 @@
                 fleet.restart_nodes(SHARES[share])
                 context.restarted_s = [fleet.now_s]
                 fleet.run(duration - at_s)
+            case [burst] if burst.endswith("together each 6 s"):
+                while fleet.now_s < duration:
+                    fleet.receive_bad(int(burst.split()[0]))
+                    fleet.run(6.0)
             case [share, ends] if ends.startswith("engines ends each"):
                 each_s = float(ends.split()[-2])
                 while fleet.now_s < duration:
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -184,6 +184,11 @@
             if engine.down_until_s <= self.now_s:
                 self._crash(engine)
 
+    def receive_bad(self, count: int) -> None:
+        """Let bad prompts come at the same time."""
+        for _ in range(count):
+            self._receive(self._new_request(True))
+
     def restart_nodes(self, share: float) -> None:
         """Restart a share of the nodes; they forget all that they know."""
         for name in list(self.trackers)[: round(share * self.nodes)]:
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_causes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_causes.py
@@ -27,7 +27,8 @@
 # such as a power failure.
 COMMON_FAILURE_S = 0.2
 # Moments at which upstreams must have ended under a part, as they may end together for
-# another reason. After five crashes it must be found, also if they came in a burst.
+# another reason. After five crashes it must be found, also if they came in a burst: at
+# one moment if all that ended had the part, and others answered soon after it.
 MOMENTS = 3
 MOMENTS_OF_MANY = 2
 # Of the upstreams that ended together, those that a part must explain: of two parts
@@ -84,7 +85,8 @@
         causes: Possible causes, all of which a request must have to be refused.
         upstreams: The runs of upstreams that ended.
         is_disputed: Whether another one, or several narrower parts, explain so many of
-            the crashes that the rest is not enough; a trial can tell them apart.
+            the crashes that the rest is not enough, or all were at one moment; a trial
+            can tell.
     """
 
     causes: frozenset[str]
@@ -97,7 +99,9 @@
 
 
 def find_causes(
-    crashes_s: Mapping[str, Mapping[UpstreamRun, float]], now_s: float
+    crashes_s: Mapping[str, Mapping[UpstreamRun, float]],
+    now_s: float,
+    outlived: Set[UpstreamRun] = frozenset(),
 ) -> tuple[FoundCause, ...]:
     """Return what crashes upstreams.
 
@@ -110,6 +114,7 @@
         crashes_s: When each run of an upstream ended, in seconds, for each possible
             cause.
         now_s: The time, in seconds.
+        outlived: Runs soon after whose end another upstream answered.
 
     Returns:
         Causes, each of which one request can have.
@@ -120,7 +125,7 @@
         if not _is_part(cause) and len(times_s) >= CRASHES_TO_QUARANTINE
     ]
     by_requests = frozenset[UpstreamRun]().union(*(entry.upstreams for entry in found))
-    found += _find_parts(crashes_s, by_requests, now_s)
+    found += _find_parts(crashes_s, by_requests, now_s, outlived)
     return tuple(
         replace(
             cause,
@@ -134,6 +139,7 @@
     crashes_s: Mapping[str, Mapping[UpstreamRun, float]],
     by_requests: frozenset[UpstreamRun],
     now_s: float,
+    outlived: Set[UpstreamRun],
 ) -> list[FoundCause]:
     """Return the parts of prompts that explain more crashes than anything else.
 
@@ -146,6 +152,7 @@
             cause.
         by_requests: Upstreams that ended under requests that are causes.
         now_s: The time, in seconds.
+        outlived: Runs soon after whose end another upstream answered.
     """
     ends_s: dict[UpstreamRun, float] = {}
     for times_s in crashes_s.values():
@@ -165,7 +172,9 @@
             if len(upstreams) >= CRASHES_TO_QUARANTINE
             and (
                 rest := upstreams
-                & _attributable(cause, crashes_s[cause], open_ends_s, explained, now_s)
+                & _attributable(
+                    cause, crashes_s[cause], open_ends_s, explained, now_s, outlived
+                )
             )
         }
         most = max(map(len, attributable.values()), default=0)
@@ -193,7 +202,11 @@
             # Two parts may crash upstreams under prompts that share a third.
             rest = largest.difference(*narrower)
             is_divided = len(rest) < CRASHES_TO_QUARANTINE
-            found += [FoundCause(frozenset(s), largest, is_divided) for s in sets]
+            ends_of_largest_s = [ends_s[upstream] for upstream in largest]
+            is_burst = _count_moments(ends_of_largest_s) < MOMENTS_OF_MANY
+            found += [
+                FoundCause(frozenset(s), largest, is_divided or is_burst) for s in sets
+            ]
         explained |= largest
         unexplained = {c: ups - largest for c, ups in unexplained.items()}
 
@@ -217,6 +230,7 @@
     open_ends_s: Sequence[float],
     explained: Collection[UpstreamRun],
     now_s: float,
+    outlived: Set[UpstreamRun],
 ) -> Set[UpstreamRun]:
     """Return the upstreams whose end a cause may explain; none if too few.
 
@@ -226,25 +240,37 @@
         open_ends_s: When upstreams ended of which no cause is known, sorted.
         explained: The upstreams of which a cause is known.
         now_s: The time, in seconds.
+        outlived: Runs soon after whose end another upstream answered.
     """
     if not _is_part(cause):
         return times_s.keys()
     own_s = sorted(times_s.values())
     own_open_s = sorted(at_s for name, at_s in times_s.items() if name not in explained)
     attributed_s: dict[UpstreamRun, float] = {}
+    ended_without = False  # upstreams at the same moments, under prompts without it
     for upstream, at_s in times_s.items():
         own = _count_near(own_s, at_s)
         others = _count_near(open_ends_s, at_s) - _count_near(own_open_s, at_s)
         if now_s - at_s >= SETTLE_S and own >= MIN_EXPLAINED_SHARE * (own + others):
             attributed_s[upstream] = at_s
+            ended_without |= others > 0
     moments = MOMENTS
     if len(attributed_s) >= CRASHES_TO_SEPARATE:
-        moments = MOMENTS_OF_MANY
+        is_contrasted = not ended_without and not outlived.isdisjoint(attributed_s)
+        moments = 1 if is_contrasted else MOMENTS_OF_MANY
     if _count_moments(attributed_s.values()) < moments:
         return frozenset()
     return attributed_s.keys()
 
 
+def is_soon_after(end_s: float, answered_s: float) -> bool:
+    """Return whether an answer shows that not all upstreams ended at a moment.
+
+    Before, one of those that ended may have sent it; later, one that started again.
+    """
+    return COMMON_FAILURE_S < answered_s - end_s <= SETTLE_S
+
+
 def _count_near(sorted_s: Sequence[float], at_s: float) -> int:
     """Return how many times are near enough for a common failure."""
     first = bisect_left(sorted_s, at_s - COMMON_FAILURE_S)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
@@ -7,9 +7,10 @@
 from another one, it is tried.
 """
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TypeVar
 
 from lagoonhinge_core.forwarding.crash_causes import (
@@ -17,6 +18,7 @@
     FoundCause,
     PossibleCauses,
     find_causes,
+    is_soon_after,
 )
 from lagoonhinge_core.forwarding.crash_limits import (
     GOSSIP_DURATION_S,
@@ -39,6 +41,9 @@
 REQUEST_TRIAL_DELAY_S = 60.0
 CRASHES_TO_SUSPECT = 2  # sound prompts are often on one upstream that ends
 CAUSES_MAX_AGE_S = 0.1  # until causes are found again, as crashes settle
+# Answers are looked at in steps of this time, for as long as crashes are suspected.
+ANSWER_STEP_S = 0.1
+MAX_ANSWERS = round(SUSPECT_TTL_S / ANSWER_STEP_S)
 
 
 Key = TypeVar("Key")
@@ -71,10 +76,12 @@
     Attributes:
         crash: The crash.
         age_s: Time since the upstream ended, in seconds.
+        outlived: Whether another upstream answered soon after.
     """
 
     crash: Crash
     age_s: float
+    outlived: bool = False
 
 
 @dataclass(frozen=True)
@@ -103,6 +110,9 @@
         gossiped_answers: Possible causes whose answers contradict crashes that peers
             may know, with the time since which they are sent.
         trials: Trials of causes that the crashes can't tell apart.
+        answers_s: When requests of this node were answered, the last ones.
+        outlived: Runs soon after whose end another upstream answered, with the time at
+            which that became known.
         causes: Causes found in the confirmed crashes, and when, in seconds.
     """
 
@@ -112,6 +122,8 @@
     answered: dict[str, float] = field(default_factory=dict)
     gossiped_answers: dict[str, float] = field(default_factory=dict)
     trials: TrialLedger = field(default_factory=TrialLedger)
+    answers_s: deque[float] = field(default_factory=partial(deque, maxlen=MAX_ANSWERS))
+    outlived: dict[UpstreamRun, float] = field(default_factory=dict)
     causes: tuple[FoundCause, ...] = ()
     causes_found_s: float = float("-inf")
 
@@ -186,6 +198,8 @@
             self._record_answer_of_peer(answer.cause, now_s - answer.age_s)
         for report in crashes:
             crash, at_s = report.crash, now_s - report.age_s
+            if report.outlived:
+                self.outlived.setdefault(crash.run(), now_s)
             if not self._is_contradicted(crash, at_s):
                 self._add_confirmed(crash, at_s)
             elif crash.cause not in self.gossiped_answers:
@@ -215,7 +229,7 @@
         """Return the crashes to send to peers."""
         self._expire(now_s)
         return tuple(
-            CrashReport(crash, now_s - self.confirmed[crash])
+            self._report(crash, now_s)
             for crash in tuple(self.gossiped)[-MAX_GOSSIPED:]
             if crash in self.confirmed
         )
@@ -233,8 +247,8 @@
         """Return the crashes behind the quarantines, for nodes that missed them."""
         found = self._found_causes(now_s)
         return tuple(
-            CrashReport(crash, now_s - at_s)
-            for crash, at_s in self.confirmed.items()
+            self._report(crash, now_s)
+            for crash in self.confirmed
             if crash.cause in found
         )[-MAX_GOSSIPED:]
 
@@ -244,6 +258,8 @@
 
     def record_answer(self, causes: Iterable[str], now_s: float) -> None:
         """Record a successful answer, which contradicts all earlier crashes."""
+        if not self.answers_s or now_s - self.answers_s[-1] >= ANSWER_STEP_S:
+            self.answers_s.append(now_s)
         for cause in causes:
             _put_last(self.answered, cause, now_s)
             if self._drop_contradicted(cause):
@@ -382,10 +398,28 @@
             crashes_s: dict[str, dict[UpstreamRun, float]] = {}
             for crash, at_s in self.confirmed.items():
                 crashes_s.setdefault(crash.cause, {})[crash.run()] = at_s
-            self.causes = find_causes(crashes_s, now_s)
+            self._find_outlived(now_s)
+            self.causes = find_causes(crashes_s, now_s, self.outlived.keys())
             self.causes_found_s = now_s
         return self.causes
 
+    def _find_outlived(self, now_s: float) -> None:
+        """Find the runs that ended while others went on, among the recent ones."""
+        ends_s = {
+            crash.run(): at_s
+            for crash, at_s in self.confirmed.items()
+            if now_s - at_s <= SUSPECT_TTL_S
+        }
+        for run, end_s in ends_s.items():
+            if run not in self.outlived and any(
+                is_soon_after(end_s, answered_s) for answered_s in self.answers_s
+            ):
+                self.outlived[run] = now_s
+
+    def _report(self, crash: Crash, now_s: float) -> CrashReport:
+        age_s = now_s - self.confirmed[crash]
+        return CrashReport(crash, age_s, crash.run() in self.outlived)
+
     def _forget_causes(self) -> None:
         self.causes_found_s = float("-inf")
 
@@ -435,6 +469,7 @@
         _drop_old(self.suspected, now_s - SUSPECT_TTL_S)
         _drop_old(self.confirmed, now_s - QUARANTINE_S)
         _drop_old(self.gossiped, now_s - GOSSIP_DURATION_S)
+        _drop_old(self.outlived, now_s - QUARANTINE_S)
         _drop_old(self.answered, now_s - QUARANTINE_S)
         _drop_old(self.gossiped_answers, now_s - GOSSIP_DURATION_S)
 
