--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -73,11 +73,12 @@
 
 @contextmanager
 def _other_requests(context, prefix: str):
-    """Send other requests meanwhile, and keep how they ended."""
+    """Send other requests meanwhile, at least one, and keep how they ended."""
     done = Event()
     context.others = others = []
 
     def run() -> None:
+        others.append(_send(context.node, prefix))
         while not done.wait(OTHER_INTERVAL_S):
             others.append(_send(context.node, prefix))
 
