Reports of crashes and runs that others outlived have modules of their own

The types that nodes tell each other are in crash_reports, what tells a burst of prompts from a power failure in outlived_runs, and the entries with times, which both use, in timed_entries.

--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -19,13 +19,13 @@
     PossibleCauses,
     digest_request,
 )
-from lagoonhinge_core.forwarding.crash_trials import TrialLedger, TrialReport
-from lagoonhinge_core.forwarding.crashes import (
+from lagoonhinge_core.forwarding.crash_reports import (
     AnswerReport,
     Crash,
     CrashReport,
-    CrashTracker,
 )
+from lagoonhinge_core.forwarding.crash_trials import TrialLedger, TrialReport
+from lagoonhinge_core.forwarding.crashes import CrashTracker
 from lagoonhinge_core.forwarding.messages import CallerRequest
 from lagoonhinge_core.forwarding.routes import EventStream
 from lagoonhinge_core.forwarding.site_store import TableRow
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -15,17 +15,14 @@
     PROGRESS_INTERVAL_S,
     PossibleCauses,
 )
+from lagoonhinge_core.forwarding.crash_reports import AnswerReport, CrashReport
 from lagoonhinge_core.forwarding.crash_trials import (
     CLAIM_S,
     MAX_TURN_WAIT_S,
     TrialLedger,
     TrialReport,
 )
-from lagoonhinge_core.forwarding.crashes import (
-    AnswerReport,
-    CrashReport,
-    CrashTracker,
-)
+from lagoonhinge_core.forwarding.crashes import CrashTracker
 from lagoonhinge_core.forwarding.upstreams import UpstreamRun
 
 STEP_S = 0.02
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
@@ -7,18 +7,15 @@
 from another one, it is tried.
 """
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
-from functools import partial
-from typing import TypeVar
 
 from lagoonhinge_core.forwarding.crash_causes import (
     CRASHES_TO_QUARANTINE,
     FoundCause,
     PossibleCauses,
     find_causes,
-    is_soon_after,
 )
 from lagoonhinge_core.forwarding.crash_limits import (
     GOSSIP_DURATION_S,
@@ -26,11 +23,10 @@
     MAX_GOSSIPED,
     QUARANTINE_S,
 )
-from lagoonhinge_core.forwarding.crash_trials import (
-    Trial,
-    TrialLedger,
-    TrialReport,
-)
+from lagoonhinge_core.forwarding.crash_reports import AnswerReport, Crash, CrashReport
+from lagoonhinge_core.forwarding.crash_trials import Trial, TrialLedger, TrialReport
+from lagoonhinge_core.forwarding.outlived_runs import OutlivedRuns
+from lagoonhinge_core.forwarding.timed_entries import drop_old, put_last
 from lagoonhinge_core.forwarding.upstreams import UpstreamRun
 
 # Detecting that an upstream ended takes less: its row expires after some seconds, and a
@@ -41,60 +37,6 @@
 REQUEST_TRIAL_DELAY_S = 60.0
 CRASHES_TO_SUSPECT = 2  # sound prompts are often on one upstream that ends
 CAUSES_MAX_AGE_S = 0.1  # until causes are found again, as crashes settle
-# Answers are looked at in steps of this time, for as long as crashes are suspected.
-ANSWER_STEP_S = 0.1
-MAX_ANSWERS = round(SUSPECT_TTL_S / ANSWER_STEP_S)
-
-
-Key = TypeVar("Key")
-
-
-@dataclass(frozen=True)
-class Crash:
-    """An upstream that ended while it ran a request.
-
-    Attributes:
-        cause: A possible cause in the request.
-        instance: The upstream.
-        started_ms: Start of its run, in milliseconds since the epoch, as an upstream
-            may start again under its name; 0 if it or a peer does not report it.
-    """
-
-    cause: str
-    instance: str
-    started_ms: int = 0
-
-    def run(self) -> UpstreamRun:
-        """Return the run of the upstream that ended."""
-        return UpstreamRun(self.instance, self.started_ms)
-
-
-@dataclass(frozen=True)
-class CrashReport:
-    """A crash that a node tells its peers.
-
-    Attributes:
-        crash: The crash.
-        age_s: Time since the upstream ended, in seconds.
-        outlived: Whether another upstream answered soon after.
-    """
-
-    crash: Crash
-    age_s: float
-    outlived: bool = False
-
-
-@dataclass(frozen=True)
-class AnswerReport:
-    """An answer to a request, which tells peers what did not cause earlier crashes.
-
-    Attributes:
-        cause: What the request had in it.
-        age_s: Time since the answer, in seconds.
-    """
-
-    cause: str
-    age_s: float
 
 
 @dataclass
@@ -110,9 +52,7 @@
         gossiped_answers: Possible causes whose answers contradict crashes that peers
             may know, with the time since which they are sent.
         trials: Trials of causes that the crashes can't tell apart.
-        answers_s: When requests of this node were answered, the last ones.
-        outlived: Runs soon after whose end another upstream answered, with the time at
-            which that became known.
+        outlived: Runs that ended while others went on.
         causes: Causes found in the confirmed crashes, and when, in seconds.
     """
 
@@ -122,8 +62,7 @@
     answered: dict[str, float] = field(default_factory=dict)
     gossiped_answers: dict[str, float] = field(default_factory=dict)
     trials: TrialLedger = field(default_factory=TrialLedger)
-    answers_s: deque[float] = field(default_factory=partial(deque, maxlen=MAX_ANSWERS))
-    outlived: dict[UpstreamRun, float] = field(default_factory=dict)
+    outlived: OutlivedRuns = field(default_factory=OutlivedRuns)
     causes: tuple[FoundCause, ...] = ()
     causes_found_s: float = float("-inf")
 
@@ -142,7 +81,7 @@
         self._expire(now_s)
         for cause in causes.all():
             crash = Crash(cause, run.instance, run.started_ms)
-            _put_last(self.suspected, crash, now_s)
+            put_last(self.suspected, crash, now_s)
 
     def confirm_crashes(
         self, instance: str, now_s: float, successor: UpstreamRun | None = None
@@ -171,7 +110,7 @@
         for crash in confirmed:
             self.confirmed.pop(crash, None)
             self._add_confirmed(crash, times_s[crash])
-            _put_last(self.gossiped, crash, now_s)
+            put_last(self.gossiped, crash, now_s)
         self._forget_causes()
         return confirmed
 
@@ -199,7 +138,7 @@
         for report in crashes:
             crash, at_s = report.crash, now_s - report.age_s
             if report.outlived:
-                self.outlived.setdefault(crash.run(), now_s)
+                self.outlived.add(crash.run(), now_s)
             if not self._is_contradicted(crash, at_s):
                 self._add_confirmed(crash, at_s)
             elif crash.cause not in self.gossiped_answers:
@@ -222,7 +161,7 @@
         self.merge(crashes, (), now_s, trials)
         restored = [crash for crash in self.confirmed if crash not in known]
         for crash in restored:
-            _put_last(self.gossiped, crash, now_s)
+            put_last(self.gossiped, crash, now_s)
         return len(restored)
 
     def crash_reports(self, now_s: float) -> tuple[CrashReport, ...]:
@@ -258,12 +197,11 @@
 
     def record_answer(self, causes: Iterable[str], now_s: float) -> None:
         """Record a successful answer, which contradicts all earlier crashes."""
-        if not self.answers_s or now_s - self.answers_s[-1] >= ANSWER_STEP_S:
-            self.answers_s.append(now_s)
+        self.outlived.record_answer(now_s)
         for cause in causes:
-            _put_last(self.answered, cause, now_s)
+            put_last(self.answered, cause, now_s)
             if self._drop_contradicted(cause):
-                _put_last(self.gossiped_answers, cause, now_s)
+                put_last(self.gossiped_answers, cause, now_s)
         if len(self.answered) > MAX_ENTRIES:
             self._expire(now_s)
 
@@ -396,29 +334,18 @@
         self._expire(now_s)
         if now_s - self.causes_found_s >= CAUSES_MAX_AGE_S:
             crashes_s: dict[str, dict[UpstreamRun, float]] = {}
+            ends_s: dict[UpstreamRun, float] = {}
             for crash, at_s in self.confirmed.items():
-                crashes_s.setdefault(crash.cause, {})[crash.run()] = at_s
-            self._find_outlived(now_s)
-            self.causes = find_causes(crashes_s, now_s, self.outlived.keys())
+                run = crash.run()
+                crashes_s.setdefault(crash.cause, {})[run] = ends_s[run] = at_s
+            self.outlived.find(ends_s, now_s)
+            self.causes = find_causes(crashes_s, now_s, self.outlived.runs.keys())
             self.causes_found_s = now_s
         return self.causes
 
-    def _find_outlived(self, now_s: float) -> None:
-        """Find the runs that ended while others went on, among the recent ones."""
-        ends_s = {
-            crash.run(): at_s
-            for crash, at_s in self.confirmed.items()
-            if now_s - at_s <= SUSPECT_TTL_S
-        }
-        for run, end_s in ends_s.items():
-            if run not in self.outlived and any(
-                is_soon_after(end_s, answered_s) for answered_s in self.answers_s
-            ):
-                self.outlived[run] = now_s
-
     def _report(self, crash: Crash, now_s: float) -> CrashReport:
         age_s = now_s - self.confirmed[crash]
-        return CrashReport(crash, age_s, crash.run() in self.outlived)
+        return CrashReport(crash, age_s, crash.run() in self.outlived.runs)
 
     def _forget_causes(self) -> None:
         self.causes_found_s = float("-inf")
@@ -460,29 +387,15 @@
     def _record_answer_of_peer(self, cause: str, answered_s: float) -> None:
         if answered_s <= self.answered.get(cause, float("-inf")):
             return
-        _put_last(self.answered, cause, answered_s)
+        put_last(self.answered, cause, answered_s)
         self._drop_contradicted(cause)
         # The peer has told all nodes.
         self.gossiped_answers.pop(cause, None)
 
     def _expire(self, now_s: float) -> None:
-        _drop_old(self.suspected, now_s - SUSPECT_TTL_S)
-        _drop_old(self.confirmed, now_s - QUARANTINE_S)
-        _drop_old(self.gossiped, now_s - GOSSIP_DURATION_S)
-        _drop_old(self.outlived, now_s - QUARANTINE_S)
-        _drop_old(self.answered, now_s - QUARANTINE_S)
-        _drop_old(self.gossiped_answers, now_s - GOSSIP_DURATION_S)
-
-
-def _put_last(entries: dict[Key, float], key: Key, at_s: float) -> None:
-    entries.pop(key, None)
-    entries[key] = at_s
-
-
-def _drop_old(entries: dict[Key, float], oldest_s: float) -> None:
-    """Drop entries before a time, and the oldest of too many."""
-    while entries:
-        oldest, at_s = next(iter(entries.items()))
-        if at_s >= oldest_s and len(entries) <= MAX_ENTRIES:
-            break
-        del entries[oldest]
+        drop_old(self.suspected, now_s - SUSPECT_TTL_S)
+        drop_old(self.confirmed, now_s - QUARANTINE_S)
+        drop_old(self.gossiped, now_s - GOSSIP_DURATION_S)
+        self.outlived.expire(now_s)
+        drop_old(self.answered, now_s - QUARANTINE_S)
+        drop_old(self.gossiped_answers, now_s - GOSSIP_DURATION_S)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/quarantine_evidence.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/quarantine_evidence.py
@@ -10,8 +10,8 @@
 from typing import TypeAlias, TypeVar
 
 from lagoonhinge_core.forwarding.crash_limits import QUARANTINE_S
+from lagoonhinge_core.forwarding.crash_reports import Crash, CrashReport
 from lagoonhinge_core.forwarding.crash_trials import TrialReport
-from lagoonhinge_core.forwarding.crashes import Crash, CrashReport
 
 ReportT = TypeVar("ReportT", CrashReport, TrialReport)
 EvidenceContent: TypeAlias = tuple[
--- a/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/peer_messages.py
+++ b/packages/lagoonhinge-node/src/lagoonhinge_node/forwarding/peer_messages.py
@@ -11,8 +11,8 @@
 from msgspec import msgpack
 
 from lagoonhinge_core.decoding import DECODING_ERRORS
+from lagoonhinge_core.forwarding.crash_reports import AnswerReport, CrashReport
 from lagoonhinge_core.forwarding.crash_trials import TrialReport
-from lagoonhinge_core.forwarding.crashes import AnswerReport, CrashReport
 from lagoonhinge_core.forwarding.load_tracker import CellSummary, LoadUpdate
 from lagoonhinge_core.forwarding.site_store import NodeEntry
 from lagoonhinge_core.forwarding.table_replica import TableUpdate
