Answers of plain services don't show that engines went on

After a power failure of all engines, the answers of a plain service within a second counted as those that tell a burst of prompts from a common failure, so a part of prompts on five engines was refused until a trial.

Change: only answers to prompts with parts count.

Test: a row of crashes 'five upstreams end in one burst' failed before ('f+p are served: 598.5').

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -115,6 +115,7 @@
       | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, 0.1 s pass, s+x is answered, 2 s pass | none | f+p |
       | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, 1.5 s pass, s+x is answered, 1 s pass | none | f+p |
       | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, 0.5 s pass, s+p is answered, 1 s pass | none | f+p |
+      | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, 0.5 s pass, s is answered, 1 s pass | none | f+p |
       | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, 0.5 s pass, s+x is answered, 1 s pass  | none       | f+p          |
       | a+p crashes 1, b+p crashes 2, c+p crashes 3, d+p crashes 4, e+p crashes 5, f+y crashes 6, 0.5 s pass, s+x is answered, 1 s pass | none | g+p |
       | a+p+x crashes 1, b+p+x crashes 2, c+p+x crashes 3, d+p+x crashes 4, e+p+x crashes 5, 0.5 s pass, s+x is answered, 1 s pass | f+p | f+x |
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_causes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crash_causes.py
@@ -95,7 +95,7 @@
 
     def is_part(self) -> bool:
         """Return whether it is parts of prompts, and not a request."""
-        return all(map(_is_part, self.causes))
+        return all(map(is_part, self.causes))
 
 
 def find_causes(
@@ -122,7 +122,7 @@
     found = [
         FoundCause(frozenset((cause,)), frozenset(times_s))
         for cause, times_s in crashes_s.items()
-        if not _is_part(cause) and len(times_s) >= CRASHES_TO_QUARANTINE
+        if not is_part(cause) and len(times_s) >= CRASHES_TO_QUARANTINE
     ]
     by_requests = frozenset[UpstreamRun]().union(*(entry.upstreams for entry in found))
     found += _find_parts(crashes_s, by_requests, now_s, outlived)
@@ -189,13 +189,13 @@
             key=sorted,
         )
         equal = [c for c, upstreams in attributable.items() if upstreams == largest]
-        if all(map(_is_part, equal)):
+        if all(map(is_part, equal)):
             separate = len(largest) >= CRASHES_TO_SEPARATE
             sets = [(cause,) for cause in equal] if separate else [equal]
             narrower = [
                 crashes_s[cause].keys()
                 for cause, upstreams in unexplained.items()
-                if _is_part(cause)
+                if is_part(cause)
                 and len(crashes_s[cause]) >= CRASHES_TO_QUARANTINE
                 and len(upstreams & largest) < len(largest)
             ]
@@ -220,7 +220,8 @@
     )
 
 
-def _is_part(cause: str) -> bool:
+def is_part(cause: str) -> bool:
+    """Return whether a possible cause is a part of prompts, and not a request."""
     return cause.startswith(PART_PREFIX)
 
 
@@ -242,7 +243,7 @@
         now_s: The time, in seconds.
         outlived: Runs soon after whose end another upstream answered.
     """
-    if not _is_part(cause):
+    if not is_part(cause):
         return times_s.keys()
     own_s = sorted(times_s.values())
     own_open_s = sorted(at_s for name, at_s in times_s.items() if name not in explained)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/crashes.py
@@ -16,6 +16,7 @@
     FoundCause,
     PossibleCauses,
     find_causes,
+    is_part,
 )
 from lagoonhinge_core.forwarding.crash_limits import (
     GOSSIP_DURATION_S,
@@ -197,8 +198,10 @@
 
     def record_answer(self, causes: Iterable[str], now_s: float) -> None:
         """Record a successful answer, which contradicts all earlier crashes."""
-        self.outlived.record_answer(now_s)
         for cause in causes:
+            if is_part(cause):
+                # Only engines answer prompts with parts, so not all of these ended.
+                self.outlived.record_answer(now_s)
             put_last(self.answered, cause, now_s)
             if self._drop_contradicted(cause):
                 put_last(self.gossiped_answers, cause, now_s)
--- a/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/outlived_runs.py
+++ b/packages/lagoonhinge-core/src/lagoonhinge_core/forwarding/outlived_runs.py
@@ -33,7 +33,7 @@
     runs: dict[UpstreamRun, float] = field(default_factory=dict)
 
     def record_answer(self, now_s: float) -> None:
-        """Record that an upstream answered, or went on with an answer."""
+        """Record that an engine answered, or went on with an answer."""
         if not self.answers_s or now_s - self.answers_s[-1] >= ANSWER_STEP_S:
             self.answers_s.append(now_s)
 
